--- a/proto/godwitspar.pb-c.c
+++ b/proto/godwitspar.pb-c.c
@@ -862,1943 +862,3489 @@
   assert(message->base.descriptor == &gw__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gw__demand__init
+                     (Gw__Demand         *message)
+{
+  static const Gw__Demand init_value = GW__DEMAND__INIT;
+  *message = init_value;
+}
+size_t gw__demand__get_packed_size
+                     (const Gw__Demand *message)
+{
+  assert(message->base.descriptor == &gw__demand__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__demand__pack
+                     (const Gw__Demand *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__demand__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__demand__pack_to_buffer
+                     (const Gw__Demand *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__demand__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__Demand *
+       gw__demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__Demand *)
+     protobuf_c_message_unpack (&gw__demand__descriptor,
+                                allocator, len, data);
+}
+void   gw__demand__free_unpacked
+                     (Gw__Demand *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__demand__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gw__lease_time__init
+                     (Gw__LeaseTime         *message)
+{
+  static const Gw__LeaseTime init_value = GW__LEASE_TIME__INIT;
+  *message = init_value;
+}
+size_t gw__lease_time__get_packed_size
+                     (const Gw__LeaseTime *message)
+{
+  assert(message->base.descriptor == &gw__lease_time__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__lease_time__pack
+                     (const Gw__LeaseTime *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__lease_time__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__lease_time__pack_to_buffer
+                     (const Gw__LeaseTime *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__lease_time__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__LeaseTime *
+       gw__lease_time__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__LeaseTime *)
+     protobuf_c_message_unpack (&gw__lease_time__descriptor,
+                                allocator, len, data);
+}
+void   gw__lease_time__free_unpacked
+                     (Gw__LeaseTime *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__lease_time__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gw__leased_job__init
+                     (Gw__LeasedJob         *message)
+{
+  static const Gw__LeasedJob init_value = GW__LEASED_JOB__INIT;
+  *message = init_value;
+}
+size_t gw__leased_job__get_packed_size
+                     (const Gw__LeasedJob *message)
+{
+  assert(message->base.descriptor == &gw__leased_job__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__leased_job__pack
+                     (const Gw__LeasedJob *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__leased_job__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__leased_job__pack_to_buffer
+                     (const Gw__LeasedJob *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__leased_job__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__LeasedJob *
+       gw__leased_job__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__LeasedJob *)
+     protobuf_c_message_unpack (&gw__leased_job__descriptor,
+                                allocator, len, data);
+}
+void   gw__leased_job__free_unpacked
+                     (Gw__LeasedJob *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__leased_job__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gw__job_result__init
+                     (Gw__JobResult         *message)
+{
+  static const Gw__JobResult init_value = GW__JOB_RESULT__INIT;
+  *message = init_value;
+}
+size_t gw__job_result__get_packed_size
+                     (const Gw__JobResult *message)
+{
+  assert(message->base.descriptor == &gw__job_result__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__job_result__pack
+                     (const Gw__JobResult *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__job_result__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__job_result__pack_to_buffer
+                     (const Gw__JobResult *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__job_result__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__JobResult *
+       gw__job_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__JobResult *)
+     protobuf_c_message_unpack (&gw__job_result__descriptor,
+                                allocator, len, data);
+}
+void   gw__job_result__free_unpacked
+                     (Gw__JobResult *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__job_result__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gw__job_cancel__init
+                     (Gw__JobCancel         *message)
+{
+  static const Gw__JobCancel init_value = GW__JOB_CANCEL__INIT;
+  *message = init_value;
+}
+size_t gw__job_cancel__get_packed_size
+                     (const Gw__JobCancel *message)
+{
+  assert(message->base.descriptor == &gw__job_cancel__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__job_cancel__pack
+                     (const Gw__JobCancel *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__job_cancel__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__job_cancel__pack_to_buffer
+                     (const Gw__JobCancel *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__job_cancel__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__JobCancel *
+       gw__job_cancel__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__JobCancel *)
+     protobuf_c_message_unpack (&gw__job_cancel__descriptor,
+                                allocator, len, data);
+}
+void   gw__job_cancel__free_unpacked
+                     (Gw__JobCancel *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__job_cancel__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gw__task_run__init
+                     (Gw__TaskRun         *message)
+{
+  static const Gw__TaskRun init_value = GW__TASK_RUN__INIT;
+  *message = init_value;
+}
+size_t gw__task_run__get_packed_size
+                     (const Gw__TaskRun *message)
+{
+  assert(message->base.descriptor == &gw__task_run__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__task_run__pack
+                     (const Gw__TaskRun *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__task_run__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__task_run__pack_to_buffer
+                     (const Gw__TaskRun *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__task_run__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__TaskRun *
+       gw__task_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__TaskRun *)
+     protobuf_c_message_unpack (&gw__task_run__descriptor,
+                                allocator, len, data);
+}
+void   gw__task_run__free_unpacked
+                     (Gw__TaskRun *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__task_run__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gw__run_order__init
+                     (Gw__RunOrder         *message)
+{
+  static const Gw__RunOrder init_value = GW__RUN_ORDER__INIT;
+  *message = init_value;
+}
+size_t gw__run_order__get_packed_size
+                     (const Gw__RunOrder *message)
+{
+  assert(message->base.descriptor == &gw__run_order__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__run_order__pack
+                     (const Gw__RunOrder *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__run_order__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__run_order__pack_to_buffer
+                     (const Gw__RunOrder *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__run_order__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__RunOrder *
+       gw__run_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__RunOrder *)
+     protobuf_c_message_unpack (&gw__run_order__descriptor,
+                                allocator, len, data);
+}
+void   gw__run_order__free_unpacked
+                     (Gw__RunOrder *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__run_order__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gw__run_stop__init
+                     (Gw__RunStop         *message)
+{
+  static const Gw__RunStop init_value = GW__RUN_STOP__INIT;
+  *message = init_value;
+}
+size_t gw__run_stop__get_packed_size
+                     (const Gw__RunStop *message)
+{
+  assert(message->base.descriptor == &gw__run_stop__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__run_stop__pack
+                     (const Gw__RunStop *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__run_stop__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__run_stop__pack_to_buffer
+                     (const Gw__RunStop *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__run_stop__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__RunStop *
+       gw__run_stop__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__RunStop *)
+     protobuf_c_message_unpack (&gw__run_stop__descriptor,
+                                allocator, len, data);
+}
+void   gw__run_stop__free_unpacked
+                     (Gw__RunStop *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__run_stop__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gw__run_report__init
+                     (Gw__RunReport         *message)
+{
+  static const Gw__RunReport init_value = GW__RUN_REPORT__INIT;
+  *message = init_value;
+}
+size_t gw__run_report__get_packed_size
+                     (const Gw__RunReport *message)
+{
+  assert(message->base.descriptor == &gw__run_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__run_report__pack
+                     (const Gw__RunReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__run_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__run_report__pack_to_buffer
+                     (const Gw__RunReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__run_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__RunReport *
+       gw__run_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__RunReport *)
+     protobuf_c_message_unpack (&gw__run_report__descriptor,
+                                allocator, len, data);
+}
+void   gw__run_report__free_unpacked
+                     (Gw__RunReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__run_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gw__server_state__init
+                     (Gw__ServerState         *message)
+{
+  static const Gw__ServerState init_value = GW__SERVER_STATE__INIT;
+  *message = init_value;
+}
+size_t gw__server_state__get_packed_size
+                     (const Gw__ServerState *message)
+{
+  assert(message->base.descriptor == &gw__server_state__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__server_state__pack
+                     (const Gw__ServerState *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__server_state__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__server_state__pack_to_buffer
+                     (const Gw__ServerState *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__server_state__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__ServerState *
+       gw__server_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__ServerState *)
+     protobuf_c_message_unpack (&gw__server_state__descriptor,
+                                allocator, len, data);
+}
+void   gw__server_state__free_unpacked
+                     (Gw__ServerState *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__server_state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCEnumValue gw__hello__role__enum_values_by_number[2] =
 {
-  { "ENTRY", "GW__HELLO__ROLE__ENTRY", 0 },
-  { "AGENT", "GW__HELLO__ROLE__AGENT", 1 },
+  { "ENTRY", "GW__HELLO__ROLE__ENTRY", 0 },
+  { "AGENT", "GW__HELLO__ROLE__AGENT", 1 },
+};
+static const ProtobufCIntRange gw__hello__role__value_ranges[] = {
+{0, 0},{0, 2}
+};
+static const ProtobufCEnumValueIndex gw__hello__role__enum_values_by_name[2] =
+{
+  { "AGENT", 1 },
+  { "ENTRY", 0 },
+};
+const ProtobufCEnumDescriptor gw__hello__role__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "gw.Hello.Role",
+  "Role",
+  "Gw__Hello__Role",
+  "gw",
+  2,
+  gw__hello__role__enum_values_by_number,
+  2,
+  gw__hello__role__enum_values_by_name,
+  1,
+  gw__hello__role__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCFieldDescriptor gw__hello__field_descriptors[8] =
+{
+  {
+    "role",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Hello, role),
+    &gw__hello__role__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "name",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Hello, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Hello, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zone",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Hello, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "frame_address",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Hello, frame_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "http_address",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Hello, http_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "backend",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Hello, backend),
+    &gw__backend__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "protocol",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Hello, protocol),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__hello__field_indices_by_name[] = {
+  6,   /* field[6] = backend */
+  4,   /* field[4] = frame_address */
+  5,   /* field[5] = http_address */
+  2,   /* field[2] = incarnation */
+  1,   /* field[1] = name */
+  7,   /* field[7] = protocol */
+  0,   /* field[0] = role */
+  3,   /* field[3] = zone */
+};
+static const ProtobufCIntRange gw__hello__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor gw__hello__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.Hello",
+  "Hello",
+  "Gw__Hello",
+  "gw",
+  sizeof(Gw__Hello),
+  8,
+  gw__hello__field_descriptors,
+  gw__hello__field_indices_by_name,
+  1,  gw__hello__number_ranges,
+  (ProtobufCMessageInit) gw__hello__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__backend__field_descriptors[10] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Backend, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Backend, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zone",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Backend, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Backend, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "connections",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Backend, connections),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "http_address",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Backend, http_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "agent_address",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Backend, agent_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Backend, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Backend, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_mb",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Backend, memory_mb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__backend__field_indices_by_name[] = {
+  6,   /* field[6] = agent_address */
+  4,   /* field[4] = connections */
+  5,   /* field[5] = http_address */
+  7,   /* field[7] = incarnation */
+  8,   /* field[8] = leaving */
+  9,   /* field[9] = memory_mb */
+  0,   /* field[0] = name */
+  1,   /* field[1] = service */
+  3,   /* field[3] = slots */
+  2,   /* field[2] = zone */
+};
+static const ProtobufCIntRange gw__backend__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor gw__backend__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.Backend",
+  "Backend",
+  "Gw__Backend",
+  "gw",
+  sizeof(Gw__Backend),
+  10,
+  gw__backend__field_descriptors,
+  gw__backend__field_indices_by_name,
+  1,  gw__backend__number_ranges,
+  (ProtobufCMessageInit) gw__backend__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__entry__field_descriptors[6] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Entry, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Entry, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zone",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Entry, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "frame_address",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Entry, frame_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "http_address",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Entry, http_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "draining",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Entry, draining),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__entry__field_indices_by_name[] = {
+  5,   /* field[5] = draining */
+  3,   /* field[3] = frame_address */
+  4,   /* field[4] = http_address */
+  1,   /* field[1] = incarnation */
+  0,   /* field[0] = name */
+  2,   /* field[2] = zone */
+};
+static const ProtobufCIntRange gw__entry__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor gw__entry__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.Entry",
+  "Entry",
+  "Gw__Entry",
+  "gw",
+  sizeof(Gw__Entry),
+  6,
+  gw__entry__field_descriptors,
+  gw__entry__field_indices_by_name,
+  1,  gw__entry__number_ranges,
+  (ProtobufCMessageInit) gw__entry__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__job_id__field_descriptors[2] =
+{
+  {
+    "holder",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__JobId, holder),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__JobId, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__job_id__field_indices_by_name[] = {
+  0,   /* field[0] = holder */
+  1,   /* field[1] = number */
+};
+static const ProtobufCIntRange gw__job_id__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor gw__job_id__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.JobId",
+  "JobId",
+  "Gw__JobId",
+  "gw",
+  sizeof(Gw__JobId),
+  2,
+  gw__job_id__field_descriptors,
+  gw__job_id__field_indices_by_name,
+  1,  gw__job_id__number_ranges,
+  (ProtobufCMessageInit) gw__job_id__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__task__field_descriptors[3] =
+{
+  {
+    "index",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Task, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Task, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "payload",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Task, payload),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__task__field_indices_by_name[] = {
+  1,   /* field[1] = attempt */
+  0,   /* field[0] = index */
+  2,   /* field[2] = payload */
+};
+static const ProtobufCIntRange gw__task__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gw__task__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.Task",
+  "Task",
+  "Gw__Task",
+  "gw",
+  sizeof(Gw__Task),
+  3,
+  gw__task__field_descriptors,
+  gw__task__field_indices_by_name,
+  1,  gw__task__number_ranges,
+  (ProtobufCMessageInit) gw__task__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__grant__field_descriptors[11] =
+{
+  {
+    "job",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Grant, job),
+    &gw__job_id__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Grant, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "team",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Grant, team),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "group",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Grant, group),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "grant",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Grant, grant),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deadline_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Grant, deadline_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job_tasks_left",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Grant, job_tasks_left),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "declared_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Grant, declared_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_mb",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Grant, memory_mb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tasks",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Grant, n_tasks),
+    offsetof(Gw__Grant, tasks),
+    &gw__task__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waited_ms",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Grant, waited_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__grant__field_indices_by_name[] = {
+  5,   /* field[5] = deadline_ms */
+  7,   /* field[7] = declared_ms */
+  4,   /* field[4] = grant */
+  3,   /* field[3] = group */
+  0,   /* field[0] = job */
+  6,   /* field[6] = job_tasks_left */
+  8,   /* field[8] = memory_mb */
+  1,   /* field[1] = service */
+  9,   /* field[9] = tasks */
+  2,   /* field[2] = team */
+  10,   /* field[10] = waited_ms */
+};
+static const ProtobufCIntRange gw__grant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 11 }
+};
+const ProtobufCMessageDescriptor gw__grant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.Grant",
+  "Grant",
+  "Gw__Grant",
+  "gw",
+  sizeof(Gw__Grant),
+  11,
+  gw__grant__field_descriptors,
+  gw__grant__field_indices_by_name,
+  1,  gw__grant__number_ranges,
+  (ProtobufCMessageInit) gw__grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__start__field_descriptors[5] =
+{
+  {
+    "job",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Start, job),
+    &gw__job_id__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tasks",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Start, n_tasks),
+    offsetof(Gw__Start, tasks),
+    &gw__task__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "path",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Start, path),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Start, lease_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "timeout_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Start, timeout_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__start__field_indices_by_name[] = {
+  0,   /* field[0] = job */
+  3,   /* field[3] = lease_ms */
+  2,   /* field[2] = path */
+  1,   /* field[1] = tasks */
+  4,   /* field[4] = timeout_ms */
+};
+static const ProtobufCIntRange gw__start__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor gw__start__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.Start",
+  "Start",
+  "Gw__Start",
+  "gw",
+  sizeof(Gw__Start),
+  5,
+  gw__start__field_descriptors,
+  gw__start__field_indices_by_name,
+  1,  gw__start__number_ranges,
+  (ProtobufCMessageInit) gw__start__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCEnumValue gw__outcome__kind__enum_values_by_number[3] =
+{
+  { "ANSWERED", "GW__OUTCOME__KIND__ANSWERED", 0 },
+  { "NOT_RUN", "GW__OUTCOME__KIND__NOT_RUN", 1 },
+  { "MAY_HAVE_RUN", "GW__OUTCOME__KIND__MAY_HAVE_RUN", 2 },
+};
+static const ProtobufCIntRange gw__outcome__kind__value_ranges[] = {
+{0, 0},{0, 3}
+};
+static const ProtobufCEnumValueIndex gw__outcome__kind__enum_values_by_name[3] =
+{
+  { "ANSWERED", 0 },
+  { "MAY_HAVE_RUN", 2 },
+  { "NOT_RUN", 1 },
+};
+const ProtobufCEnumDescriptor gw__outcome__kind__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "gw.Outcome.Kind",
+  "Kind",
+  "Gw__Outcome__Kind",
+  "gw",
+  3,
+  gw__outcome__kind__enum_values_by_number,
+  3,
+  gw__outcome__kind__enum_values_by_name,
+  1,
+  gw__outcome__kind__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCEnumValue gw__outcome__reason__enum_values_by_number[15] =
+{
+  { "NONE", "GW__OUTCOME__REASON__NONE", 0 },
+  { "BUSY", "GW__OUTCOME__REASON__BUSY", 1 },
+  { "DRAINING", "GW__OUTCOME__REASON__DRAINING", 2 },
+  { "FENCED", "GW__OUTCOME__REASON__FENCED", 3 },
+  { "CANCELLED", "GW__OUTCOME__REASON__CANCELLED", 4 },
+  { "EXPIRED", "GW__OUTCOME__REASON__EXPIRED", 5 },
+  { "OVERLOADED", "GW__OUTCOME__REASON__OVERLOADED", 6 },
+  { "UNREACHABLE", "GW__OUTCOME__REASON__UNREACHABLE", 7 },
+  { "HANDED_BACK", "GW__OUTCOME__REASON__HANDED_BACK", 8 },
+  { "OWNER_LOST", "GW__OUTCOME__REASON__OWNER_LOST", 9 },
+  { "CONNECTION_LOST", "GW__OUTCOME__REASON__CONNECTION_LOST", 10 },
+  { "UNSATISFIABLE", "GW__OUTCOME__REASON__UNSATISFIABLE", 11 },
+  { "NO_BACKEND", "GW__OUTCOME__REASON__NO_BACKEND", 12 },
+  { "MEMORY", "GW__OUTCOME__REASON__MEMORY", 13 },
+  { "TIMEOUT", "GW__OUTCOME__REASON__TIMEOUT", 14 },
 };
-static const ProtobufCIntRange gw__hello__role__value_ranges[] = {
-{0, 0},{0, 2}
+static const ProtobufCIntRange gw__outcome__reason__value_ranges[] = {
+{0, 0},{0, 15}
 };
-static const ProtobufCEnumValueIndex gw__hello__role__enum_values_by_name[2] =
+static const ProtobufCEnumValueIndex gw__outcome__reason__enum_values_by_name[15] =
 {
-  { "AGENT", 1 },
-  { "ENTRY", 0 },
+  { "BUSY", 1 },
+  { "CANCELLED", 4 },
+  { "CONNECTION_LOST", 10 },
+  { "DRAINING", 2 },
+  { "EXPIRED", 5 },
+  { "FENCED", 3 },
+  { "HANDED_BACK", 8 },
+  { "MEMORY", 13 },
+  { "NONE", 0 },
+  { "NO_BACKEND", 12 },
+  { "OVERLOADED", 6 },
+  { "OWNER_LOST", 9 },
+  { "TIMEOUT", 14 },
+  { "UNREACHABLE", 7 },
+  { "UNSATISFIABLE", 11 },
 };
-const ProtobufCEnumDescriptor gw__hello__role__descriptor =
+const ProtobufCEnumDescriptor gw__outcome__reason__descriptor =
 {
   PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
-  "gw.Hello.Role",
-  "Role",
-  "Gw__Hello__Role",
+  "gw.Outcome.Reason",
+  "Reason",
+  "Gw__Outcome__Reason",
   "gw",
-  2,
-  gw__hello__role__enum_values_by_number,
-  2,
-  gw__hello__role__enum_values_by_name,
+  15,
+  gw__outcome__reason__enum_values_by_number,
+  15,
+  gw__outcome__reason__enum_values_by_name,
   1,
-  gw__hello__role__value_ranges,
+  gw__outcome__reason__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor gw__hello__field_descriptors[8] =
+static const ProtobufCFieldDescriptor gw__outcome__field_descriptors[9] =
 {
   {
-    "role",
+    "job",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Gw__Hello, role),
-    &gw__hello__role__descriptor,
+    offsetof(Gw__Outcome, job),
+    &gw__job_id__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "name",
+    "index",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__Hello, name),
+    offsetof(Gw__Outcome, index),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "incarnation",
+    "attempt",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__Hello, incarnation),
+    offsetof(Gw__Outcome, attempt),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "zone",
+    "kind",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Gw__Hello, zone),
+    offsetof(Gw__Outcome, kind),
+    &gw__outcome__kind__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "frame_address",
+    "reason",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Gw__Hello, frame_address),
+    offsetof(Gw__Outcome, reason),
+    &gw__outcome__reason__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Outcome, status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Outcome, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Outcome, run_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_s",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Outcome, retry_after_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__outcome__field_indices_by_name[] = {
+  2,   /* field[2] = attempt */
+  6,   /* field[6] = body */
+  1,   /* field[1] = index */
+  0,   /* field[0] = job */
+  3,   /* field[3] = kind */
+  4,   /* field[4] = reason */
+  8,   /* field[8] = retry_after_s */
+  7,   /* field[7] = run_ms */
+  5,   /* field[5] = status */
+};
+static const ProtobufCIntRange gw__outcome__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor gw__outcome__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.Outcome",
+  "Outcome",
+  "Gw__Outcome",
+  "gw",
+  sizeof(Gw__Outcome),
+  9,
+  gw__outcome__field_descriptors,
+  gw__outcome__field_indices_by_name,
+  1,  gw__outcome__number_ranges,
+  (ProtobufCMessageInit) gw__outcome__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__task_ref__field_descriptors[2] =
+{
+  {
+    "index",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__TaskRef, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__TaskRef, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__task_ref__field_indices_by_name[] = {
+  1,   /* field[1] = attempt */
+  0,   /* field[0] = index */
+};
+static const ProtobufCIntRange gw__task_ref__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor gw__task_ref__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.TaskRef",
+  "TaskRef",
+  "Gw__TaskRef",
+  "gw",
+  sizeof(Gw__TaskRef),
+  2,
+  gw__task_ref__field_descriptors,
+  gw__task_ref__field_indices_by_name,
+  1,  gw__task_ref__number_ranges,
+  (ProtobufCMessageInit) gw__task_ref__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__ack__field_descriptors[3] =
+{
+  {
+    "job",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Ack, job),
+    &gw__job_id__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tasks",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Ack, n_tasks),
+    offsetof(Gw__Ack, tasks),
+    &gw__task_ref__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "http_address",
-    6,
+    "whole_job",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Gw__Hello, http_address),
+    offsetof(Gw__Ack, whole_job),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned gw__ack__field_indices_by_name[] = {
+  0,   /* field[0] = job */
+  1,   /* field[1] = tasks */
+  2,   /* field[2] = whole_job */
+};
+static const ProtobufCIntRange gw__ack__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gw__ack__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.Ack",
+  "Ack",
+  "Gw__Ack",
+  "gw",
+  sizeof(Gw__Ack),
+  3,
+  gw__ack__field_descriptors,
+  gw__ack__field_indices_by_name,
+  1,  gw__ack__number_ranges,
+  (ProtobufCMessageInit) gw__ack__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__cancel__field_descriptors[2] =
+{
   {
-    "backend",
-    7,
+    "job",
+    1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Gw__Hello, backend),
-    &gw__backend__descriptor,
+    offsetof(Gw__Cancel, job),
+    &gw__job_id__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "protocol",
-    8,
+    "up_to_attempt",
+    2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__Hello, protocol),
+    offsetof(Gw__Cancel, up_to_attempt),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gw__hello__field_indices_by_name[] = {
-  6,   /* field[6] = backend */
-  4,   /* field[4] = frame_address */
-  5,   /* field[5] = http_address */
-  2,   /* field[2] = incarnation */
-  1,   /* field[1] = name */
-  7,   /* field[7] = protocol */
-  0,   /* field[0] = role */
-  3,   /* field[3] = zone */
+static const unsigned gw__cancel__field_indices_by_name[] = {
+  0,   /* field[0] = job */
+  1,   /* field[1] = up_to_attempt */
 };
-static const ProtobufCIntRange gw__hello__number_ranges[1 + 1] =
+static const ProtobufCIntRange gw__cancel__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor gw__hello__descriptor =
+const ProtobufCMessageDescriptor gw__cancel__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.Hello",
-  "Hello",
-  "Gw__Hello",
+  "gw.Cancel",
+  "Cancel",
+  "Gw__Cancel",
   "gw",
-  sizeof(Gw__Hello),
-  8,
-  gw__hello__field_descriptors,
-  gw__hello__field_indices_by_name,
-  1,  gw__hello__number_ranges,
-  (ProtobufCMessageInit) gw__hello__init,
+  sizeof(Gw__Cancel),
+  2,
+  gw__cancel__field_descriptors,
+  gw__cancel__field_indices_by_name,
+  1,  gw__cancel__number_ranges,
+  (ProtobufCMessageInit) gw__cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__backend__field_descriptors[10] =
+static const ProtobufCFieldDescriptor gw__fence__field_descriptors[4] =
 {
   {
-    "name",
+    "job",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Gw__Backend, name),
+    offsetof(Gw__Fence, job),
+    &gw__job_id__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "service",
+    "up_to_attempt",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__Backend, service),
+    offsetof(Gw__Fence, up_to_attempt),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "zone",
+    "indexes",
     3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Gw__Backend, zone),
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Gw__Fence, n_indexes),
+    offsetof(Gw__Fence, indexes),
     NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "slots",
+    "query",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gw__Backend, slots),
+    offsetof(Gw__Fence, query),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned gw__fence__field_indices_by_name[] = {
+  2,   /* field[2] = indexes */
+  0,   /* field[0] = job */
+  3,   /* field[3] = query */
+  1,   /* field[1] = up_to_attempt */
+};
+static const ProtobufCIntRange gw__fence__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor gw__fence__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.Fence",
+  "Fence",
+  "Gw__Fence",
+  "gw",
+  sizeof(Gw__Fence),
+  4,
+  gw__fence__field_descriptors,
+  gw__fence__field_indices_by_name,
+  1,  gw__fence__number_ranges,
+  (ProtobufCMessageInit) gw__fence__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__fence_reply__field_descriptors[3] =
+{
   {
-    "connections",
-    5,
+    "job",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Gw__Backend, connections),
-    NULL,
+    offsetof(Gw__FenceReply, job),
+    &gw__job_id__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "http_address",
-    6,
+    "query",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gw__Backend, http_address),
+    offsetof(Gw__FenceReply, query),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "agent_address",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Gw__Backend, agent_address),
+    "started",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__FenceReply, n_started),
+    offsetof(Gw__FenceReply, started),
+    &gw__task_ref__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned gw__fence_reply__field_indices_by_name[] = {
+  0,   /* field[0] = job */
+  1,   /* field[1] = query */
+  2,   /* field[2] = started */
+};
+static const ProtobufCIntRange gw__fence_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gw__fence_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.FenceReply",
+  "FenceReply",
+  "Gw__FenceReply",
+  "gw",
+  sizeof(Gw__FenceReply),
+  3,
+  gw__fence_reply__field_descriptors,
+  gw__fence_reply__field_indices_by_name,
+  1,  gw__fence_reply__number_ranges,
+  (ProtobufCMessageInit) gw__fence_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__load__field_descriptors[3] =
+{
   {
-    "incarnation",
-    8,
+    "slots",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__Backend, incarnation),
+    offsetof(Gw__Load, slots),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "leaving",
-    9,
+    "busy",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__Backend, leaving),
+    offsetof(Gw__Load, busy),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "memory_mb",
-    10,
+    "leaving",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Gw__Backend, memory_mb),
+    offsetof(Gw__Load, leaving),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gw__backend__field_indices_by_name[] = {
-  6,   /* field[6] = agent_address */
-  4,   /* field[4] = connections */
-  5,   /* field[5] = http_address */
-  7,   /* field[7] = incarnation */
-  8,   /* field[8] = leaving */
-  9,   /* field[9] = memory_mb */
-  0,   /* field[0] = name */
-  1,   /* field[1] = service */
-  3,   /* field[3] = slots */
-  2,   /* field[2] = zone */
-};
-static const ProtobufCIntRange gw__backend__number_ranges[1 + 1] =
+static const unsigned gw__load__field_indices_by_name[] = {
+  1,   /* field[1] = busy */
+  2,   /* field[2] = leaving */
+  0,   /* field[0] = slots */
+};
+static const ProtobufCIntRange gw__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor gw__backend__descriptor =
+const ProtobufCMessageDescriptor gw__load__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.Backend",
-  "Backend",
-  "Gw__Backend",
+  "gw.Load",
+  "Load",
+  "Gw__Load",
   "gw",
-  sizeof(Gw__Backend),
-  10,
-  gw__backend__field_descriptors,
-  gw__backend__field_indices_by_name,
-  1,  gw__backend__number_ranges,
-  (ProtobufCMessageInit) gw__backend__init,
+  sizeof(Gw__Load),
+  3,
+  gw__load__field_descriptors,
+  gw__load__field_indices_by_name,
+  1,  gw__load__number_ranges,
+  (ProtobufCMessageInit) gw__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__entry__field_descriptors[6] =
+static const ProtobufCFieldDescriptor gw__roster__field_descriptors[3] =
 {
   {
-    "name",
+    "group",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gw__Entry, name),
+    offsetof(Gw__Roster, group),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "incarnation",
+    "version",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gw__Entry, incarnation),
+    offsetof(Gw__Roster, version),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "zone",
+    "backends",
     3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Gw__Entry, zone),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "frame_address",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Gw__Entry, frame_address),
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Roster, n_backends),
+    offsetof(Gw__Roster, backends),
+    &gw__backend__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned gw__roster__field_indices_by_name[] = {
+  2,   /* field[2] = backends */
+  0,   /* field[0] = group */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange gw__roster__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gw__roster__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.Roster",
+  "Roster",
+  "Gw__Roster",
+  "gw",
+  sizeof(Gw__Roster),
+  3,
+  gw__roster__field_descriptors,
+  gw__roster__field_indices_by_name,
+  1,  gw__roster__number_ranges,
+  (ProtobufCMessageInit) gw__roster__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__roster_ack__field_descriptors[2] =
+{
   {
-    "http_address",
-    5,
+    "group",
+    1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gw__Entry, http_address),
+    offsetof(Gw__RosterAck, group),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "draining",
-    6,
+    "version",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gw__Entry, draining),
+    offsetof(Gw__RosterAck, version),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gw__entry__field_indices_by_name[] = {
-  5,   /* field[5] = draining */
-  3,   /* field[3] = frame_address */
-  4,   /* field[4] = http_address */
-  1,   /* field[1] = incarnation */
-  0,   /* field[0] = name */
-  2,   /* field[2] = zone */
+static const unsigned gw__roster_ack__field_indices_by_name[] = {
+  0,   /* field[0] = group */
+  1,   /* field[1] = version */
 };
-static const ProtobufCIntRange gw__entry__number_ranges[1 + 1] =
+static const ProtobufCIntRange gw__roster_ack__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor gw__entry__descriptor =
+const ProtobufCMessageDescriptor gw__roster_ack__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.Entry",
-  "Entry",
-  "Gw__Entry",
+  "gw.RosterAck",
+  "RosterAck",
+  "Gw__RosterAck",
   "gw",
-  sizeof(Gw__Entry),
-  6,
-  gw__entry__field_descriptors,
-  gw__entry__field_indices_by_name,
-  1,  gw__entry__number_ranges,
-  (ProtobufCMessageInit) gw__entry__init,
+  sizeof(Gw__RosterAck),
+  2,
+  gw__roster_ack__field_descriptors,
+  gw__roster_ack__field_indices_by_name,
+  1,  gw__roster_ack__number_ranges,
+  (ProtobufCMessageInit) gw__roster_ack__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__job_id__field_descriptors[2] =
+static const ProtobufCFieldDescriptor gw__group_load__field_descriptors[4] =
 {
   {
-    "holder",
+    "group",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gw__JobId, holder),
-    NULL,
+    offsetof(Gw__GroupLoad, group),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "number",
+    "wait_ms",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__JobId, number),
+    offsetof(Gw__GroupLoad, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__GroupLoad, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "task_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__GroupLoad, task_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gw__job_id__field_indices_by_name[] = {
-  0,   /* field[0] = holder */
-  1,   /* field[1] = number */
+static const unsigned gw__group_load__field_indices_by_name[] = {
+  0,   /* field[0] = group */
+  2,   /* field[2] = slots */
+  3,   /* field[3] = task_ms */
+  1,   /* field[1] = wait_ms */
 };
-static const ProtobufCIntRange gw__job_id__number_ranges[1 + 1] =
+static const ProtobufCIntRange gw__group_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor gw__job_id__descriptor =
+const ProtobufCMessageDescriptor gw__group_load__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.JobId",
-  "JobId",
-  "Gw__JobId",
+  "gw.GroupLoad",
+  "GroupLoad",
+  "Gw__GroupLoad",
   "gw",
-  sizeof(Gw__JobId),
-  2,
-  gw__job_id__field_descriptors,
-  gw__job_id__field_indices_by_name,
-  1,  gw__job_id__number_ranges,
-  (ProtobufCMessageInit) gw__job_id__init,
+  sizeof(Gw__GroupLoad),
+  4,
+  gw__group_load__field_descriptors,
+  gw__group_load__field_indices_by_name,
+  1,  gw__group_load__number_ranges,
+  (ProtobufCMessageInit) gw__group_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__task__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gw__config__field_descriptors[3] =
 {
   {
-    "index",
+    "version",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gw__Task, index),
+    offsetof(Gw__Config, version),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "attempt",
+    "token",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gw__Task, attempt),
-    NULL,
+    offsetof(Gw__Config, token),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "payload",
+    "body",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gw__Task, payload),
-    NULL,
+    offsetof(Gw__Config, body),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gw__task__field_indices_by_name[] = {
-  1,   /* field[1] = attempt */
-  0,   /* field[0] = index */
-  2,   /* field[2] = payload */
+static const unsigned gw__config__field_indices_by_name[] = {
+  2,   /* field[2] = body */
+  1,   /* field[1] = token */
+  0,   /* field[0] = version */
 };
-static const ProtobufCIntRange gw__task__number_ranges[1 + 1] =
+static const ProtobufCIntRange gw__config__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 3 }
 };
-const ProtobufCMessageDescriptor gw__task__descriptor =
+const ProtobufCMessageDescriptor gw__config__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.Task",
-  "Task",
-  "Gw__Task",
+  "gw.Config",
+  "Config",
+  "Gw__Config",
   "gw",
-  sizeof(Gw__Task),
+  sizeof(Gw__Config),
   3,
-  gw__task__field_descriptors,
-  gw__task__field_indices_by_name,
-  1,  gw__task__number_ranges,
-  (ProtobufCMessageInit) gw__task__init,
+  gw__config__field_descriptors,
+  gw__config__field_indices_by_name,
+  1,  gw__config__number_ranges,
+  (ProtobufCMessageInit) gw__config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__grant__field_descriptors[11] =
+static const ProtobufCFieldDescriptor gw__frame__field_descriptors[31] =
 {
   {
-    "job",
+    "sequence",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gw__Grant, job),
-    &gw__job_id__descriptor,
+    offsetof(Gw__Frame, sequence),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "service",
+    "stamp",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Gw__Grant, service),
+    offsetof(Gw__Frame, stamp),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "team",
+    "config_version",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gw__Grant, team),
+    offsetof(Gw__Frame, config_version),
     NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "group",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Gw__Grant, group),
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "grant",
-    5,
+    "config_confirmed",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Gw__Grant, grant),
+    offsetof(Gw__Frame, config_confirmed),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "deadline_ms",
+    "leaving",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Gw__Grant, deadline_ms),
+    offsetof(Gw__Frame, leaving),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "job_tasks_left",
+    "hello",
     7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Gw__Grant, job_tasks_left),
-    NULL,
+    offsetof(Gw__Frame, hello),
+    &gw__hello__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "declared_ms",
+    "load",
     8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Gw__Grant, declared_ms),
-    NULL,
+    offsetof(Gw__Frame, load),
+    &gw__load__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "memory_mb",
+    "config",
     9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Gw__Grant, memory_mb),
-    NULL,
+    offsetof(Gw__Frame, config),
+    &gw__config__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "tasks",
+    "grants",
     10,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gw__Grant, n_tasks),
-    offsetof(Gw__Grant, tasks),
-    &gw__task__descriptor,
+    offsetof(Gw__Frame, n_grants),
+    offsetof(Gw__Frame, grants),
+    &gw__grant__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "waited_ms",
+    "starts",
     11,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Gw__Grant, waited_ms),
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Frame, n_starts),
+    offsetof(Gw__Frame, starts),
+    &gw__start__descriptor,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outcomes",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Frame, n_outcomes),
+    offsetof(Gw__Frame, outcomes),
+    &gw__outcome__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned gw__grant__field_indices_by_name[] = {
-  5,   /* field[5] = deadline_ms */
-  7,   /* field[7] = declared_ms */
-  4,   /* field[4] = grant */
-  3,   /* field[3] = group */
-  0,   /* field[0] = job */
-  6,   /* field[6] = job_tasks_left */
-  8,   /* field[8] = memory_mb */
-  1,   /* field[1] = service */
-  9,   /* field[9] = tasks */
-  2,   /* field[2] = team */
-  10,   /* field[10] = waited_ms */
-};
-static const ProtobufCIntRange gw__grant__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 11 }
-};
-const ProtobufCMessageDescriptor gw__grant__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.Grant",
-  "Grant",
-  "Gw__Grant",
-  "gw",
-  sizeof(Gw__Grant),
-  11,
-  gw__grant__field_descriptors,
-  gw__grant__field_indices_by_name,
-  1,  gw__grant__number_ranges,
-  (ProtobufCMessageInit) gw__grant__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor gw__start__field_descriptors[5] =
-{
   {
-    "job",
-    1,
-    PROTOBUF_C_LABEL_NONE,
+    "acks",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Gw__Start, job),
-    &gw__job_id__descriptor,
+    offsetof(Gw__Frame, n_acks),
+    offsetof(Gw__Frame, acks),
+    &gw__ack__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "tasks",
-    2,
+    "cancels",
+    14,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gw__Start, n_tasks),
-    offsetof(Gw__Start, tasks),
-    &gw__task__descriptor,
+    offsetof(Gw__Frame, n_cancels),
+    offsetof(Gw__Frame, cancels),
+    &gw__cancel__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "path",
-    3,
+    "fences",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Frame, n_fences),
+    offsetof(Gw__Frame, fences),
+    &gw__fence__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fence_replies",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Frame, n_fence_replies),
+    offsetof(Gw__Frame, fence_replies),
+    &gw__fence_reply__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entries",
+    17,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Frame, n_entries),
+    offsetof(Gw__Frame, entries),
+    &gw__entry__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rosters",
+    18,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Frame, n_rosters),
+    offsetof(Gw__Frame, rosters),
+    &gw__roster__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "roster_acks",
+    19,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Frame, n_roster_acks),
+    offsetof(Gw__Frame, roster_acks),
+    &gw__roster_ack__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "group_loads",
+    20,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Frame, n_group_loads),
+    offsetof(Gw__Frame, group_loads),
+    &gw__group_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "announcements",
+    21,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Frame, n_announcements),
+    offsetof(Gw__Frame, announcements),
+    &gw__backend__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "agent_group",
+    22,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gw__Start, path),
+    offsetof(Gw__Frame, agent_group),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "lease_ms",
-    4,
+    "time",
+    23,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Gw__Start, lease_ms),
-    NULL,
+    offsetof(Gw__Frame, time),
+    &gw__lease_time__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "timeout_ms",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Gw__Start, timeout_ms),
-    NULL,
+    "leased_jobs",
+    24,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Frame, n_leased_jobs),
+    offsetof(Gw__Frame, leased_jobs),
+    &gw__leased_job__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned gw__start__field_indices_by_name[] = {
-  0,   /* field[0] = job */
-  3,   /* field[3] = lease_ms */
-  2,   /* field[2] = path */
-  1,   /* field[1] = tasks */
-  4,   /* field[4] = timeout_ms */
-};
-static const ProtobufCIntRange gw__start__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 5 }
-};
-const ProtobufCMessageDescriptor gw__start__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.Start",
-  "Start",
-  "Gw__Start",
-  "gw",
-  sizeof(Gw__Start),
-  5,
-  gw__start__field_descriptors,
-  gw__start__field_indices_by_name,
-  1,  gw__start__number_ranges,
-  (ProtobufCMessageInit) gw__start__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCEnumValue gw__outcome__kind__enum_values_by_number[3] =
-{
-  { "ANSWERED", "GW__OUTCOME__KIND__ANSWERED", 0 },
-  { "NOT_RUN", "GW__OUTCOME__KIND__NOT_RUN", 1 },
-  { "MAY_HAVE_RUN", "GW__OUTCOME__KIND__MAY_HAVE_RUN", 2 },
-};
-static const ProtobufCIntRange gw__outcome__kind__value_ranges[] = {
-{0, 0},{0, 3}
-};
-static const ProtobufCEnumValueIndex gw__outcome__kind__enum_values_by_name[3] =
-{
-  { "ANSWERED", 0 },
-  { "MAY_HAVE_RUN", 2 },
-  { "NOT_RUN", 1 },
-};
-const ProtobufCEnumDescriptor gw__outcome__kind__descriptor =
-{
-  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
-  "gw.Outcome.Kind",
-  "Kind",
-  "Gw__Outcome__Kind",
-  "gw",
-  3,
-  gw__outcome__kind__enum_values_by_number,
-  3,
-  gw__outcome__kind__enum_values_by_name,
-  1,
-  gw__outcome__kind__value_ranges,
-  NULL,NULL,NULL,NULL   /* reserved[1234] */
-};
-static const ProtobufCEnumValue gw__outcome__reason__enum_values_by_number[15] =
-{
-  { "NONE", "GW__OUTCOME__REASON__NONE", 0 },
-  { "BUSY", "GW__OUTCOME__REASON__BUSY", 1 },
-  { "DRAINING", "GW__OUTCOME__REASON__DRAINING", 2 },
-  { "FENCED", "GW__OUTCOME__REASON__FENCED", 3 },
-  { "CANCELLED", "GW__OUTCOME__REASON__CANCELLED", 4 },
-  { "EXPIRED", "GW__OUTCOME__REASON__EXPIRED", 5 },
-  { "OVERLOADED", "GW__OUTCOME__REASON__OVERLOADED", 6 },
-  { "UNREACHABLE", "GW__OUTCOME__REASON__UNREACHABLE", 7 },
-  { "HANDED_BACK", "GW__OUTCOME__REASON__HANDED_BACK", 8 },
-  { "OWNER_LOST", "GW__OUTCOME__REASON__OWNER_LOST", 9 },
-  { "CONNECTION_LOST", "GW__OUTCOME__REASON__CONNECTION_LOST", 10 },
-  { "UNSATISFIABLE", "GW__OUTCOME__REASON__UNSATISFIABLE", 11 },
-  { "NO_BACKEND", "GW__OUTCOME__REASON__NO_BACKEND", 12 },
-  { "MEMORY", "GW__OUTCOME__REASON__MEMORY", 13 },
-  { "TIMEOUT", "GW__OUTCOME__REASON__TIMEOUT", 14 },
-};
-static const ProtobufCIntRange gw__outcome__reason__value_ranges[] = {
-{0, 0},{0, 15}
-};
-static const ProtobufCEnumValueIndex gw__outcome__reason__enum_values_by_name[15] =
-{
-  { "BUSY", 1 },
-  { "CANCELLED", 4 },
-  { "CONNECTION_LOST", 10 },
-  { "DRAINING", 2 },
-  { "EXPIRED", 5 },
-  { "FENCED", 3 },
-  { "HANDED_BACK", 8 },
-  { "MEMORY", 13 },
-  { "NONE", 0 },
-  { "NO_BACKEND", 12 },
-  { "OVERLOADED", 6 },
-  { "OWNER_LOST", 9 },
-  { "TIMEOUT", 14 },
-  { "UNREACHABLE", 7 },
-  { "UNSATISFIABLE", 11 },
-};
-const ProtobufCEnumDescriptor gw__outcome__reason__descriptor =
-{
-  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
-  "gw.Outcome.Reason",
-  "Reason",
-  "Gw__Outcome__Reason",
-  "gw",
-  15,
-  gw__outcome__reason__enum_values_by_number,
-  15,
-  gw__outcome__reason__enum_values_by_name,
-  1,
-  gw__outcome__reason__value_ranges,
-  NULL,NULL,NULL,NULL   /* reserved[1234] */
-};
-static const ProtobufCFieldDescriptor gw__outcome__field_descriptors[9] =
-{
   {
-    "job",
-    1,
-    PROTOBUF_C_LABEL_NONE,
+    "job_results",
+    25,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Gw__Outcome, job),
-    &gw__job_id__descriptor,
+    offsetof(Gw__Frame, n_job_results),
+    offsetof(Gw__Frame, job_results),
+    &gw__job_result__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "index",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Gw__Outcome, index),
+    "job_cancels",
+    26,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Frame, n_job_cancels),
+    offsetof(Gw__Frame, job_cancels),
+    &gw__job_cancel__descriptor,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run_orders",
+    27,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Frame, n_run_orders),
+    offsetof(Gw__Frame, run_orders),
+    &gw__run_order__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "attempt",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Gw__Outcome, attempt),
+    "run_stops",
+    28,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Frame, n_run_stops),
+    offsetof(Gw__Frame, run_stops),
+    &gw__run_stop__descriptor,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run_reports",
+    29,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Frame, n_run_reports),
+    offsetof(Gw__Frame, run_reports),
+    &gw__run_report__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "kind",
-    4,
+    "inventory",
+    30,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Gw__Outcome, kind),
-    &gw__outcome__kind__descriptor,
+    offsetof(Gw__Frame, inventory),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "reason",
-    5,
+    "server_state",
+    31,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Gw__Outcome, reason),
-    &gw__outcome__reason__descriptor,
+    offsetof(Gw__Frame, server_state),
+    &gw__server_state__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "status",
-    6,
+    "servers",
+    32,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__Outcome, status),
+    offsetof(Gw__Frame, servers),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned gw__frame__field_indices_by_name[] = {
+  11,   /* field[11] = acks */
+  20,   /* field[20] = agent_group */
+  19,   /* field[19] = announcements */
+  12,   /* field[12] = cancels */
+  7,   /* field[7] = config */
+  3,   /* field[3] = config_confirmed */
+  2,   /* field[2] = config_version */
+  15,   /* field[15] = entries */
+  14,   /* field[14] = fence_replies */
+  13,   /* field[13] = fences */
+  8,   /* field[8] = grants */
+  18,   /* field[18] = group_loads */
+  5,   /* field[5] = hello */
+  28,   /* field[28] = inventory */
+  24,   /* field[24] = job_cancels */
+  23,   /* field[23] = job_results */
+  22,   /* field[22] = leased_jobs */
+  4,   /* field[4] = leaving */
+  6,   /* field[6] = load */
+  10,   /* field[10] = outcomes */
+  17,   /* field[17] = roster_acks */
+  16,   /* field[16] = rosters */
+  25,   /* field[25] = run_orders */
+  27,   /* field[27] = run_reports */
+  26,   /* field[26] = run_stops */
+  0,   /* field[0] = sequence */
+  29,   /* field[29] = server_state */
+  30,   /* field[30] = servers */
+  1,   /* field[1] = stamp */
+  9,   /* field[9] = starts */
+  21,   /* field[21] = time */
+};
+static const ProtobufCIntRange gw__frame__number_ranges[2 + 1] =
+{
+  { 1, 0 },
+  { 6, 4 },
+  { 0, 31 }
+};
+const ProtobufCMessageDescriptor gw__frame__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.Frame",
+  "Frame",
+  "Gw__Frame",
+  "gw",
+  sizeof(Gw__Frame),
+  31,
+  gw__frame__field_descriptors,
+  gw__frame__field_indices_by_name,
+  2,  gw__frame__number_ranges,
+  (ProtobufCMessageInit) gw__frame__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__demand__field_descriptors[3] =
+{
   {
-    "body",
-    7,
+    "cpu_milli",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__Outcome, body),
+    offsetof(Gw__Demand, cpu_milli),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "run_ms",
-    8,
+    "memory_mb",
+    2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__Outcome, run_ms),
+    offsetof(Gw__Demand, memory_mb),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "retry_after_s",
-    9,
+    "gpus",
+    3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__Outcome, retry_after_s),
+    offsetof(Gw__Demand, gpus),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gw__outcome__field_indices_by_name[] = {
-  2,   /* field[2] = attempt */
-  6,   /* field[6] = body */
-  1,   /* field[1] = index */
-  0,   /* field[0] = job */
-  3,   /* field[3] = kind */
-  4,   /* field[4] = reason */
-  8,   /* field[8] = retry_after_s */
-  7,   /* field[7] = run_ms */
-  5,   /* field[5] = status */
+static const unsigned gw__demand__field_indices_by_name[] = {
+  0,   /* field[0] = cpu_milli */
+  2,   /* field[2] = gpus */
+  1,   /* field[1] = memory_mb */
 };
-static const ProtobufCIntRange gw__outcome__number_ranges[1 + 1] =
+static const ProtobufCIntRange gw__demand__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor gw__outcome__descriptor =
+const ProtobufCMessageDescriptor gw__demand__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.Outcome",
-  "Outcome",
-  "Gw__Outcome",
+  "gw.Demand",
+  "Demand",
+  "Gw__Demand",
   "gw",
-  sizeof(Gw__Outcome),
-  9,
-  gw__outcome__field_descriptors,
-  gw__outcome__field_indices_by_name,
-  1,  gw__outcome__number_ranges,
-  (ProtobufCMessageInit) gw__outcome__init,
+  sizeof(Gw__Demand),
+  3,
+  gw__demand__field_descriptors,
+  gw__demand__field_indices_by_name,
+  1,  gw__demand__number_ranges,
+  (ProtobufCMessageInit) gw__demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__task_ref__field_descriptors[2] =
+static const ProtobufCFieldDescriptor gw__lease_time__field_descriptors[2] =
 {
   {
-    "index",
+    "now_ms",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_SINT64,
     0,   /* quantifier_offset */
-    offsetof(Gw__TaskRef, index),
+    offsetof(Gw__LeaseTime, now_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "attempt",
+    "granted_until_ms",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_SINT64,
     0,   /* quantifier_offset */
-    offsetof(Gw__TaskRef, attempt),
+    offsetof(Gw__LeaseTime, granted_until_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gw__task_ref__field_indices_by_name[] = {
-  1,   /* field[1] = attempt */
-  0,   /* field[0] = index */
+static const unsigned gw__lease_time__field_indices_by_name[] = {
+  1,   /* field[1] = granted_until_ms */
+  0,   /* field[0] = now_ms */
 };
-static const ProtobufCIntRange gw__task_ref__number_ranges[1 + 1] =
+static const ProtobufCIntRange gw__lease_time__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 2 }
 };
-const ProtobufCMessageDescriptor gw__task_ref__descriptor =
+const ProtobufCMessageDescriptor gw__lease_time__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.TaskRef",
-  "TaskRef",
-  "Gw__TaskRef",
+  "gw.LeaseTime",
+  "LeaseTime",
+  "Gw__LeaseTime",
   "gw",
-  sizeof(Gw__TaskRef),
+  sizeof(Gw__LeaseTime),
   2,
-  gw__task_ref__field_descriptors,
-  gw__task_ref__field_indices_by_name,
-  1,  gw__task_ref__number_ranges,
-  (ProtobufCMessageInit) gw__task_ref__init,
+  gw__lease_time__field_descriptors,
+  gw__lease_time__field_indices_by_name,
+  1,  gw__lease_time__number_ranges,
+  (ProtobufCMessageInit) gw__lease_time__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__ack__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gw__leased_job__field_descriptors[18] =
 {
   {
-    "job",
+    "ticket",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gw__Ack, job),
-    &gw__job_id__descriptor,
+    offsetof(Gw__LeasedJob, ticket),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "tasks",
+    "id",
     2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gw__Ack, n_tasks),
-    offsetof(Gw__Ack, tasks),
-    &gw__task_ref__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__LeasedJob, id),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "whole_job",
+    "queue",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gw__Ack, whole_job),
+    offsetof(Gw__LeasedJob, queue),
     NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__LeasedJob, service),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned gw__ack__field_indices_by_name[] = {
-  0,   /* field[0] = job */
-  1,   /* field[1] = tasks */
-  2,   /* field[2] = whole_job */
-};
-static const ProtobufCIntRange gw__ack__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor gw__ack__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.Ack",
-  "Ack",
-  "Gw__Ack",
-  "gw",
-  sizeof(Gw__Ack),
-  3,
-  gw__ack__field_descriptors,
-  gw__ack__field_indices_by_name,
-  1,  gw__ack__number_ranges,
-  (ProtobufCMessageInit) gw__ack__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor gw__cancel__field_descriptors[2] =
-{
   {
-    "job",
-    1,
+    "payload",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gw__Cancel, job),
-    &gw__job_id__descriptor,
+    offsetof(Gw__LeasedJob, payload),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "up_to_attempt",
-    2,
+    "priority",
+    6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__Cancel, up_to_attempt),
+    offsetof(Gw__LeasedJob, priority),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned gw__cancel__field_indices_by_name[] = {
-  0,   /* field[0] = job */
-  1,   /* field[1] = up_to_attempt */
-};
-static const ProtobufCIntRange gw__cancel__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor gw__cancel__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.Cancel",
-  "Cancel",
-  "Gw__Cancel",
-  "gw",
-  sizeof(Gw__Cancel),
-  2,
-  gw__cancel__field_descriptors,
-  gw__cancel__field_indices_by_name,
-  1,  gw__cancel__number_ranges,
-  (ProtobufCMessageInit) gw__cancel__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor gw__fence__field_descriptors[4] =
-{
   {
-    "job",
-    1,
+    "max_attempts",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__Fence, job),
-    &gw__job_id__descriptor,
+    offsetof(Gw__LeasedJob, max_attempts),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "up_to_attempt",
-    2,
+    "elapsed_ms",
+    8,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__Fence, up_to_attempt),
+    offsetof(Gw__LeasedJob, elapsed_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "indexes",
-    3,
-    PROTOBUF_C_LABEL_REPEATED,
+    "time_left_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
-    offsetof(Gw__Fence, n_indexes),
-    offsetof(Gw__Fence, indexes),
+    0,   /* quantifier_offset */
+    offsetof(Gw__LeasedJob, time_left_ms),
     NULL,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "query",
-    4,
+    "stretch",
+    10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_DOUBLE,
     0,   /* quantifier_offset */
-    offsetof(Gw__Fence, query),
+    offsetof(Gw__LeasedJob, stretch),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned gw__fence__field_indices_by_name[] = {
-  2,   /* field[2] = indexes */
-  0,   /* field[0] = job */
-  3,   /* field[3] = query */
-  1,   /* field[1] = up_to_attempt */
-};
-static const ProtobufCIntRange gw__fence__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
-};
-const ProtobufCMessageDescriptor gw__fence__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.Fence",
-  "Fence",
-  "Gw__Fence",
-  "gw",
-  sizeof(Gw__Fence),
-  4,
-  gw__fence__field_descriptors,
-  gw__fence__field_indices_by_name,
-  1,  gw__fence__number_ranges,
-  (ProtobufCMessageInit) gw__fence__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor gw__fence_reply__field_descriptors[3] =
-{
   {
-    "job",
-    1,
+    "target_ms",
+    11,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__FenceReply, job),
-    &gw__job_id__descriptor,
+    offsetof(Gw__LeasedJob, target_ms),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "query",
-    2,
+    "count",
+    12,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__FenceReply, query),
+    offsetof(Gw__LeasedJob, count),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "started",
-    3,
-    PROTOBUF_C_LABEL_REPEATED,
+    "demand",
+    13,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gw__FenceReply, n_started),
-    offsetof(Gw__FenceReply, started),
-    &gw__task_ref__descriptor,
+    0,   /* quantifier_offset */
+    offsetof(Gw__LeasedJob, demand),
+    &gw__demand__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "declared_ms",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__LeasedJob, declared_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "label",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__LeasedJob, label),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "most_per_server",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__LeasedJob, most_per_server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rack",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__LeasedJob, rack),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "valid_until_ms",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__LeasedJob, valid_until_ms),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gw__fence_reply__field_indices_by_name[] = {
-  0,   /* field[0] = job */
-  1,   /* field[1] = query */
-  2,   /* field[2] = started */
+static const unsigned gw__leased_job__field_indices_by_name[] = {
+  11,   /* field[11] = count */
+  13,   /* field[13] = declared_ms */
+  12,   /* field[12] = demand */
+  7,   /* field[7] = elapsed_ms */
+  1,   /* field[1] = id */
+  14,   /* field[14] = label */
+  6,   /* field[6] = max_attempts */
+  15,   /* field[15] = most_per_server */
+  4,   /* field[4] = payload */
+  5,   /* field[5] = priority */
+  2,   /* field[2] = queue */
+  16,   /* field[16] = rack */
+  3,   /* field[3] = service */
+  9,   /* field[9] = stretch */
+  10,   /* field[10] = target_ms */
+  0,   /* field[0] = ticket */
+  8,   /* field[8] = time_left_ms */
+  17,   /* field[17] = valid_until_ms */
 };
-static const ProtobufCIntRange gw__fence_reply__number_ranges[1 + 1] =
+static const ProtobufCIntRange gw__leased_job__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 18 }
 };
-const ProtobufCMessageDescriptor gw__fence_reply__descriptor =
+const ProtobufCMessageDescriptor gw__leased_job__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.FenceReply",
-  "FenceReply",
-  "Gw__FenceReply",
+  "gw.LeasedJob",
+  "LeasedJob",
+  "Gw__LeasedJob",
   "gw",
-  sizeof(Gw__FenceReply),
-  3,
-  gw__fence_reply__field_descriptors,
-  gw__fence_reply__field_indices_by_name,
-  1,  gw__fence_reply__number_ranges,
-  (ProtobufCMessageInit) gw__fence_reply__init,
+  sizeof(Gw__LeasedJob),
+  18,
+  gw__leased_job__field_descriptors,
+  gw__leased_job__field_indices_by_name,
+  1,  gw__leased_job__number_ranges,
+  (ProtobufCMessageInit) gw__leased_job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__load__field_descriptors[3] =
+static const ProtobufCEnumValue gw__job_result__kind__enum_values_by_number[4] =
+{
+  { "COMPLETED", "GW__JOB_RESULT__KIND__COMPLETED", 0 },
+  { "FAILED", "GW__JOB_RESULT__KIND__FAILED", 1 },
+  { "REFUSED", "GW__JOB_RESULT__KIND__REFUSED", 2 },
+  { "GIVEN_UP", "GW__JOB_RESULT__KIND__GIVEN_UP", 3 },
+};
+static const ProtobufCIntRange gw__job_result__kind__value_ranges[] = {
+{0, 0},{0, 4}
+};
+static const ProtobufCEnumValueIndex gw__job_result__kind__enum_values_by_name[4] =
+{
+  { "COMPLETED", 0 },
+  { "FAILED", 1 },
+  { "GIVEN_UP", 3 },
+  { "REFUSED", 2 },
+};
+const ProtobufCEnumDescriptor gw__job_result__kind__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "gw.JobResult.Kind",
+  "Kind",
+  "Gw__JobResult__Kind",
+  "gw",
+  4,
+  gw__job_result__kind__enum_values_by_number,
+  4,
+  gw__job_result__kind__enum_values_by_name,
+  1,
+  gw__job_result__kind__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCFieldDescriptor gw__job_result__field_descriptors[4] =
 {
   {
-    "slots",
+    "ticket",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gw__Load, slots),
+    offsetof(Gw__JobResult, ticket),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "busy",
+    "kind",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Gw__Load, busy),
-    NULL,
+    offsetof(Gw__JobResult, kind),
+    &gw__job_result__kind__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "leaving",
+    "reason",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gw__Load, leaving),
+    offsetof(Gw__JobResult, reason),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__JobResult, retry_after_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gw__load__field_indices_by_name[] = {
-  1,   /* field[1] = busy */
-  2,   /* field[2] = leaving */
-  0,   /* field[0] = slots */
+static const unsigned gw__job_result__field_indices_by_name[] = {
+  1,   /* field[1] = kind */
+  2,   /* field[2] = reason */
+  3,   /* field[3] = retry_after_ms */
+  0,   /* field[0] = ticket */
 };
-static const ProtobufCIntRange gw__load__number_ranges[1 + 1] =
+static const ProtobufCIntRange gw__job_result__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor gw__load__descriptor =
+const ProtobufCMessageDescriptor gw__job_result__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.Load",
-  "Load",
-  "Gw__Load",
+  "gw.JobResult",
+  "JobResult",
+  "Gw__JobResult",
   "gw",
-  sizeof(Gw__Load),
-  3,
-  gw__load__field_descriptors,
-  gw__load__field_indices_by_name,
-  1,  gw__load__number_ranges,
-  (ProtobufCMessageInit) gw__load__init,
+  sizeof(Gw__JobResult),
+  4,
+  gw__job_result__field_descriptors,
+  gw__job_result__field_indices_by_name,
+  1,  gw__job_result__number_ranges,
+  (ProtobufCMessageInit) gw__job_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__roster__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gw__job_cancel__field_descriptors[1] =
 {
   {
-    "group",
+    "ticket",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Gw__Roster, group),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "version",
-    2,
-    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gw__Roster, version),
-    NULL,
+    offsetof(Gw__JobCancel, ticket),
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "backends",
-    3,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gw__Roster, n_backends),
-    offsetof(Gw__Roster, backends),
-    &gw__backend__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gw__roster__field_indices_by_name[] = {
-  2,   /* field[2] = backends */
-  0,   /* field[0] = group */
-  1,   /* field[1] = version */
+static const unsigned gw__job_cancel__field_indices_by_name[] = {
+  0,   /* field[0] = ticket */
 };
-static const ProtobufCIntRange gw__roster__number_ranges[1 + 1] =
+static const ProtobufCIntRange gw__job_cancel__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 1 }
 };
-const ProtobufCMessageDescriptor gw__roster__descriptor =
+const ProtobufCMessageDescriptor gw__job_cancel__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.Roster",
-  "Roster",
-  "Gw__Roster",
+  "gw.JobCancel",
+  "JobCancel",
+  "Gw__JobCancel",
   "gw",
-  sizeof(Gw__Roster),
-  3,
-  gw__roster__field_descriptors,
-  gw__roster__field_indices_by_name,
-  1,  gw__roster__number_ranges,
-  (ProtobufCMessageInit) gw__roster__init,
+  sizeof(Gw__JobCancel),
+  1,
+  gw__job_cancel__field_descriptors,
+  gw__job_cancel__field_indices_by_name,
+  1,  gw__job_cancel__number_ranges,
+  (ProtobufCMessageInit) gw__job_cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__roster_ack__field_descriptors[2] =
+static const ProtobufCFieldDescriptor gw__task_run__field_descriptors[2] =
 {
   {
-    "group",
+    "index",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__RosterAck, group),
+    offsetof(Gw__TaskRun, index),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "version",
+    "run",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__RosterAck, version),
+    offsetof(Gw__TaskRun, run),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gw__roster_ack__field_indices_by_name[] = {
-  0,   /* field[0] = group */
-  1,   /* field[1] = version */
+static const unsigned gw__task_run__field_indices_by_name[] = {
+  0,   /* field[0] = index */
+  1,   /* field[1] = run */
 };
-static const ProtobufCIntRange gw__roster_ack__number_ranges[1 + 1] =
+static const ProtobufCIntRange gw__task_run__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 2 }
 };
-const ProtobufCMessageDescriptor gw__roster_ack__descriptor =
+const ProtobufCMessageDescriptor gw__task_run__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.RosterAck",
-  "RosterAck",
-  "Gw__RosterAck",
+  "gw.TaskRun",
+  "TaskRun",
+  "Gw__TaskRun",
   "gw",
-  sizeof(Gw__RosterAck),
+  sizeof(Gw__TaskRun),
   2,
-  gw__roster_ack__field_descriptors,
-  gw__roster_ack__field_indices_by_name,
-  1,  gw__roster_ack__number_ranges,
-  (ProtobufCMessageInit) gw__roster_ack__init,
+  gw__task_run__field_descriptors,
+  gw__task_run__field_indices_by_name,
+  1,  gw__task_run__number_ranges,
+  (ProtobufCMessageInit) gw__task_run__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__group_load__field_descriptors[4] =
+static const ProtobufCFieldDescriptor gw__run_order__field_descriptors[5] =
 {
   {
-    "group",
+    "job",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gw__GroupLoad, group),
+    offsetof(Gw__RunOrder, job),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "wait_ms",
+    "runs",
     2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Gw__GroupLoad, wait_ms),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__RunOrder, n_runs),
+    offsetof(Gw__RunOrder, runs),
+    &gw__task_run__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "slots",
+    "payload",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gw__GroupLoad, slots),
-    NULL,
+    offsetof(Gw__RunOrder, payload),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "task_ms",
+    "demand",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Gw__GroupLoad, task_ms),
+    offsetof(Gw__RunOrder, demand),
+    &gw__demand__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "valid_until_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__RunOrder, valid_until_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gw__group_load__field_indices_by_name[] = {
-  0,   /* field[0] = group */
-  2,   /* field[2] = slots */
-  3,   /* field[3] = task_ms */
-  1,   /* field[1] = wait_ms */
+static const unsigned gw__run_order__field_indices_by_name[] = {
+  3,   /* field[3] = demand */
+  0,   /* field[0] = job */
+  2,   /* field[2] = payload */
+  1,   /* field[1] = runs */
+  4,   /* field[4] = valid_until_ms */
 };
-static const ProtobufCIntRange gw__group_load__number_ranges[1 + 1] =
+static const ProtobufCIntRange gw__run_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
-const ProtobufCMessageDescriptor gw__group_load__descriptor =
+const ProtobufCMessageDescriptor gw__run_order__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.GroupLoad",
-  "GroupLoad",
-  "Gw__GroupLoad",
+  "gw.RunOrder",
+  "RunOrder",
+  "Gw__RunOrder",
   "gw",
-  sizeof(Gw__GroupLoad),
-  4,
-  gw__group_load__field_descriptors,
-  gw__group_load__field_indices_by_name,
-  1,  gw__group_load__number_ranges,
-  (ProtobufCMessageInit) gw__group_load__init,
+  sizeof(Gw__RunOrder),
+  5,
+  gw__run_order__field_descriptors,
+  gw__run_order__field_indices_by_name,
+  1,  gw__run_order__number_ranges,
+  (ProtobufCMessageInit) gw__run_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__config__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gw__run_stop__field_descriptors[2] =
 {
   {
-    "version",
+    "job",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Gw__Config, version),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "token",
-    2,
-    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gw__Config, token),
+    offsetof(Gw__RunStop, job),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "body",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Gw__Config, body),
+    "runs",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__RunStop, n_runs),
+    offsetof(Gw__RunStop, runs),
+    &gw__task_run__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gw__config__field_indices_by_name[] = {
-  2,   /* field[2] = body */
-  1,   /* field[1] = token */
-  0,   /* field[0] = version */
+static const unsigned gw__run_stop__field_indices_by_name[] = {
+  0,   /* field[0] = job */
+  1,   /* field[1] = runs */
 };
-static const ProtobufCIntRange gw__config__number_ranges[1 + 1] =
+static const ProtobufCIntRange gw__run_stop__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor gw__config__descriptor =
+const ProtobufCMessageDescriptor gw__run_stop__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.Config",
-  "Config",
-  "Gw__Config",
+  "gw.RunStop",
+  "RunStop",
+  "Gw__RunStop",
   "gw",
-  sizeof(Gw__Config),
-  3,
-  gw__config__field_descriptors,
-  gw__config__field_indices_by_name,
-  1,  gw__config__number_ranges,
-  (ProtobufCMessageInit) gw__config__init,
+  sizeof(Gw__RunStop),
+  2,
+  gw__run_stop__field_descriptors,
+  gw__run_stop__field_indices_by_name,
+  1,  gw__run_stop__number_ranges,
+  (ProtobufCMessageInit) gw__run_stop__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__frame__field_descriptors[21] =
+static const ProtobufCEnumValue gw__run_report__kind__enum_values_by_number[5] =
+{
+  { "STARTED", "GW__RUN_REPORT__KIND__STARTED", 0 },
+  { "NOT_STARTED", "GW__RUN_REPORT__KIND__NOT_STARTED", 1 },
+  { "DONE", "GW__RUN_REPORT__KIND__DONE", 2 },
+  { "FAILED", "GW__RUN_REPORT__KIND__FAILED", 3 },
+  { "LOST", "GW__RUN_REPORT__KIND__LOST", 4 },
+};
+static const ProtobufCIntRange gw__run_report__kind__value_ranges[] = {
+{0, 0},{0, 5}
+};
+static const ProtobufCEnumValueIndex gw__run_report__kind__enum_values_by_name[5] =
+{
+  { "DONE", 2 },
+  { "FAILED", 3 },
+  { "LOST", 4 },
+  { "NOT_STARTED", 1 },
+  { "STARTED", 0 },
+};
+const ProtobufCEnumDescriptor gw__run_report__kind__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "gw.RunReport.Kind",
+  "Kind",
+  "Gw__RunReport__Kind",
+  "gw",
+  5,
+  gw__run_report__kind__enum_values_by_number,
+  5,
+  gw__run_report__kind__enum_values_by_name,
+  1,
+  gw__run_report__kind__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCFieldDescriptor gw__run_report__field_descriptors[5] =
 {
   {
-    "sequence",
+    "job",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gw__Frame, sequence),
-    NULL,
+    offsetof(Gw__RunReport, job),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "stamp",
+    "index",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__Frame, stamp),
+    offsetof(Gw__RunReport, index),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "config_version",
+    "run",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__Frame, config_version),
+    offsetof(Gw__RunReport, run),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "config_confirmed",
+    "kind",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Gw__Frame, config_confirmed),
-    NULL,
+    offsetof(Gw__RunReport, kind),
+    &gw__run_report__kind__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "leaving",
-    6,
+    "reason",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gw__Frame, leaving),
-    NULL,
+    offsetof(Gw__RunReport, reason),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned gw__run_report__field_indices_by_name[] = {
+  1,   /* field[1] = index */
+  0,   /* field[0] = job */
+  3,   /* field[3] = kind */
+  4,   /* field[4] = reason */
+  2,   /* field[2] = run */
+};
+static const ProtobufCIntRange gw__run_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor gw__run_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.RunReport",
+  "RunReport",
+  "Gw__RunReport",
+  "gw",
+  sizeof(Gw__RunReport),
+  5,
+  gw__run_report__field_descriptors,
+  gw__run_report__field_indices_by_name,
+  1,  gw__run_report__number_ranges,
+  (ProtobufCMessageInit) gw__run_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__server_state__field_descriptors[8] =
+{
   {
-    "hello",
-    7,
+    "instance",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gw__Frame, hello),
-    &gw__hello__descriptor,
+    offsetof(Gw__ServerState, instance),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "load",
-    8,
+    "service",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gw__Frame, load),
-    &gw__load__descriptor,
+    offsetof(Gw__ServerState, service),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "config",
-    9,
+    "zone",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gw__Frame, config),
-    &gw__config__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "grants",
-    10,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gw__Frame, n_grants),
-    offsetof(Gw__Frame, grants),
-    &gw__grant__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "starts",
-    11,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gw__Frame, n_starts),
-    offsetof(Gw__Frame, starts),
-    &gw__start__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "outcomes",
-    12,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gw__Frame, n_outcomes),
-    offsetof(Gw__Frame, outcomes),
-    &gw__outcome__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "acks",
-    13,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gw__Frame, n_acks),
-    offsetof(Gw__Frame, acks),
-    &gw__ack__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "cancels",
-    14,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gw__Frame, n_cancels),
-    offsetof(Gw__Frame, cancels),
-    &gw__cancel__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "fences",
-    15,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gw__Frame, n_fences),
-    offsetof(Gw__Frame, fences),
-    &gw__fence__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "fence_replies",
-    16,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gw__Frame, n_fence_replies),
-    offsetof(Gw__Frame, fence_replies),
-    &gw__fence_reply__descriptor,
+    offsetof(Gw__ServerState, zone),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "entries",
-    17,
+    "labels",
+    4,
     PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gw__Frame, n_entries),
-    offsetof(Gw__Frame, entries),
-    &gw__entry__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Gw__ServerState, n_labels),
+    offsetof(Gw__ServerState, labels),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "rosters",
-    18,
-    PROTOBUF_C_LABEL_REPEATED,
+    "capacity",
+    5,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gw__Frame, n_rosters),
-    offsetof(Gw__Frame, rosters),
-    &gw__roster__descriptor,
+    0,   /* quantifier_offset */
+    offsetof(Gw__ServerState, capacity),
+    &gw__demand__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "roster_acks",
-    19,
-    PROTOBUF_C_LABEL_REPEATED,
+    "used_by_others",
+    6,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gw__Frame, n_roster_acks),
-    offsetof(Gw__Frame, roster_acks),
-    &gw__roster_ack__descriptor,
+    0,   /* quantifier_offset */
+    offsetof(Gw__ServerState, used_by_others),
+    &gw__demand__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "group_loads",
-    20,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gw__Frame, n_group_loads),
-    offsetof(Gw__Frame, group_loads),
-    &gw__group_load__descriptor,
+    "ready",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gw__ServerState, ready),
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "announcements",
-    21,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gw__Frame, n_announcements),
-    offsetof(Gw__Frame, announcements),
-    &gw__backend__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "agent_group",
-    22,
+    "draining",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Gw__Frame, agent_group),
+    offsetof(Gw__ServerState, draining),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gw__frame__field_indices_by_name[] = {
-  11,   /* field[11] = acks */
-  20,   /* field[20] = agent_group */
-  19,   /* field[19] = announcements */
-  12,   /* field[12] = cancels */
-  7,   /* field[7] = config */
-  3,   /* field[3] = config_confirmed */
-  2,   /* field[2] = config_version */
-  15,   /* field[15] = entries */
-  14,   /* field[14] = fence_replies */
-  13,   /* field[13] = fences */
-  8,   /* field[8] = grants */
-  18,   /* field[18] = group_loads */
-  5,   /* field[5] = hello */
-  4,   /* field[4] = leaving */
-  6,   /* field[6] = load */
-  10,   /* field[10] = outcomes */
-  17,   /* field[17] = roster_acks */
-  16,   /* field[16] = rosters */
-  0,   /* field[0] = sequence */
-  1,   /* field[1] = stamp */
-  9,   /* field[9] = starts */
+static const unsigned gw__server_state__field_indices_by_name[] = {
+  4,   /* field[4] = capacity */
+  7,   /* field[7] = draining */
+  0,   /* field[0] = instance */
+  3,   /* field[3] = labels */
+  6,   /* field[6] = ready */
+  1,   /* field[1] = service */
+  5,   /* field[5] = used_by_others */
+  2,   /* field[2] = zone */
 };
-static const ProtobufCIntRange gw__frame__number_ranges[2 + 1] =
+static const ProtobufCIntRange gw__server_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 6, 4 },
-  { 0, 21 }
+  { 0, 8 }
 };
-const ProtobufCMessageDescriptor gw__frame__descriptor =
+const ProtobufCMessageDescriptor gw__server_state__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.Frame",
-  "Frame",
-  "Gw__Frame",
+  "gw.ServerState",
+  "ServerState",
+  "Gw__ServerState",
   "gw",
-  sizeof(Gw__Frame),
-  21,
-  gw__frame__field_descriptors,
-  gw__frame__field_indices_by_name,
-  2,  gw__frame__number_ranges,
-  (ProtobufCMessageInit) gw__frame__init,
+  sizeof(Gw__ServerState),
+  8,
+  gw__server_state__field_descriptors,
+  gw__server_state__field_indices_by_name,
+  1,  gw__server_state__number_ranges,
+  (ProtobufCMessageInit) gw__server_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/godwitspar.pb-c.h
+++ b/proto/godwitspar.pb-c.h
@@ -34,6 +34,16 @@
 typedef struct Gw__GroupLoad Gw__GroupLoad;
 typedef struct Gw__Config Gw__Config;
 typedef struct Gw__Frame Gw__Frame;
+typedef struct Gw__Demand Gw__Demand;
+typedef struct Gw__LeaseTime Gw__LeaseTime;
+typedef struct Gw__LeasedJob Gw__LeasedJob;
+typedef struct Gw__JobResult Gw__JobResult;
+typedef struct Gw__JobCancel Gw__JobCancel;
+typedef struct Gw__TaskRun Gw__TaskRun;
+typedef struct Gw__RunOrder Gw__RunOrder;
+typedef struct Gw__RunStop Gw__RunStop;
+typedef struct Gw__RunReport Gw__RunReport;
+typedef struct Gw__ServerState Gw__ServerState;
 
 
 /* --- enums --- */
@@ -76,6 +86,39 @@
   GW__OUTCOME__REASON__TIMEOUT = 14
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GW__OUTCOME__REASON)
 } Gw__Outcome__Reason;
+typedef enum _Gw__JobResult__Kind {
+  GW__JOB_RESULT__KIND__COMPLETED = 0,
+  /*
+   * a task failed as often as it may
+   */
+  GW__JOB_RESULT__KIND__FAILED = 1,
+  /*
+   * proved: nothing of it ran
+   */
+  GW__JOB_RESULT__KIND__REFUSED = 2,
+  /*
+   * some of it ran
+   */
+  GW__JOB_RESULT__KIND__GIVEN_UP = 3
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GW__JOB_RESULT__KIND)
+} Gw__JobResult__Kind;
+typedef enum _Gw__RunReport__Kind {
+  GW__RUN_REPORT__KIND__STARTED = 0,
+  /*
+   * proved: it never runs under this number
+   */
+  GW__RUN_REPORT__KIND__NOT_STARTED = 1,
+  GW__RUN_REPORT__KIND__DONE = 2,
+  /*
+   * the task or its backend server failed
+   */
+  GW__RUN_REPORT__KIND__FAILED = 3,
+  /*
+   * stopped, lapsed or gone with its backend server
+   */
+  GW__RUN_REPORT__KIND__LOST = 4
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GW__RUN_REPORT__KIND)
+} Gw__RunReport__Kind;
 
 /* --- messages --- */
 
@@ -430,10 +473,256 @@
    * entry to agent: the group its backend server is in
    */
   char *agent_group;
+  Gw__LeaseTime *time;
+  size_t n_leased_jobs;
+  Gw__LeasedJob **leased_jobs;
+  size_t n_job_results;
+  Gw__JobResult **job_results;
+  size_t n_job_cancels;
+  Gw__JobCancel **job_cancels;
+  size_t n_run_orders;
+  Gw__RunOrder **run_orders;
+  size_t n_run_stops;
+  Gw__RunStop **run_stops;
+  size_t n_run_reports;
+  Gw__RunReport **run_reports;
+  /*
+   * run_reports name all runs of the receiver that there are
+   */
+  protobuf_c_boolean inventory;
+  Gw__ServerState *server_state;
+  /*
+   * backend servers that the sending entry reaches
+   */
+  uint32_t servers;
 };
 #define GW__FRAME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__frame__descriptor) \
-    , 0, 0, 0, 0, 0, NULL, NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, 0, 0, NULL, NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, NULL, 0 }
+
+
+/*
+ * What one task takes of a backend server while it runs.
+ */
+struct  Gw__Demand
+{
+  ProtobufCMessage base;
+  /*
+   * thousandths of a core
+   */
+  uint32_t cpu_milli;
+  uint32_t memory_mb;
+  uint32_t gpus;
+};
+#define GW__DEMAND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__demand__descriptor) \
+    , 0, 0, 0 }
+
+
+/*
+ * Rides on every frame between processes that lease to each other.
+ */
+struct  Gw__LeaseTime
+{
+  ProtobufCMessage base;
+  /*
+   * sender's clock
+   */
+  int64_t now_ms;
+  /*
+   * receiver's clock: the sender's work there may go on until then
+   */
+  int64_t granted_until_ms;
+};
+#define GW__LEASE_TIME__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__lease_time__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * Entry to home: queue and run this job.
+ */
+struct  Gw__LeasedJob
+{
+  ProtobufCMessage base;
+  /*
+   * the entry's number of this submission
+   */
+  uint64_t ticket;
+  /*
+   * the caller's
+   */
+  char *id;
+  char *queue;
+  char *service;
+  char *payload;
+  /*
+   * 0 first
+   */
+  uint32_t priority;
+  /*
+   * failed runs of one task before the job fails
+   */
+  uint32_t max_attempts;
+  /*
+   * since the request arrived
+   */
+  uint32_t elapsed_ms;
+  /*
+   * until its caller leaves
+   */
+  uint32_t time_left_ms;
+  /*
+   * latency objective: stretch times the run time ...
+   */
+  double stretch;
+  /*
+   * ... and this
+   */
+  uint32_t target_ms;
+  uint32_t count;
+  Gw__Demand *demand;
+  uint32_t declared_ms;
+  /*
+   * a backend server must carry it; empty: any
+   */
+  char *label;
+  /*
+   * 0: no limit
+   */
+  uint32_t most_per_server;
+  /*
+   * where its data is; empty: anywhere
+   */
+  char *rack;
+  /*
+   * receiver's clock; later it is refused
+   */
+  int64_t valid_until_ms;
+};
+#define GW__LEASED_JOB__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__leased_job__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, NULL, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * Home to entry: the last word on a job.
+ */
+struct  Gw__JobResult
+{
+  ProtobufCMessage base;
+  uint64_t ticket;
+  Gw__JobResult__Kind kind;
+  char *reason;
+  uint32_t retry_after_ms;
+};
+#define GW__JOB_RESULT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__job_result__descriptor) \
+    , 0, GW__JOB_RESULT__KIND__COMPLETED, (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Gw__JobCancel
+{
+  ProtobufCMessage base;
+  uint64_t ticket;
+};
+#define GW__JOB_CANCEL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__job_cancel__descriptor) \
+    , 0 }
+
+
+struct  Gw__TaskRun
+{
+  ProtobufCMessage base;
+  uint32_t index;
+  /*
+   * counts the starts of this task from 1
+   */
+  uint32_t run;
+};
+#define GW__TASK_RUN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__task_run__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * Home to agent: start these tasks of a job now, or refuse them.
+ */
+struct  Gw__RunOrder
+{
+  ProtobufCMessage base;
+  char *job;
+  size_t n_runs;
+  Gw__TaskRun **runs;
+  char *payload;
+  Gw__Demand *demand;
+  /*
+   * agent's clock
+   */
+  int64_t valid_until_ms;
+};
+#define GW__RUN_ORDER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__run_order__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL, (char *)protobuf_c_empty_string, NULL, 0 }
+
+
+struct  Gw__RunStop
+{
+  ProtobufCMessage base;
+  char *job;
+  size_t n_runs;
+  Gw__TaskRun **runs;
+};
+#define GW__RUN_STOP__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__run_stop__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL }
+
+
+/*
+ * Agent to home.
+ */
+struct  Gw__RunReport
+{
+  ProtobufCMessage base;
+  char *job;
+  uint32_t index;
+  uint32_t run;
+  Gw__RunReport__Kind kind;
+  char *reason;
+};
+#define GW__RUN_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__run_report__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, GW__RUN_REPORT__KIND__STARTED, (char *)protobuf_c_empty_string }
+
+
+/*
+ * Agent to entries: its backend server.
+ */
+struct  Gw__ServerState
+{
+  ProtobufCMessage base;
+  /*
+   * this life of the backend server
+   */
+  char *instance;
+  char *service;
+  char *zone;
+  size_t n_labels;
+  char **labels;
+  Gw__Demand *capacity;
+  /*
+   * by runs that the receiver did not order
+   */
+  Gw__Demand *used_by_others;
+  /*
+   * takes starts
+   */
+  protobuf_c_boolean ready;
+  protobuf_c_boolean draining;
+};
+#define GW__SERVER_STATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__server_state__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, NULL, NULL, 0, 0 }
 
 
 /* Gw__Hello methods */
@@ -797,6 +1086,196 @@
 void   gw__frame__free_unpacked
                      (Gw__Frame *message,
                       ProtobufCAllocator *allocator);
+/* Gw__Demand methods */
+void   gw__demand__init
+                     (Gw__Demand         *message);
+size_t gw__demand__get_packed_size
+                     (const Gw__Demand   *message);
+size_t gw__demand__pack
+                     (const Gw__Demand   *message,
+                      uint8_t             *out);
+size_t gw__demand__pack_to_buffer
+                     (const Gw__Demand   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__Demand *
+       gw__demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__demand__free_unpacked
+                     (Gw__Demand *message,
+                      ProtobufCAllocator *allocator);
+/* Gw__LeaseTime methods */
+void   gw__lease_time__init
+                     (Gw__LeaseTime         *message);
+size_t gw__lease_time__get_packed_size
+                     (const Gw__LeaseTime   *message);
+size_t gw__lease_time__pack
+                     (const Gw__LeaseTime   *message,
+                      uint8_t             *out);
+size_t gw__lease_time__pack_to_buffer
+                     (const Gw__LeaseTime   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__LeaseTime *
+       gw__lease_time__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__lease_time__free_unpacked
+                     (Gw__LeaseTime *message,
+                      ProtobufCAllocator *allocator);
+/* Gw__LeasedJob methods */
+void   gw__leased_job__init
+                     (Gw__LeasedJob         *message);
+size_t gw__leased_job__get_packed_size
+                     (const Gw__LeasedJob   *message);
+size_t gw__leased_job__pack
+                     (const Gw__LeasedJob   *message,
+                      uint8_t             *out);
+size_t gw__leased_job__pack_to_buffer
+                     (const Gw__LeasedJob   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__LeasedJob *
+       gw__leased_job__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__leased_job__free_unpacked
+                     (Gw__LeasedJob *message,
+                      ProtobufCAllocator *allocator);
+/* Gw__JobResult methods */
+void   gw__job_result__init
+                     (Gw__JobResult         *message);
+size_t gw__job_result__get_packed_size
+                     (const Gw__JobResult   *message);
+size_t gw__job_result__pack
+                     (const Gw__JobResult   *message,
+                      uint8_t             *out);
+size_t gw__job_result__pack_to_buffer
+                     (const Gw__JobResult   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__JobResult *
+       gw__job_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__job_result__free_unpacked
+                     (Gw__JobResult *message,
+                      ProtobufCAllocator *allocator);
+/* Gw__JobCancel methods */
+void   gw__job_cancel__init
+                     (Gw__JobCancel         *message);
+size_t gw__job_cancel__get_packed_size
+                     (const Gw__JobCancel   *message);
+size_t gw__job_cancel__pack
+                     (const Gw__JobCancel   *message,
+                      uint8_t             *out);
+size_t gw__job_cancel__pack_to_buffer
+                     (const Gw__JobCancel   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__JobCancel *
+       gw__job_cancel__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__job_cancel__free_unpacked
+                     (Gw__JobCancel *message,
+                      ProtobufCAllocator *allocator);
+/* Gw__TaskRun methods */
+void   gw__task_run__init
+                     (Gw__TaskRun         *message);
+size_t gw__task_run__get_packed_size
+                     (const Gw__TaskRun   *message);
+size_t gw__task_run__pack
+                     (const Gw__TaskRun   *message,
+                      uint8_t             *out);
+size_t gw__task_run__pack_to_buffer
+                     (const Gw__TaskRun   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__TaskRun *
+       gw__task_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__task_run__free_unpacked
+                     (Gw__TaskRun *message,
+                      ProtobufCAllocator *allocator);
+/* Gw__RunOrder methods */
+void   gw__run_order__init
+                     (Gw__RunOrder         *message);
+size_t gw__run_order__get_packed_size
+                     (const Gw__RunOrder   *message);
+size_t gw__run_order__pack
+                     (const Gw__RunOrder   *message,
+                      uint8_t             *out);
+size_t gw__run_order__pack_to_buffer
+                     (const Gw__RunOrder   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__RunOrder *
+       gw__run_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__run_order__free_unpacked
+                     (Gw__RunOrder *message,
+                      ProtobufCAllocator *allocator);
+/* Gw__RunStop methods */
+void   gw__run_stop__init
+                     (Gw__RunStop         *message);
+size_t gw__run_stop__get_packed_size
+                     (const Gw__RunStop   *message);
+size_t gw__run_stop__pack
+                     (const Gw__RunStop   *message,
+                      uint8_t             *out);
+size_t gw__run_stop__pack_to_buffer
+                     (const Gw__RunStop   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__RunStop *
+       gw__run_stop__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__run_stop__free_unpacked
+                     (Gw__RunStop *message,
+                      ProtobufCAllocator *allocator);
+/* Gw__RunReport methods */
+void   gw__run_report__init
+                     (Gw__RunReport         *message);
+size_t gw__run_report__get_packed_size
+                     (const Gw__RunReport   *message);
+size_t gw__run_report__pack
+                     (const Gw__RunReport   *message,
+                      uint8_t             *out);
+size_t gw__run_report__pack_to_buffer
+                     (const Gw__RunReport   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__RunReport *
+       gw__run_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__run_report__free_unpacked
+                     (Gw__RunReport *message,
+                      ProtobufCAllocator *allocator);
+/* Gw__ServerState methods */
+void   gw__server_state__init
+                     (Gw__ServerState         *message);
+size_t gw__server_state__get_packed_size
+                     (const Gw__ServerState   *message);
+size_t gw__server_state__pack
+                     (const Gw__ServerState   *message,
+                      uint8_t             *out);
+size_t gw__server_state__pack_to_buffer
+                     (const Gw__ServerState   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__ServerState *
+       gw__server_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__server_state__free_unpacked
+                     (Gw__ServerState *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Gw__Hello_Closure)
@@ -856,6 +1335,36 @@
 typedef void (*Gw__Frame_Closure)
                  (const Gw__Frame *message,
                   void *closure_data);
+typedef void (*Gw__Demand_Closure)
+                 (const Gw__Demand *message,
+                  void *closure_data);
+typedef void (*Gw__LeaseTime_Closure)
+                 (const Gw__LeaseTime *message,
+                  void *closure_data);
+typedef void (*Gw__LeasedJob_Closure)
+                 (const Gw__LeasedJob *message,
+                  void *closure_data);
+typedef void (*Gw__JobResult_Closure)
+                 (const Gw__JobResult *message,
+                  void *closure_data);
+typedef void (*Gw__JobCancel_Closure)
+                 (const Gw__JobCancel *message,
+                  void *closure_data);
+typedef void (*Gw__TaskRun_Closure)
+                 (const Gw__TaskRun *message,
+                  void *closure_data);
+typedef void (*Gw__RunOrder_Closure)
+                 (const Gw__RunOrder *message,
+                  void *closure_data);
+typedef void (*Gw__RunStop_Closure)
+                 (const Gw__RunStop *message,
+                  void *closure_data);
+typedef void (*Gw__RunReport_Closure)
+                 (const Gw__RunReport *message,
+                  void *closure_data);
+typedef void (*Gw__ServerState_Closure)
+                 (const Gw__ServerState *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -884,6 +1393,18 @@
 extern const ProtobufCMessageDescriptor gw__group_load__descriptor;
 extern const ProtobufCMessageDescriptor gw__config__descriptor;
 extern const ProtobufCMessageDescriptor gw__frame__descriptor;
+extern const ProtobufCMessageDescriptor gw__demand__descriptor;
+extern const ProtobufCMessageDescriptor gw__lease_time__descriptor;
+extern const ProtobufCMessageDescriptor gw__leased_job__descriptor;
+extern const ProtobufCMessageDescriptor gw__job_result__descriptor;
+extern const ProtobufCEnumDescriptor    gw__job_result__kind__descriptor;
+extern const ProtobufCMessageDescriptor gw__job_cancel__descriptor;
+extern const ProtobufCMessageDescriptor gw__task_run__descriptor;
+extern const ProtobufCMessageDescriptor gw__run_order__descriptor;
+extern const ProtobufCMessageDescriptor gw__run_stop__descriptor;
+extern const ProtobufCMessageDescriptor gw__run_report__descriptor;
+extern const ProtobufCEnumDescriptor    gw__run_report__kind__descriptor;
+extern const ProtobufCMessageDescriptor gw__server_state__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/counters.h
+++ b/src/counters.h
@@ -54,6 +54,13 @@
   X (CONFIG_STALE, "config_stale", "older configuration versions ignored")               \
   X (CONFIG_UNCONFIRMED, "config_unconfirmed",                                           \
      "submissions refused, version unconfirmed")                                         \
+  X (EVENTS_WRITTEN, "events_written", "event lines written")                            \
+  X (EVENTS_DROPPED, "events_dropped", "event lines dropped or sampled away")            \
+  X (LEASED_TAKEN, "leased_taken", "leased jobs taken from callers")                     \
+  X (LEASED_COMPLETED, "leased_completed", "leased jobs answered completed")             \
+  X (LEASED_FAILED, "leased_failed", "leased jobs answered failed")                      \
+  X (LEASED_REFUSED, "leased_refused", "leased jobs refused, not run")                   \
+  X (LEASED_GIVEN_UP, "leased_given_up", "leased jobs given up after a start")           \
   X (RESTARTS, "restarts", "components restarted by their supervisor")
 
 typedef enum
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -1,5 +1,6 @@
 #define LOG_MODULE "main"
 #include "daemon.h"
+#include "clock.h"
 #include "counters.h"
 #include "log.h"
 #include "timeline.h"
@@ -7,8 +8,12 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <sys/stat.h>
 
 #define EXIT_USAGE 2
+/* A settings file may change without a signal; seeds in it are out of date within
+ * seconds. */
+#define SETTINGS_LOOK_MS 1000
 
 typedef struct
 {
@@ -23,6 +28,9 @@
 {
   const DaemonOps *ops;
   gpointer daemon;
+  const char *settings_path;
+  struct timespec settings_time;
+  off_t settings_size;
 } Running;
 
 static gboolean
@@ -88,19 +96,76 @@
   running->ops->drain (running->daemon);
 }
 
+static void
+note_settings_file (Running *running, const struct stat *file)
+{
+  running->settings_time = file->st_mtim;
+  running->settings_size = file->st_size;
+}
+
+/* A faulty file changes nothing: the process goes on with what it has. */
+static void
+reload (Running *running)
+{
+  GError *error = NULL;
+  Settings *settings = settings_load (running->settings_path, running->ops->role, &error);
+
+  if (settings == NULL)
+    {
+      log_err ("settings not reloaded: %s", error->message);
+      g_clear_error (&error);
+      return;
+    }
+  log_notice ("settings reloaded");
+  log_set_level (log_level_parse (settings->log_level));
+  if (running->ops->reload != NULL)
+    running->ops->reload (running->daemon, settings);
+  settings_free (settings);
+}
+
+static void
+on_hangup (evutil_socket_t number, short what, void *ctx)
+{
+  reload (ctx);
+}
+
+static void
+on_look (evutil_socket_t fd, short what, void *ctx)
+{
+  Running *running = ctx;
+  struct stat file;
+
+  if (stat (running->settings_path, &file) != 0)
+    return;
+  if (file.st_mtim.tv_sec == running->settings_time.tv_sec
+      && file.st_mtim.tv_nsec == running->settings_time.tv_nsec
+      && file.st_size == running->settings_size)
+    return;
+  note_settings_file (running, &file);
+  reload (running);
+}
+
 static int
-run (const DaemonOps *ops, const Settings *settings)
+run (const DaemonOps *ops, const Settings *settings, const char *settings_path)
 {
   struct event_base *base = event_base_new ();
-  Running running = { ops, ops->create (base, settings) };
+  Running running = { ops, ops->create (base, settings), settings_path };
   struct event *term = evsignal_new (base, SIGTERM, on_signal, &running);
   struct event *interrupt = evsignal_new (base, SIGINT, on_signal, &running);
+  struct event *hangup = evsignal_new (base, SIGHUP, on_hangup, &running);
+  struct event *look = event_new (base, -1, EV_PERSIST, on_look, &running);
+  struct timeval look_interval = timeval_from_ms (SETTINGS_LOOK_MS);
+  struct stat file;
   GError *error = NULL;
   int code = EXIT_SUCCESS;
 
   signal (SIGPIPE, SIG_IGN);
+  if (stat (settings_path, &file) == 0)
+    note_settings_file (&running, &file);
   event_add (term, NULL);
   event_add (interrupt, NULL);
+  event_add (hangup, NULL);
+  event_add (look, &look_interval);
   if (!ops->start (running.daemon, &error))
     {
       log_err ("%s", error->message);
@@ -109,13 +174,15 @@
       goto out;
     }
   event_base_dispatch (base);
-  if (ops->gave_up (running.daemon))
+  if (ops->gave_up != NULL && ops->gave_up (running.daemon))
     code = EXIT_FAILURE;
 
 out:
   ops->destroy (running.daemon);
   event_free (term);
   event_free (interrupt);
+  event_free (hangup);
+  event_free (look);
   event_base_free (base);
   return code;
 }
@@ -152,7 +219,7 @@
     }
   log_init (ops->program, log_level_parse (settings->log_level));
   timeline_init (settings->name, settings->timeline_events);
-  code = run (ops, settings);
+  code = run (ops, settings, options.settings_path);
 
 out:
   if (error != NULL)
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -12,6 +12,9 @@
   gpointer (*create) (struct event_base *base, const Settings *settings);
   gboolean (*start) (gpointer daemon, GError **error);
   void (*drain) (gpointer daemon);
+  /* The settings have changed and are without fault; NULL if nothing can be taken over.
+   */
+  void (*reload) (gpointer daemon, const Settings *settings);
   gboolean (*gave_up) (gconstpointer daemon);
   void (*destroy) (gpointer daemon);
 } DaemonOps;
--- /dev/null
+++ b/src/dispatcher.c
@@ -0,0 +1,373 @@
+#define LOG_MODULE "dispatcher"
+#include "dispatcher_parts.h"
+#include "events.h"
+
+#include <string.h>
+
+/* A caller that lost its connection sends its job again within this time. */
+#define RECENT_MS 5000
+
+static const char *const end_names[] = { "completed", "failed", "refused", "given-up" };
+
+Dispatcher *
+dispatcher_new (const DispatcherInit *init, const DispatcherOps *ops, gpointer ctx)
+{
+  Dispatcher *dispatcher = g_new0 (Dispatcher, 1);
+
+  dispatcher->init = *init;
+  dispatcher->ops = ops;
+  dispatcher->ctx = ctx;
+  TAILQ_INIT (&dispatcher->jobs);
+  TAILQ_INIT (&dispatcher->servers);
+  TAILQ_INIT (&dispatcher->recent);
+  dispatcher->by_id = g_hash_table_new (g_str_hash, g_str_equal);
+  dispatcher->closing = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  dispatcher->recent_ids = g_hash_table_new (g_str_hash, g_str_equal);
+  dispatcher->entries
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  dispatcher->runtimes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return dispatcher;
+}
+
+static void
+spec_copy (LeasedSpec *spec, const LeasedSpec *from)
+{
+  *spec = *from;
+  spec->id = g_strdup (from->id);
+  spec->queue = g_strdup (from->queue);
+  spec->service = g_strdup (from->service);
+  spec->payload = g_strdup (from->payload);
+  spec->label = g_strdup (from->label);
+  spec->rack = g_strdup (from->rack);
+}
+
+static void
+spec_clear (LeasedSpec *spec)
+{
+  g_free ((char *)spec->id);
+  g_free ((char *)spec->queue);
+  g_free ((char *)spec->service);
+  g_free ((char *)spec->payload);
+  g_free ((char *)spec->label);
+  g_free ((char *)spec->rack);
+}
+
+static void
+job_free (LeasedJob *job)
+{
+  TAILQ_REMOVE (&job->dispatcher->jobs, job, link);
+  job->dispatcher->n_jobs--;
+  spec_clear (&job->spec);
+  g_free (job->tasks);
+  g_free (job);
+}
+
+static void
+recent_free (Dispatcher *dispatcher, RecentJob *recent)
+{
+  TAILQ_REMOVE (&dispatcher->recent, recent, link);
+  g_hash_table_remove (dispatcher->recent_ids, recent->id);
+  g_free (recent->id);
+  g_free (recent);
+}
+
+static void
+server_free (LeasedServer *server)
+{
+  TAILQ_REMOVE (&server->dispatcher->servers, server, link);
+  server_status_free (&server->status);
+  g_free (server->name);
+  g_free (server);
+}
+
+void
+dispatcher_free (Dispatcher *dispatcher)
+{
+  LeasedJob *job;
+  LeasedServer *server;
+  RecentJob *recent;
+
+  if (dispatcher == NULL)
+    return;
+  while ((job = TAILQ_FIRST (&dispatcher->jobs)) != NULL)
+    job_free (job);
+  while ((server = TAILQ_FIRST (&dispatcher->servers)) != NULL)
+    server_free (server);
+  while ((recent = TAILQ_FIRST (&dispatcher->recent)) != NULL)
+    recent_free (dispatcher, recent);
+  g_hash_table_unref (dispatcher->by_id);
+  g_hash_table_unref (dispatcher->closing);
+  g_hash_table_unref (dispatcher->recent_ids);
+  g_hash_table_unref (dispatcher->entries);
+  g_hash_table_unref (dispatcher->runtimes);
+  g_free (dispatcher);
+}
+
+Runtimes *
+dispatcher_runtimes (Dispatcher *dispatcher, const char *queue)
+{
+  Runtimes *runtimes = g_hash_table_lookup (dispatcher->runtimes, queue);
+
+  if (runtimes == NULL)
+    {
+      runtimes = g_new0 (Runtimes, 1);
+      g_hash_table_insert (dispatcher->runtimes, g_strdup (queue), runtimes);
+    }
+  return runtimes;
+}
+
+static void
+remember_answer (Dispatcher *dispatcher, const char *id)
+{
+  RecentJob *recent;
+
+  if (g_hash_table_contains (dispatcher->recent_ids, id))
+    return;
+  recent = g_new0 (RecentJob, 1);
+  recent->id = g_strdup (id);
+  recent->ended_ms = dispatcher->now_ms;
+  TAILQ_INSERT_TAIL (&dispatcher->recent, recent, link);
+  g_hash_table_insert (dispatcher->recent_ids, recent->id, recent);
+}
+
+static void
+forget_answers (Dispatcher *dispatcher)
+{
+  RecentJob *recent;
+
+  while ((recent = TAILQ_FIRST (&dispatcher->recent)) != NULL
+         && dispatcher->now_ms - recent->ended_ms > RECENT_MS)
+    recent_free (dispatcher, recent);
+}
+
+/* Runs of a closed job go on until their stop is reported: until then no other run of the
+ * same id may begin. */
+static void
+job_close (LeasedJob *job)
+{
+  Dispatcher *dispatcher = job->dispatcher;
+
+  if (job->closed)
+    return;
+  job->closed = TRUE;
+  dispatcher->n_waiting -= job->waiting;
+  g_hash_table_remove (dispatcher->by_id, job->spec.id);
+  if (job->placed > 0)
+    g_hash_table_replace (dispatcher->closing, g_strdup (job->spec.id),
+                          GUINT_TO_POINTER (job->placed));
+  for (guint i = 0; i < job->spec.count; i++)
+    task_stop (&job->tasks[i]);
+}
+
+static void
+send_result (LeasedJob *job, LeasedEnd end, const char *reason, guint retry_after_ms)
+{
+  Dispatcher *dispatcher = job->dispatcher;
+  LeasedResult result = { end, reason, retry_after_ms };
+
+  event_emit ("job-ended", job->spec.id,
+              "queue=%s end=%s reason=\"%s\" age_ms=%" G_GINT64_FORMAT
+              " done=%u of=%u objective_left_ms=%" G_GINT64_FORMAT
+              " time_left_ms=%" G_GINT64_FORMAT " retry_after_ms=%u",
+              job->spec.queue, end_names[end], reason,
+              dispatcher->now_ms - job->spec.arrived_ms, job->ended, job->spec.count,
+              job->objective_ms - dispatcher->now_ms,
+              job->spec.deadline_ms - dispatcher->now_ms, retry_after_ms);
+  dispatcher->ops->result (job->spec.entry, job->spec.ticket, &result, dispatcher->ctx);
+}
+
+void
+job_answer (LeasedJob *job, LeasedEnd end, const char *reason, guint retry_after_ms)
+{
+  if (job->closed)
+    return;
+  if (end == LEASED_COMPLETED)
+    remember_answer (job->dispatcher, job->spec.id);
+  send_result (job, end, reason, retry_after_ms);
+  job_close (job);
+}
+
+void
+job_release_if_over (LeasedJob *job)
+{
+  if (!job->closed || job->placed > 0)
+    return;
+  job_free (job);
+}
+
+/* What the job is for: answered within its objective it is worth most, up to three times
+ * that a little, later nothing. */
+#define LATE_FACTOR 3
+
+static void
+set_objective (LeasedJob *job)
+{
+  gint64 objective = (gint64)(job->spec.stretch * job->task_ms) + job->spec.target_ms;
+
+  job->objective_ms = job->spec.arrived_ms + objective;
+  job->late_ms
+      = MIN (job->spec.arrived_ms + LATE_FACTOR * objective, job->spec.deadline_ms);
+}
+
+static LeasedJob *
+job_new (Dispatcher *dispatcher, const LeasedSpec *spec)
+{
+  LeasedJob *job = g_new0 (LeasedJob, 1);
+
+  job->dispatcher = dispatcher;
+  spec_copy (&job->spec, spec);
+  job->tasks = g_new0 (LeasedTask, spec->count);
+  for (guint i = 0; i < spec->count; i++)
+    {
+      job->tasks[i].job = job;
+      job->tasks[i].index = i;
+    }
+  job->waiting = spec->count;
+  job->task_ms = runtimes_estimate (dispatcher_runtimes (dispatcher, spec->queue),
+                                    spec->declared_ms);
+  set_objective (job);
+  TAILQ_INSERT_TAIL (&dispatcher->jobs, job, link);
+  dispatcher->n_jobs++;
+  dispatcher->n_waiting += spec->count;
+  g_hash_table_insert (dispatcher->by_id, (gpointer)job->spec.id, job);
+  return job;
+}
+
+static void
+answer_again (Dispatcher *dispatcher, const LeasedSpec *spec)
+{
+  LeasedResult result = { LEASED_COMPLETED, "", 0 };
+
+  event_note ("job-answered-again", spec->id, "entry=%" G_GINT64_MODIFIER "x",
+              spec->entry);
+  dispatcher->ops->result (spec->entry, spec->ticket, &result, dispatcher->ctx);
+}
+
+void
+dispatcher_submit (Dispatcher *dispatcher, const LeasedSpec *spec, gint64 now_ms)
+{
+  LeasedJob *job = g_hash_table_lookup (dispatcher->by_id, spec->id);
+
+  dispatcher->now_ms = now_ms;
+  if (g_hash_table_contains (dispatcher->recent_ids, spec->id))
+    {
+      answer_again (dispatcher, spec);
+      return;
+    }
+  if (job != NULL)
+    {
+      /* Its caller came back over another connection: a second run beside the first would
+       * be work done twice, and two runs of one task at once. */
+      event_note ("job-joined", spec->id, "age_ms=%" G_GINT64_FORMAT,
+                  now_ms - job->spec.arrived_ms);
+      job->spec.entry = spec->entry;
+      job->spec.ticket = spec->ticket;
+      job->spec.deadline_ms = spec->deadline_ms;
+      return;
+    }
+  job = job_new (dispatcher, spec);
+  event_emit ("job-queued", spec->id,
+              "queue=%s tasks=%u cpu=%u declared_ms=%u expected_ms=%.0f waiting=%u "
+              "time_left_ms=%" G_GINT64_FORMAT,
+              spec->queue, spec->count, spec->demand.cpu_milli, spec->declared_ms,
+              job->task_ms, dispatcher->n_waiting, spec->deadline_ms - now_ms);
+  dispatcher->ops->pump (dispatcher->ctx);
+}
+
+static LeasedJob *
+find_job (Dispatcher *dispatcher, guint64 entry, guint64 ticket)
+{
+  LeasedJob *job;
+
+  TAILQ_FOREACH (job, &dispatcher->jobs, link)
+    if (!job->closed && job->spec.ticket == ticket && job->spec.entry == entry)
+      return job;
+  return NULL;
+}
+
+static void
+cancel_job (LeasedJob *job, const char *reason)
+{
+  event_note ("job-cancelled", job->spec.id,
+              "reason=\"%s\" age_ms=%" G_GINT64_FORMAT " placed=%u done=%u", reason,
+              job->dispatcher->now_ms - job->spec.arrived_ms, job->placed, job->ended);
+  job_close (job);
+  job_release_if_over (job);
+}
+
+void
+dispatcher_cancel (Dispatcher *dispatcher, guint64 entry, guint64 ticket, gint64 now_ms)
+{
+  LeasedJob *job = find_job (dispatcher, entry, ticket);
+
+  dispatcher->now_ms = now_ms;
+  if (job != NULL)
+    cancel_job (job, "cancelled by its entry");
+}
+
+void
+dispatcher_entry_grant (Dispatcher *dispatcher, guint64 entry, gint64 until_ms)
+{
+  gint64 *until = g_hash_table_lookup (dispatcher->entries, &entry);
+
+  if (until != NULL)
+    *until = MAX (*until, until_ms);
+  else
+    g_hash_table_insert (dispatcher->entries, g_memdup2 (&entry, sizeof entry),
+                         g_memdup2 (&until_ms, sizeof until_ms));
+}
+
+/* An entry that was killed, frozen or cut off has no caller to answer any more, or the
+ * caller asks elsewhere: its jobs are stopped before they can run a second time. */
+static void
+cancel_unleased (Dispatcher *dispatcher)
+{
+  LeasedJob *job;
+  LeasedJob *next;
+
+  for (job = TAILQ_FIRST (&dispatcher->jobs); job != NULL; job = next)
+    {
+      gint64 *until = g_hash_table_lookup (dispatcher->entries, &job->spec.entry);
+
+      next = TAILQ_NEXT (job, link);
+      if (job->closed)
+        continue;
+      if (until == NULL || dispatcher->now_ms > *until)
+        cancel_job (job, "its entry is out of reach");
+      else if (dispatcher->now_ms > job->spec.deadline_ms)
+        cancel_job (job, "its caller's time is over");
+    }
+}
+
+static gboolean
+entry_is_over (gpointer key, gpointer value, gpointer ctx)
+{
+  const Dispatcher *dispatcher = ctx;
+
+  return dispatcher->now_ms - *(gint64 *)value > RECENT_MS;
+}
+
+void
+dispatcher_tick (Dispatcher *dispatcher, gint64 now_ms)
+{
+  dispatcher->now_ms = now_ms;
+  cancel_unleased (dispatcher);
+  dispatcher_check_servers (dispatcher);
+  dispatcher_refuse_hopeless (dispatcher);
+  forget_answers (dispatcher);
+  g_hash_table_foreach_remove (dispatcher->entries, entry_is_over, dispatcher);
+  if (dispatcher->n_waiting > 0)
+    dispatcher_pump (dispatcher, now_ms);
+}
+
+guint
+dispatcher_jobs (const Dispatcher *dispatcher)
+{
+  return dispatcher->n_jobs;
+}
+
+guint
+dispatcher_waiting (const Dispatcher *dispatcher)
+{
+  return dispatcher->n_waiting;
+}
--- /dev/null
+++ b/src/dispatcher.h
@@ -0,0 +1,152 @@
+#pragma once
+/* The dispatcher: the home of leased jobs. It queues them, places their tasks on backend
+ * servers, runs lost tasks again and tells each entry how its jobs ended. No I/O of its
+ * own: messages and the time are handed in. */
+#include "lease.h"
+#include "server_calls.h"
+
+typedef struct Dispatcher Dispatcher;
+typedef struct LeasedServer LeasedServer;
+
+/* What a caller asks for. Texts are copied. */
+typedef struct
+{
+  guint64 entry;  /* incarnation of the entry that holds the caller's request */
+  guint64 ticket; /* that entry's number of the submission */
+  const char *id; /* the caller's */
+  const char *queue;
+  const char *service;
+  const char *payload;
+  const char *label; /* a backend server must carry it; empty: any */
+  const char *rack;  /* where its data is; empty: anywhere */
+  guint priority;    /* 0 first */
+  guint max_attempts;
+  guint count; /* tasks */
+  guint declared_ms;
+  guint most_per_server; /* 0: no limit */
+  guint target_ms;
+  double stretch;
+  Demand demand;      /* of one task */
+  gint64 arrived_ms;  /* own clock */
+  gint64 deadline_ms; /* own clock: the caller leaves */
+} LeasedSpec;
+
+typedef enum
+{
+  LEASED_COMPLETED,
+  LEASED_FAILED,
+  LEASED_REFUSED,  /* proved: nothing of it ran */
+  LEASED_GIVEN_UP, /* some of it ran */
+} LeasedEnd;
+
+typedef struct
+{
+  LeasedEnd end;
+  const char *reason;
+  guint retry_after_ms;
+} LeasedResult;
+
+typedef struct
+{
+  char *instance;
+  char *service;
+  char *zone;
+  char **labels; /* NULL-terminated */
+  Demand capacity;
+  Demand used_by_others;
+  gboolean ready;
+  gboolean draining;
+} ServerStatus;
+
+typedef struct
+{
+  /* Ask a server's agent to start runs of one job. */
+  void (*order) (LeasedServer *server,
+                 const LeasedSpec *spec,
+                 const RunKey *runs,
+                 gsize n_runs,
+                 gint64 valid_until_ms,
+                 gpointer ctx);
+  void (*stop) (LeasedServer *server, const RunKey *run, gpointer ctx);
+  void (*result) (guint64 entry,
+                  guint64 ticket,
+                  const LeasedResult *result,
+                  gpointer ctx);
+  /* The tasks wait for a turn of dispatcher_pump (). */
+  void (*pump) (gpointer ctx);
+} DispatcherOps;
+
+typedef struct
+{
+  guint server_lease_ms; /* a backend server lets runs go on so long without its agent */
+} DispatcherInit;
+
+Dispatcher *
+dispatcher_new (const DispatcherInit *init, const DispatcherOps *ops, gpointer ctx);
+void dispatcher_free (Dispatcher *dispatcher);
+
+/** dispatcher_server_up - the agent of a server is linked (again). @owner: for the ops.
+ */
+LeasedServer *dispatcher_server_up (Dispatcher *dispatcher,
+                                    guint64 agent,
+                                    const char *name,
+                                    gpointer owner);
+void dispatcher_server_down (LeasedServer *server, gint64 now_ms);
+gpointer leased_server_owner (const LeasedServer *server);
+
+/** dispatcher_server_status - takes @status over. */
+void dispatcher_server_status (LeasedServer *server, ServerStatus *status);
+void server_status_free (ServerStatus *status);
+
+/** dispatcher_server_clock - the agent told its time. */
+void dispatcher_server_clock (LeasedServer *server, gint64 told_ms, gint64 now_ms);
+
+/** dispatcher_server_granted - the agent may let runs go on until then (its clock). */
+void dispatcher_server_granted (LeasedServer *server, gint64 until_ms);
+
+/** dispatcher_servers - servers that are linked and ready. */
+guint dispatcher_servers (const Dispatcher *dispatcher);
+
+typedef enum
+{
+  TASK_STARTED,
+  TASK_NOT_STARTED,
+  TASK_DONE,
+  TASK_FAILED,
+  TASK_LOST,
+} TaskEvent;
+
+typedef struct
+{
+  RunKey key;
+  TaskEvent event;
+  const char *reason;
+} TaskReport;
+
+/**
+ * dispatcher_reports - an agent reports on runs.
+ * @inventory: what is not among them and was ordered before does not run there and never
+ * will.
+ */
+void dispatcher_reports (LeasedServer *server,
+                         const TaskReport *reports,
+                         gsize n,
+                         gboolean inventory,
+                         gint64 now_ms);
+
+void dispatcher_submit (Dispatcher *dispatcher, const LeasedSpec *spec, gint64 now_ms);
+void
+dispatcher_cancel (Dispatcher *dispatcher, guint64 entry, guint64 ticket, gint64 now_ms);
+
+/** dispatcher_entry_grant - jobs of @entry may go on until then (own clock). */
+void dispatcher_entry_grant (Dispatcher *dispatcher, guint64 entry, gint64 until_ms);
+
+/** dispatcher_pump - place what can be placed. */
+void dispatcher_pump (Dispatcher *dispatcher, gint64 now_ms);
+
+/** dispatcher_tick - call it every DISPATCHER_TICK_MS. */
+void dispatcher_tick (Dispatcher *dispatcher, gint64 now_ms);
+#define DISPATCHER_TICK_MS 20
+
+guint dispatcher_jobs (const Dispatcher *dispatcher);
+guint dispatcher_waiting (const Dispatcher *dispatcher);
--- /dev/null
+++ b/src/dispatcher_parts.h
@@ -0,0 +1,107 @@
+#pragma once
+/* What the parts of the dispatcher share: dispatcher.c keeps jobs, dispatcher_servers.c
+ * keeps servers and takes reports, dispatcher_place.c places and refuses. */
+#include "dispatcher.h"
+#include "health.h"
+#include "runtimes.h"
+
+#include <sys/queue.h>
+
+typedef enum
+{
+  TASK_WAITS,
+  TASK_PLACED, /* ordered, perhaps running */
+  TASK_ENDED,
+} TaskState;
+
+typedef struct LeasedJob LeasedJob;
+
+typedef struct LeasedTask
+{
+  TAILQ_ENTRY (LeasedTask) on_server; /* while placed */
+  LeasedJob *job;
+  guint index;
+  guint run; /* number of its last start */
+  guint failures;
+  TaskState state;
+  LeasedServer *server;
+  gint64 placed_ms;
+  gint64 started_ms; /* 0: not reported yet */
+  gboolean ordered;  /* the order for this run has been sent */
+  gboolean stopping;
+} LeasedTask;
+
+struct LeasedJob
+{
+  TAILQ_ENTRY (LeasedJob) link;
+  Dispatcher *dispatcher;
+  LeasedSpec spec; /* with copies of the texts */
+  LeasedTask *tasks;
+  guint waiting;
+  guint placed;
+  guint ended;
+  gboolean started; /* a run of it began, or may have */
+  gboolean closed;  /* answered or cancelled: only runs that are being stopped are left */
+  double task_ms;   /* expected run time of one task */
+  gint64 objective_ms;
+  gint64 late_ms; /* no use to its caller after this */
+  double rank;
+};
+
+struct LeasedServer
+{
+  TAILQ_ENTRY (LeasedServer) link;
+  Dispatcher *dispatcher;
+  guint64 agent;
+  char *name;
+  gpointer owner; /* NULL while its agent is not linked */
+  ServerStatus status;
+  PeerClock clock;
+  gint64 granted_until; /* agent's clock */
+  gint64 hold_until_ms; /* nothing is placed before this time */
+  Demand placed;
+  guint n_placed;
+  TAILQ_HEAD (, LeasedTask) tasks;
+  Health health;
+  double slowness; /* of its run times against the expected ones */
+  gboolean inventoried;
+};
+
+/* A job that ended a short while ago, for a caller that did not get the answer. */
+typedef struct RecentJob
+{
+  TAILQ_ENTRY (RecentJob) link;
+  char *id;
+  gint64 ended_ms;
+} RecentJob;
+
+struct Dispatcher
+{
+  DispatcherInit init;
+  const DispatcherOps *ops;
+  gpointer ctx;
+  TAILQ_HEAD (, LeasedJob) jobs;
+  TAILQ_HEAD (, LeasedServer) servers;
+  TAILQ_HEAD (, RecentJob) recent;
+  GHashTable *by_id;   /* id -> LeasedJob that is not closed */
+  GHashTable *closing; /* id -> number of runs still being stopped */
+  GHashTable *recent_ids;
+  GHashTable *entries;  /* incarnation -> gint64 until when its jobs are leased */
+  GHashTable *runtimes; /* queue -> Runtimes */
+  guint n_jobs;
+  guint n_waiting; /* tasks */
+  gint64 now_ms;
+};
+
+/* dispatcher.c */
+void job_answer (LeasedJob *job, LeasedEnd end, const char *reason, guint retry_after_ms);
+void job_release_if_over (LeasedJob *job);
+Runtimes *dispatcher_runtimes (Dispatcher *dispatcher, const char *queue);
+
+/* dispatcher_servers.c */
+void task_detach (LeasedTask *task);
+void task_stop (LeasedTask *task);
+void dispatcher_check_servers (Dispatcher *dispatcher);
+
+/* dispatcher_place.c */
+void dispatcher_refuse_hopeless (Dispatcher *dispatcher);
--- a/src/http.c
+++ b/src/http.c
@@ -52,6 +52,7 @@
   guint16 port;
   guint limit;
   guint open;
+  guint idle_ms;
   TAILQ_HEAD (, HttpConn) conns;
   TAILQ_HEAD (, HttpJob) waiting;
   struct event *sweep;
@@ -160,7 +161,7 @@
       next = TAILQ_NEXT (conn, link);
       if (conn->job != NULL || conn->doomed)
         continue;
-      if (now - conn->idle_ms <= IDLE_REUSE_MS)
+      if (now - conn->idle_ms <= pool->idle_ms)
         return conn;
       conn_free (conn);
     }
@@ -283,7 +284,7 @@
   for (conn = TAILQ_FIRST (&pool->conns); conn != NULL; conn = next)
     {
       next = TAILQ_NEXT (conn, link);
-      if (conn->job == NULL && now - conn->idle_ms > IDLE_REUSE_MS)
+      if (conn->job == NULL && now - conn->idle_ms > pool->idle_ms)
         conn_free (conn);
     }
 }
@@ -319,6 +320,7 @@
 
   pool->base = base;
   pool->limit = connections;
+  pool->idle_ms = IDLE_REUSE_MS;
   TAILQ_INIT (&pool->conns);
   TAILQ_INIT (&pool->waiting);
   if (!http_split_address (address, &pool->ip, &pool->port))
@@ -329,6 +331,12 @@
   return pool;
 }
 
+void
+http_pool_keep_idle (HttpPool *pool, guint idle_ms)
+{
+  pool->idle_ms = idle_ms;
+}
+
 static void
 end_unfinished (HttpJob *job)
 {
--- a/src/http.h
+++ b/src/http.h
@@ -45,6 +45,10 @@
  */
 HttpPool *http_pool_new (struct event_base *base, const char *address, guint connections);
 
+/** http_pool_keep_idle - reuse connections that were idle up to this long (2 s if unset).
+ */
+void http_pool_keep_idle (HttpPool *pool, guint idle_ms);
+
 /** http_pool_free - calls under way end as broken or not sent. */
 void http_pool_free (HttpPool *pool);
 void http_pool_call (HttpPool *pool, const HttpCall *call);
--- /dev/null
+++ b/src/leased_agent.c
@@ -0,0 +1,377 @@
+#define LOG_MODULE "agent"
+#include "leased_agent.h"
+#include "clock.h"
+#include "events.h"
+#include "jobid.h"
+#include "mesh.h"
+
+#include <string.h>
+
+#define PROTOCOL_VERSION 1
+/* Reports of the last runs are given this long to leave the process. */
+#define FAREWELL_MS 100
+
+struct LeasedAgent
+{
+  struct event_base *base;
+  const LeasedAgentOps *ops;
+  gpointer ctx;
+  guint64 incarnation;
+  Gw__Hello hello;
+  guint drain_limit_ms;
+  Mesh *mesh;
+  Runner *runner;
+  struct event *tick;
+  struct event *changed;
+  gint64 mesh_ticked_ms;
+  gint64 draining_ms; /* since when; 0: not */
+  char *service;
+  char *zone;
+  char **labels;
+  /* Of the frame that is being prepared. */
+  Gw__ServerState state;
+  Gw__Demand capacity;
+  Gw__Demand used_by_others;
+};
+
+/* What the runner reports. */
+
+static Gw__RunReport *
+message_report (const RunKey *key, ReportKind kind, const char *reason)
+{
+  Gw__RunReport *report = g_new (Gw__RunReport, 1);
+
+  gw__run_report__init (report);
+  report->job = g_strdup (key->job);
+  report->index = key->index;
+  report->run = key->run;
+  report->kind = (Gw__RunReport__Kind)kind;
+  report->reason = g_strdup (reason);
+  return report;
+}
+
+static void
+on_report (guint64 home,
+           const RunKey *key,
+           ReportKind kind,
+           const char *reason,
+           gpointer ctx)
+{
+  LeasedAgent *agent = ctx;
+  MeshPeer *peer = mesh_find (agent->mesh, home);
+
+  if (peer != NULL && peer->link != NULL)
+    link_append (peer->link, LINK_RUN_REPORTS, &message_report (key, kind, reason)->base);
+}
+
+/* The state rides on every frame; a change is worth a frame of its own. */
+static void
+on_runner_changed (gpointer ctx)
+{
+  LeasedAgent *agent = ctx;
+
+  event_active (agent->changed, EV_TIMEOUT, 0);
+}
+
+static const RunnerOps runner_ops = { on_report, on_runner_changed };
+
+typedef struct
+{
+  gboolean ready;
+  gboolean draining;
+  Demand capacity;
+  Demand used_by_others;
+} ToldState;
+
+static ToldState
+state_for (const LeasedAgent *agent, guint64 home)
+{
+  ToldState state;
+
+  memset (&state, 0, sizeof state);
+  state.ready = runner_ready (agent->runner);
+  state.draining = runner_draining (agent->runner);
+  state.capacity = *runner_capacity (agent->runner);
+  state.used_by_others = runner_used_by_others (agent->runner, home);
+  return state;
+}
+
+static gboolean
+state_is_news (const LeasedAgent *agent, const MeshPeer *peer)
+{
+  ToldState state = state_for (agent, peer->incarnation);
+
+  return peer->data == NULL || memcmp (peer->data, &state, sizeof state) != 0;
+}
+
+static void
+on_changed (evutil_socket_t fd, short what, void *ctx)
+{
+  LeasedAgent *agent = ctx;
+  MeshPeer *peer;
+
+  for (peer = mesh_first (agent->mesh); peer != NULL; peer = mesh_next (peer))
+    if (peer->link != NULL && state_is_news (agent, peer))
+      link_touch (peer->link);
+}
+
+static void
+on_prepare (MeshPeer *peer, Gw__Frame *frame, gpointer ctx)
+{
+  LeasedAgent *agent = ctx;
+  const char *instance = runner_instance (agent->runner);
+  ToldState told;
+
+  if (instance == NULL || !state_is_news (agent, peer))
+    return;
+  told = state_for (agent, peer->incarnation);
+  g_free (peer->data);
+  peer->data = g_memdup2 (&told, sizeof told);
+  gw__server_state__init (&agent->state);
+  agent->state.instance = (char *)instance;
+  agent->state.service = agent->service;
+  agent->state.zone = agent->zone;
+  agent->state.labels = agent->labels;
+  agent->state.n_labels = agent->labels != NULL ? g_strv_length (agent->labels) : 0;
+  agent->state.ready = told.ready;
+  agent->state.draining = told.draining;
+  demand_to_wire (&told.capacity, &agent->capacity);
+  demand_to_wire (&told.used_by_others, &agent->used_by_others);
+  agent->state.capacity = &agent->capacity;
+  agent->state.used_by_others = &agent->used_by_others;
+  frame->server_state = &agent->state;
+}
+
+/* Links. */
+
+static void
+add_to_inventory (const RunKey *key, ReportKind kind, const char *reason, gpointer ctx)
+{
+  MeshPeer *peer = ctx;
+
+  link_append (peer->link, LINK_RUN_REPORTS, &message_report (key, kind, reason)->base);
+}
+
+static void
+on_up (MeshPeer *peer, gpointer ctx)
+{
+  LeasedAgent *agent = ctx;
+
+  g_clear_pointer (&peer->data, g_free);
+  runner_each_run (agent->runner, peer->incarnation, add_to_inventory, peer);
+  link_send_inventory (peer->link);
+}
+
+static void
+on_down (MeshPeer *peer, gpointer ctx)
+{
+}
+
+static void
+on_forgotten (MeshPeer *peer, gpointer ctx)
+{
+  g_clear_pointer (&peer->data, g_free);
+}
+
+static void
+take_order (LeasedAgent *agent, guint64 home, const Gw__RunOrder *order, gint64 now)
+{
+  RunRequest request = { .home = home,
+                         .payload = order->payload,
+                         .demand = demand_from_wire (order->demand),
+                         .valid_until_ms = order->valid_until_ms };
+
+  g_strlcpy (request.key.job, order->job, sizeof request.key.job);
+  for (gsize i = 0; i < order->n_runs; i++)
+    {
+      request.key.index = order->runs[i]->index;
+      request.key.run = order->runs[i]->run;
+      runner_start (agent->runner, &request, now);
+    }
+}
+
+static void
+take_stop (LeasedAgent *agent, guint64 home, const Gw__RunStop *stop, gint64 now)
+{
+  RunKey key;
+
+  g_strlcpy (key.job, stop->job, sizeof key.job);
+  for (gsize i = 0; i < stop->n_runs; i++)
+    {
+      key.index = stop->runs[i]->index;
+      key.run = stop->runs[i]->run;
+      runner_stop (agent->runner, home, &key, now);
+    }
+}
+
+static void
+on_frame (MeshPeer *peer, const Gw__Frame *frame, gpointer ctx)
+{
+  LeasedAgent *agent = ctx;
+  gint64 now = clock_now_ms ();
+
+  if (frame->time != NULL && frame->time->granted_until_ms > 0)
+    runner_grant (agent->runner, peer->incarnation, frame->time->granted_until_ms);
+  for (gsize i = 0; i < frame->n_run_stops; i++)
+    take_stop (agent, peer->incarnation, frame->run_stops[i], now);
+  for (gsize i = 0; i < frame->n_run_orders; i++)
+    take_order (agent, peer->incarnation, frame->run_orders[i], now);
+}
+
+static void
+on_isolated (gpointer ctx)
+{
+  LeasedAgent *agent = ctx;
+
+  agent->ops->look_up_entries (agent->ctx);
+}
+
+static const MeshOps mesh_ops
+    = { on_up, on_down, on_frame, on_prepare, on_forgotten, on_isolated };
+
+/* The clock's work. */
+
+static void
+drain_tick (LeasedAgent *agent, gint64 now)
+{
+  struct timeval delay = timeval_from_ms (FAREWELL_MS);
+
+  if (agent->draining_ms == 0
+      || (runner_count (agent->runner) > 0
+          && now - agent->draining_ms < agent->drain_limit_ms))
+    return;
+  event_note ("stopped", "-", "runs=%u after_ms=%" G_GINT64_FORMAT,
+              runner_count (agent->runner), now - agent->draining_ms);
+  event_base_loopexit (agent->base, &delay);
+}
+
+static void
+on_tick (evutil_socket_t fd, short what, void *ctx)
+{
+  LeasedAgent *agent = ctx;
+  gint64 now = clock_now_ms ();
+
+  if (now - agent->mesh_ticked_ms >= MESH_TICK_MS)
+    {
+      agent->mesh_ticked_ms = now;
+      mesh_tick (agent->mesh, now);
+    }
+  runner_tick (agent->runner, now);
+  drain_tick (agent, now);
+}
+
+static void
+fill_hello (LeasedAgent *agent, const Settings *settings)
+{
+  gw__hello__init (&agent->hello);
+  agent->hello.role = GW__HELLO__ROLE__AGENT;
+  agent->hello.name = g_strdup (settings->name);
+  agent->hello.zone = g_strdup (settings->zone);
+  agent->hello.incarnation = agent->incarnation;
+  agent->hello.protocol = PROTOCOL_VERSION;
+}
+
+LeasedAgent *
+leased_agent_new (struct event_base *base,
+                  const Settings *settings,
+                  const ServerCalls *calls,
+                  gpointer server,
+                  const LeasedAgentOps *ops,
+                  gpointer ctx)
+{
+  LeasedAgent *agent = g_new0 (LeasedAgent, 1);
+  RunnerInit runner = { calls, server, settings->server_lease_ms };
+  MeshInit mesh = { .base = base,
+                    .hello = &agent->hello,
+                    .heartbeat_ms = settings->heartbeat_ms,
+                    .timeout_ms = settings->timeout_ms,
+                    .lease_ms = settings->home_lease_ms,
+                    .forget_ms = 4 * settings->home_lease_ms };
+
+  agent->base = base;
+  agent->ops = ops;
+  agent->ctx = ctx;
+  agent->incarnation = incarnation_new ();
+  agent->drain_limit_ms = settings->drain_limit_ms;
+  fill_hello (agent, settings);
+  agent->runner = runner_new (&runner, &runner_ops, agent);
+  agent->mesh = mesh_new (&mesh, &mesh_ops, agent);
+  mesh_seed (agent->mesh, settings->peers);
+  agent->tick = event_new (base, -1, EV_PERSIST, on_tick, agent);
+  agent->changed = event_new (base, -1, 0, on_changed, agent);
+  return agent;
+}
+
+void
+leased_agent_close (LeasedAgent *agent)
+{
+  runner_close (agent->runner);
+}
+
+void
+leased_agent_free (LeasedAgent *agent)
+{
+  if (agent == NULL)
+    return;
+  mesh_free (agent->mesh);
+  runner_free (agent->runner);
+  event_free (agent->tick);
+  event_free (agent->changed);
+  g_free (agent->hello.name);
+  g_free (agent->hello.zone);
+  g_free (agent->service);
+  g_free (agent->zone);
+  g_strfreev (agent->labels);
+  g_free (agent);
+}
+
+gboolean
+leased_agent_start (LeasedAgent *agent, GError **error)
+{
+  struct timeval interval = timeval_from_ms (RUNNER_TICK_MS);
+
+  event_add (agent->tick, &interval);
+  event_note ("started", "-", "incarnation=%" G_GINT64_MODIFIER "x version=%s",
+              agent->incarnation, GODWITSPAR_VERSION);
+  return TRUE;
+}
+
+void
+leased_agent_reload (LeasedAgent *agent, const Settings *settings)
+{
+  mesh_seed (agent->mesh, settings->peers);
+}
+
+void
+leased_agent_drain (LeasedAgent *agent)
+{
+  if (agent->draining_ms > 0)
+    return;
+  agent->draining_ms = clock_now_ms ();
+  event_note ("leaving", "-", "runs=%u", runner_count (agent->runner));
+  runner_drain (agent->runner);
+}
+
+void
+leased_agent_facts (LeasedAgent *agent, const ServerFacts *facts)
+{
+  g_free (agent->service);
+  agent->service = g_strdup (facts->service);
+  g_free (agent->zone);
+  agent->zone = g_strdup (facts->zone);
+  g_strfreev (agent->labels);
+  agent->labels = g_strdupv ((char **)facts->labels);
+  runner_facts (agent->runner, facts, clock_now_ms ());
+}
+
+void
+leased_agent_server_leaves (LeasedAgent *agent, const char *instance)
+{
+  runner_server_leaves (agent->runner, instance, clock_now_ms ());
+}
+
+void
+leased_agent_learn (LeasedAgent *agent, const char *address)
+{
+  mesh_learn (agent->mesh, address);
+}
--- /dev/null
+++ b/src/leased_entry.h
@@ -0,0 +1,45 @@
+#pragma once
+/* An entry of leased jobs: takes callers' requests, is home for jobs where it ranks
+ * first, and keeps links to the other entries and to the agents. */
+#include "catalog.h"
+#include "requests.h"
+#include "settings.h"
+
+#include <event2/event.h>
+
+typedef struct LeasedEntry LeasedEntry;
+
+/* What an entry needs of the platform it runs on. */
+typedef struct
+{
+  /* Read a configuration that another entry passed on. Return: NULL with @error. */
+  Catalog *(*read_catalog) (const char *source, GError **error);
+  /* Find other entries' addresses; leased_entry_learn () takes them. */
+  void (*look_up_entries) (gpointer ctx);
+} LeasedEntryOps;
+
+LeasedEntry *leased_entry_new (struct event_base *base,
+                               const Settings *settings,
+                               const LeasedEntryOps *ops,
+                               gpointer ctx);
+void leased_entry_free (LeasedEntry *entry);
+gboolean leased_entry_start (LeasedEntry *entry, GError **error);
+
+/** leased_entry_reload - other seeds. */
+void leased_entry_reload (LeasedEntry *entry, const Settings *settings);
+
+/** leased_entry_drain - leave: others become home, what is open is finished. */
+void leased_entry_drain (LeasedEntry *entry);
+
+/** leased_entry_offer - a configuration; an older one than known is ignored. */
+void leased_entry_offer (LeasedEntry *entry, Catalog *catalog);
+
+/** leased_entry_catalog - the configuration in force, or NULL. */
+Catalog *leased_entry_catalog (const LeasedEntry *entry);
+
+void leased_entry_learn (LeasedEntry *entry, const char *address);
+Requests *leased_entry_requests (LeasedEntry *entry);
+gboolean leased_entry_draining (const LeasedEntry *entry);
+
+/** leased_entry_ready - whether the balancer should send requests. */
+gboolean leased_entry_ready (const LeasedEntry *entry);
--- a/src/link.h
+++ b/src/link.h
@@ -56,6 +56,12 @@
   LINK_ROSTER_ACKS,
   LINK_GROUP_LOADS,
   LINK_ANNOUNCEMENTS,
+  LINK_LEASED_JOBS,
+  LINK_JOB_RESULTS,
+  LINK_JOB_CANCELS,
+  LINK_RUN_ORDERS,
+  LINK_RUN_STOPS,
+  LINK_RUN_REPORTS,
   LINK_LISTS,
 } LinkList;
 
@@ -103,6 +109,9 @@
 /** link_send_config - put a configuration into the frame of this tick. */
 void link_send_config (Link *link, guint64 version, const char *token, const char *body);
 
+/** link_send_inventory - mark the next frame's reports as all that there are. */
+void link_send_inventory (Link *link);
+
 /** link_touch - send a frame this tick even if nothing but what rides along is due. */
 void link_touch (Link *link);
 
--- a/src/link_parts.h
+++ b/src/link_parts.h
@@ -18,6 +18,7 @@
   Gw__Config *body;
   gboolean hello_due;
   gboolean heartbeat_due;
+  gboolean inventory_due;
   gboolean closed;
   guint64 sent_sequence;
   guint64 received_sequence;
--- a/src/link_send.c
+++ b/src/link_send.c
@@ -98,6 +98,12 @@
       ATTACH (LINK_ROSTER_ACKS, roster_acks);
       ATTACH (LINK_GROUP_LOADS, group_loads);
       ATTACH (LINK_ANNOUNCEMENTS, announcements);
+      ATTACH (LINK_LEASED_JOBS, leased_jobs);
+      ATTACH (LINK_JOB_RESULTS, job_results);
+      ATTACH (LINK_JOB_CANCELS, job_cancels);
+      ATTACH (LINK_RUN_ORDERS, run_orders);
+      ATTACH (LINK_RUN_STOPS, run_stops);
+      ATTACH (LINK_RUN_REPORTS, run_reports);
     case LINK_LISTS:
       g_assert_not_reached ();
     }
@@ -116,6 +122,8 @@
   link->hello_due = FALSE;
   frame.load = link->load;
   frame.config = link->body;
+  frame.inventory = link->inventory_due;
+  link->inventory_due = FALSE;
   for (int i = 0; i < LINK_LISTS; i++)
     frame_attach (&frame, i, link->lists[i]);
   frame.sequence = ++link->sent_sequence;
@@ -134,6 +142,13 @@
     event_active (link->flush, EV_TIMEOUT, 0);
 }
 
+void
+link_send_inventory (Link *link)
+{
+  link->inventory_due = TRUE;
+  link_touch (link);
+}
+
 void
 link_append_lazily (Link *link, LinkList list, ProtobufCMessage *message)
 {
--- a/src/log.c
+++ b/src/log.c
@@ -18,6 +18,12 @@
   least_level = level;
 }
 
+void
+log_set_level (LogLevel level)
+{
+  least_level = level;
+}
+
 int
 log_level_parse (const char *text)
 {
--- a/src/log.h
+++ b/src/log.h
@@ -19,6 +19,9 @@
  */
 void log_init (const char *program, LogLevel level);
 
+/** log_set_level - the least level from now on. */
+void log_set_level (LogLevel level);
+
 /** log_level_parse - "error", "warning", "notice", "info" or "debug"; -1 if none of them.
  */
 int log_level_parse (const char *text);
--- /dev/null
+++ b/src/mesh.c
@@ -0,0 +1,462 @@
+#define LOG_MODULE "mesh"
+#include "mesh.h"
+#include "clock.h"
+#include "events.h"
+
+#include <string.h>
+
+/* Dialling again and again costs a packet each; a machine that is back is found by then.
+ */
+#define DIAL_FIRST_MS 100
+#define DIAL_MOST_MS 1000
+/* An address learned from others that has not answered for this long is dropped. */
+#define ADDRESS_FORGET_MS 20000
+#define ISOLATED_MS 700
+
+typedef struct Address
+{
+  TAILQ_ENTRY (Address) link;
+  Mesh *mesh;
+  char *text;
+  gboolean seed;
+  Link *dialing;
+  gint64 dialed_ms;
+  gint64 answered_ms; /* last time a link to it stood, or when it was learned */
+  guint wait_ms;
+} Address;
+
+struct Mesh
+{
+  MeshInit init;
+  const MeshOps *ops;
+  gpointer ctx;
+  LinkConfig links;
+  TAILQ_HEAD (, MeshPeer) peers;
+  TAILQ_HEAD (, Address) addresses;
+  GPtrArray *strangers; /* accepted links before their Hello */
+  gint64 linked_ms;     /* when an entry was last linked */
+  gint64 isolated_ms;   /* when it was last told that none is */
+  gboolean entries_changed;
+  Gw__LeaseTime time;
+};
+
+static MeshPeer *
+peer_of_link (Mesh *mesh, const Link *link)
+{
+  MeshPeer *peer;
+
+  TAILQ_FOREACH (peer, &mesh->peers, link_entry)
+    if (peer->link == link)
+      return peer;
+  return NULL;
+}
+
+static Address *
+address_of_link (Mesh *mesh, const Link *link)
+{
+  Address *address;
+
+  TAILQ_FOREACH (address, &mesh->addresses, link)
+    if (address->dialing == link)
+      return address;
+  return NULL;
+}
+
+MeshPeer *
+mesh_find (Mesh *mesh, guint64 incarnation)
+{
+  MeshPeer *peer;
+
+  TAILQ_FOREACH (peer, &mesh->peers, link_entry)
+    if (peer->incarnation == incarnation)
+      return peer;
+  return NULL;
+}
+
+MeshPeer *
+mesh_first (Mesh *mesh)
+{
+  return TAILQ_FIRST (&mesh->peers);
+}
+
+MeshPeer *
+mesh_next (MeshPeer *peer)
+{
+  return TAILQ_NEXT (peer, link_entry);
+}
+
+static void
+send_entries (Mesh *mesh, Link *link)
+{
+  MeshPeer *peer;
+
+  TAILQ_FOREACH (peer, &mesh->peers, link_entry)
+    {
+      Gw__Entry *entry;
+
+      if (!peer->is_entry || peer->link == NULL)
+        continue;
+      entry = g_new (Gw__Entry, 1);
+      gw__entry__init (entry);
+      entry->name = g_strdup (peer->name);
+      entry->incarnation = peer->incarnation;
+      entry->zone = g_strdup ("");
+      entry->http_address = g_strdup ("");
+      entry->frame_address = g_strdup (peer->frame_address);
+      link_append (link, LINK_ENTRIES, &entry->base);
+    }
+}
+
+static void
+tell_entries (Mesh *mesh)
+{
+  MeshPeer *peer;
+
+  mesh->entries_changed = FALSE;
+  if (mesh->init.hello->role != GW__HELLO__ROLE__ENTRY)
+    return;
+  TAILQ_FOREACH (peer, &mesh->peers, link_entry)
+    if (peer->link != NULL)
+      send_entries (mesh, peer->link);
+}
+
+static MeshPeer *
+peer_new (Mesh *mesh, const Gw__Hello *hello)
+{
+  MeshPeer *peer = g_new0 (MeshPeer, 1);
+
+  peer->mesh = mesh;
+  peer->incarnation = hello->incarnation;
+  peer->name = g_strdup (hello->name);
+  peer->frame_address = g_strdup (hello->frame_address);
+  peer->is_entry = hello->role == GW__HELLO__ROLE__ENTRY;
+  TAILQ_INSERT_TAIL (&mesh->peers, peer, link_entry);
+  return peer;
+}
+
+/* A machine that answers under the old name with a new incarnation proves the old process
+ * gone. */
+static void
+bury_earlier_lives (Mesh *mesh, const MeshPeer *living, gint64 now_ms)
+{
+  MeshPeer *peer;
+
+  TAILQ_FOREACH (peer, &mesh->peers, link_entry)
+    {
+      if (peer == living || strcmp (peer->name, living->name) != 0)
+        continue;
+      if (peer->dead_ms == 0)
+        peer->dead_ms = now_ms;
+      if (peer->link == NULL)
+        continue;
+      link_drop (&peer->link);
+      peer->lost_ms = now_ms;
+      mesh->ops->down (peer, mesh->ctx);
+    }
+}
+
+/* Two processes that dial each other at once keep the link dialed by the one whose name
+ * comes first: both come to the same choice. */
+static gboolean
+is_preferred (const Mesh *mesh, const MeshPeer *peer, gboolean dialed_here)
+{
+  gboolean own_first = strcmp (mesh->init.hello->name, peer->name) < 0;
+
+  return dialed_here == own_first;
+}
+
+static void
+on_up (Link *link, gpointer ctx)
+{
+  Mesh *mesh = ctx;
+  const Gw__Hello *hello = link_peer (link);
+  Address *address = address_of_link (mesh, link);
+  MeshPeer *peer = mesh_find (mesh, hello->incarnation);
+  gint64 now = clock_now_ms ();
+
+  link_ref (link);
+  g_ptr_array_remove_fast (mesh->strangers, link);
+  if (address != NULL)
+    {
+      address->answered_ms = now;
+      address->wait_ms = DIAL_FIRST_MS;
+      link_unref (address->dialing);
+      address->dialing = NULL;
+    }
+  if (hello->incarnation == mesh->init.hello->incarnation)
+    {
+      link_drop (&link);
+      return;
+    }
+  if (peer == NULL)
+    peer = peer_new (mesh, hello);
+  if (peer->link != NULL && !is_preferred (mesh, peer, address != NULL))
+    {
+      link_drop (&link);
+      return;
+    }
+  link_drop (&peer->link);
+  peer->link = link;
+  peer->hello_done = FALSE;
+  if (peer->is_entry)
+    mesh->linked_ms = now;
+  mesh->entries_changed |= peer->is_entry;
+  event_note ("peer-linked", "-", "peer=%s incarnation=%" G_GINT64_MODIFIER "x entry=%d",
+              peer->name, peer->incarnation, peer->is_entry);
+  bury_earlier_lives (mesh, peer, now);
+  if (mesh->init.hello->role == GW__HELLO__ROLE__ENTRY)
+    send_entries (mesh, link);
+  mesh->ops->up (peer, mesh->ctx);
+}
+
+static void
+on_frame (Link *link, const Gw__Frame *frame, gpointer ctx)
+{
+  Mesh *mesh = ctx;
+  MeshPeer *peer = peer_of_link (mesh, link);
+
+  if (peer == NULL)
+    return;
+  if (frame->time != NULL)
+    peer_clock_hear (&peer->clock, frame->time->now_ms, clock_now_ms ());
+  peer->leaving = frame->leaving;
+  peer->config_version = frame->config_version;
+  for (gsize i = 0; i < frame->n_entries; i++)
+    mesh_learn (mesh, frame->entries[i]->frame_address);
+  mesh->ops->frame (peer, frame, mesh->ctx);
+  peer->hello_done = TRUE;
+}
+
+static void
+on_down (Link *link, LinkEnd end, gpointer ctx)
+{
+  Mesh *mesh = ctx;
+  MeshPeer *peer = peer_of_link (mesh, link);
+  Address *address = address_of_link (mesh, link);
+
+  if (address != NULL)
+    {
+      link_unref (address->dialing);
+      address->dialing = NULL;
+      for (MeshPeer *gone = TAILQ_FIRST (&mesh->peers);
+           gone != NULL && end == LINK_REFUSED; gone = TAILQ_NEXT (gone, link_entry))
+        if (gone->link == NULL && gone->dead_ms == 0
+            && strcmp (gone->frame_address, address->text) == 0)
+          gone->dead_ms = clock_now_ms ();
+    }
+  if (peer != NULL)
+    {
+      event_note ("peer-lost", "-", "peer=%s incarnation=%" G_GINT64_MODIFIER "x how=%s",
+                  peer->name, peer->incarnation, link_end_name (end));
+      link_unref (peer->link);
+      peer->link = NULL;
+      peer->lost_ms = clock_now_ms ();
+      mesh->entries_changed |= peer->is_entry;
+      mesh->ops->down (peer, mesh->ctx);
+    }
+  g_ptr_array_remove_fast (mesh->strangers, link);
+}
+
+static void
+on_prepare (Link *link, Gw__Frame *frame, gpointer ctx)
+{
+  Mesh *mesh = ctx;
+  MeshPeer *peer = peer_of_link (mesh, link);
+  gint64 now = clock_now_ms ();
+
+  gw__lease_time__init (&mesh->time);
+  mesh->time.now_ms = now;
+  frame->time = &mesh->time;
+  if (peer == NULL)
+    return;
+  if (peer_clock_known (&peer->clock))
+    {
+      mesh->time.granted_until_ms
+          = peer_clock_least (&peer->clock, now, 0) + mesh->init.lease_ms;
+      peer->granted_until = MAX (peer->granted_until, mesh->time.granted_until_ms);
+    }
+  mesh->ops->prepare (peer, frame, mesh->ctx);
+}
+
+static const LinkOps link_ops = { on_up, on_frame, on_down, on_prepare };
+
+Mesh *
+mesh_new (const MeshInit *init, const MeshOps *ops, gpointer ctx)
+{
+  Mesh *mesh = g_new0 (Mesh, 1);
+
+  mesh->init = *init;
+  mesh->ops = ops;
+  mesh->ctx = ctx;
+  mesh->links.base = init->base;
+  mesh->links.ops = &link_ops;
+  mesh->links.ctx = mesh;
+  mesh->links.hello = init->hello;
+  mesh->links.heartbeat_ms = init->heartbeat_ms;
+  mesh->links.timeout_ms = init->timeout_ms;
+  mesh->strangers = g_ptr_array_new_with_free_func ((GDestroyNotify)link_unref);
+  TAILQ_INIT (&mesh->peers);
+  TAILQ_INIT (&mesh->addresses);
+  return mesh;
+}
+
+static void
+address_free (Address *address)
+{
+  link_drop (&address->dialing);
+  TAILQ_REMOVE (&address->mesh->addresses, address, link);
+  g_free (address->text);
+  g_free (address);
+}
+
+static void
+peer_free (MeshPeer *peer)
+{
+  Mesh *mesh = peer->mesh;
+
+  link_drop (&peer->link);
+  TAILQ_REMOVE (&mesh->peers, peer, link_entry);
+  mesh->ops->forgotten (peer, mesh->ctx);
+  g_free (peer->name);
+  g_free (peer->frame_address);
+  g_free (peer);
+}
+
+void
+mesh_free (Mesh *mesh)
+{
+  MeshPeer *peer;
+  Address *address;
+
+  if (mesh == NULL)
+    return;
+  for (guint i = 0; i < mesh->strangers->len; i++)
+    link_close (g_ptr_array_index (mesh->strangers, i));
+  g_ptr_array_unref (mesh->strangers);
+  while ((peer = TAILQ_FIRST (&mesh->peers)) != NULL)
+    peer_free (peer);
+  while ((address = TAILQ_FIRST (&mesh->addresses)) != NULL)
+    address_free (address);
+  g_free (mesh);
+}
+
+static Address *
+find_address (Mesh *mesh, const char *text)
+{
+  Address *address;
+
+  TAILQ_FOREACH (address, &mesh->addresses, link)
+    if (strcmp (address->text, text) == 0)
+      return address;
+  return NULL;
+}
+
+static Address *
+learn (Mesh *mesh, const char *text)
+{
+  Address *address = find_address (mesh, text);
+
+  if (address != NULL || text[0] == '\0'
+      || g_strcmp0 (text, mesh->init.hello->frame_address) == 0)
+    return address;
+  address = g_new0 (Address, 1);
+  address->mesh = mesh;
+  address->text = g_strdup (text);
+  address->answered_ms = clock_now_ms ();
+  address->wait_ms = DIAL_FIRST_MS;
+  TAILQ_INSERT_TAIL (&mesh->addresses, address, link);
+  return address;
+}
+
+void
+mesh_learn (Mesh *mesh, const char *address)
+{
+  learn (mesh, address);
+}
+
+void
+mesh_seed (Mesh *mesh, char *const *addresses)
+{
+  Address *address;
+
+  TAILQ_FOREACH (address, &mesh->addresses, link)
+    address->seed = FALSE;
+  for (; *addresses != NULL; addresses++)
+    {
+      address = learn (mesh, *addresses);
+      if (address != NULL)
+        address->seed = TRUE;
+    }
+}
+
+void
+mesh_accept (Mesh *mesh, evutil_socket_t fd)
+{
+  g_ptr_array_add (mesh->strangers, link_accept (&mesh->links, fd));
+}
+
+static gboolean
+is_linked (Mesh *mesh, const char *text)
+{
+  MeshPeer *peer;
+
+  TAILQ_FOREACH (peer, &mesh->peers, link_entry)
+    if (peer->link != NULL && strcmp (peer->frame_address, text) == 0)
+      return TRUE;
+  return FALSE;
+}
+
+static void
+dial (Mesh *mesh, Address *address, gint64 now_ms)
+{
+  if (is_linked (mesh, address->text))
+    {
+      address->answered_ms = now_ms;
+      return;
+    }
+  if (address->dialing != NULL || now_ms - address->dialed_ms < address->wait_ms)
+    return;
+  address->dialed_ms = now_ms;
+  address->wait_ms = MIN (address->wait_ms * 2, DIAL_MOST_MS);
+  address->dialing = link_dial (&mesh->links, address->text);
+}
+
+static void
+check_isolation (Mesh *mesh, gint64 now_ms)
+{
+  MeshPeer *peer;
+
+  TAILQ_FOREACH (peer, &mesh->peers, link_entry)
+    if (peer->is_entry && peer->link != NULL)
+      mesh->linked_ms = now_ms;
+  if (now_ms - mesh->linked_ms < ISOLATED_MS || now_ms - mesh->isolated_ms < ISOLATED_MS)
+    return;
+  mesh->isolated_ms = now_ms;
+  mesh->ops->isolated (mesh->ctx);
+}
+
+void
+mesh_tick (Mesh *mesh, gint64 now_ms)
+{
+  Address *address;
+  Address *next_address;
+  MeshPeer *peer;
+  MeshPeer *next;
+
+  for (address = TAILQ_FIRST (&mesh->addresses); address != NULL; address = next_address)
+    {
+      next_address = TAILQ_NEXT (address, link);
+      dial (mesh, address, now_ms);
+      if (!address->seed && now_ms - address->answered_ms > ADDRESS_FORGET_MS)
+        address_free (address);
+    }
+  for (peer = TAILQ_FIRST (&mesh->peers); peer != NULL; peer = next)
+    {
+      next = TAILQ_NEXT (peer, link_entry);
+      if (peer->link == NULL && now_ms - peer->lost_ms > mesh->init.forget_ms)
+        peer_free (peer);
+    }
+  if (mesh->entries_changed)
+    tell_entries (mesh);
+  check_isolation (mesh, now_ms);
+}
--- /dev/null
+++ b/src/mesh.h
@@ -0,0 +1,71 @@
+#pragma once
+/* The links among entries and agents of leased jobs, found without any list: from a few
+ * seed addresses, from what linked entries tell, and from a directory when both fail. */
+#include "lease.h"
+#include "link.h"
+
+#include <sys/queue.h>
+
+typedef struct Mesh Mesh;
+
+/* Another process of ours, one life of it. */
+typedef struct MeshPeer
+{
+  TAILQ_ENTRY (MeshPeer) link_entry;
+  Mesh *mesh;
+  guint64 incarnation;
+  char *name;
+  char *frame_address;
+  gboolean is_entry;
+  Link *link; /* NULL while it is not linked */
+  PeerClock clock;
+  gint64 granted_until; /* its clock: the longest lease it was given */
+  gint64 lost_ms;       /* since when it is not linked */
+  gint64 dead_ms;       /* own clock when its process was proved gone; 0: it was not */
+  gboolean leaving;
+  guint servers; /* of an entry: how many backend servers it reaches */
+  guint64 config_version;
+  gboolean hello_done; /* first frame on this link handled */
+  gpointer data;       /* the owner's record */
+} MeshPeer;
+
+typedef struct
+{
+  void (*up) (MeshPeer *peer, gpointer ctx);
+  void (*down) (MeshPeer *peer, gpointer ctx);
+  void (*frame) (MeshPeer *peer, const Gw__Frame *frame, gpointer ctx);
+  /* Fill in what rides on each frame to a peer. */
+  void (*prepare) (MeshPeer *peer, Gw__Frame *frame, gpointer ctx);
+  /* The peer's record is about to be freed. */
+  void (*forgotten) (MeshPeer *peer, gpointer ctx);
+  /* No entry is linked: look addresses up elsewhere. */
+  void (*isolated) (gpointer ctx);
+} MeshOps;
+
+typedef struct
+{
+  struct event_base *base;
+  Gw__Hello *hello;
+  guint heartbeat_ms;
+  guint timeout_ms;
+  guint lease_ms;  /* granted to every peer with each frame */
+  guint forget_ms; /* a peer that is not linked is remembered this long */
+} MeshInit;
+
+Mesh *mesh_new (const MeshInit *init, const MeshOps *ops, gpointer ctx);
+void mesh_free (Mesh *mesh);
+
+/** mesh_seed - replace the seed addresses. */
+void mesh_seed (Mesh *mesh, char *const *addresses);
+
+/** mesh_learn - an entry may be found there. */
+void mesh_learn (Mesh *mesh, const char *address);
+void mesh_accept (Mesh *mesh, evutil_socket_t fd);
+
+/** mesh_tick - dial what is not linked, forget what is long gone. */
+void mesh_tick (Mesh *mesh, gint64 now_ms);
+#define MESH_TICK_MS 100
+
+MeshPeer *mesh_find (Mesh *mesh, guint64 incarnation);
+MeshPeer *mesh_first (Mesh *mesh);
+MeshPeer *mesh_next (MeshPeer *peer);
