--- /dev/null
+++ b/src/runner.c
@@ -0,0 +1,490 @@
+#define LOG_MODULE "runner"
+#include "events.h"
+#include "runner_parts.h"
+
+#include <string.h>
+
+/* A renewal is sent when the last lease is this old: three may fail within a lease. */
+#define RENEW_MS 200
+/* A stop whose end is not listed by then is sent again. */
+#define STOP_AGAIN_MS 100
+/* A home whose link broke is back within its lease or has given the run up. */
+#define PAST_RUNS_MS 3000
+/* Lives remembered, so that a delayed report of an earlier one is not taken for news. */
+#define PAST_INSTANCES 8
+
+static const char *const report_names[]
+    = { "started", "not-started", "done", "failed", "lost" };
+
+Runner *
+runner_new (const RunnerInit *init, const RunnerOps *ops, gpointer ctx)
+{
+  Runner *runner = g_new0 (Runner, 1);
+
+  runner->init = *init;
+  runner->ops = ops;
+  runner->ctx = ctx;
+  runner->homes = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  runner->past_instances = g_new0 (char *, PAST_INSTANCES);
+  TAILQ_INIT (&runner->runs);
+  TAILQ_INIT (&runner->past);
+  return runner;
+}
+
+static void
+run_free (Runner *runner, Run *run)
+{
+  TAILQ_REMOVE (&runner->runs, run, link);
+  runner->n_runs--;
+  demand_subtract (&runner->used, &run->demand);
+  g_free (run->payload);
+  g_free (run);
+}
+
+static void
+past_free (Runner *runner, PastRun *past)
+{
+  TAILQ_REMOVE (&runner->past, past, link);
+  g_free (past);
+}
+
+void
+runner_free (Runner *runner)
+{
+  Run *run;
+  PastRun *past;
+
+  if (runner == NULL)
+    return;
+  while ((run = TAILQ_FIRST (&runner->runs)) != NULL)
+    run_free (runner, run);
+  while ((past = TAILQ_FIRST (&runner->past)) != NULL)
+    past_free (runner, past);
+  for (guint i = 0; i < PAST_INSTANCES; i++)
+    g_free (runner->past_instances[i]);
+  g_free (runner->past_instances);
+  g_hash_table_unref (runner->homes);
+  g_free (runner->instance);
+  g_free (runner);
+}
+
+void
+runner_close (Runner *runner)
+{
+  runner->life++;
+  runner->state = LIFE_UNKNOWN;
+}
+
+Run *
+runner_find (const Runner *runner, const RunKey *key)
+{
+  Run *run;
+
+  TAILQ_FOREACH (run, &runner->runs, link)
+    if (run->key.index == key->index && run->key.run == key->run
+        && strcmp (run->key.job, key->job) == 0)
+      return run;
+  return NULL;
+}
+
+static Run *
+find_any_run (const Runner *runner, const RunKey *key)
+{
+  Run *run;
+
+  TAILQ_FOREACH (run, &runner->runs, link)
+    if (run->key.index == key->index && strcmp (run->key.job, key->job) == 0)
+      return run;
+  return NULL;
+}
+
+static void
+report (Runner *runner,
+        guint64 home,
+        const RunKey *key,
+        ReportKind kind,
+        const char *reason)
+{
+  event_emit ("run-report", key->job, "task=%u run=%u outcome=%s reason=\"%s\" server=%s",
+              key->index, key->run, report_names[kind], reason,
+              runner->instance != NULL ? runner->instance : "-");
+  runner->ops->report (home, key, kind, reason, runner->ctx);
+}
+
+void
+run_end (Runner *runner, Run *run, ReportKind kind, const char *reason)
+{
+  PastRun *past = g_new0 (PastRun, 1);
+
+  past->key = run->key;
+  past->home = run->home;
+  past->kind = kind;
+  past->reason = reason;
+  past->ended_ms = runner->now_ms;
+  TAILQ_INSERT_TAIL (&runner->past, past, link);
+  run_free (runner, run);
+  report (runner, past->home, &past->key, kind, reason);
+  runner->ops->changed (runner->ctx);
+}
+
+void
+runner_lose_all (Runner *runner, const char *reason)
+{
+  Run *run;
+
+  while ((run = TAILQ_FIRST (&runner->runs)) != NULL)
+    run_end (runner, run, REPORT_LOST, reason);
+}
+
+void
+runner_set_state (Runner *runner, LifeState state)
+{
+  if (runner->state == state)
+    return;
+  runner->state = state;
+  event_emit ("server-state", "-", "server=%s state=%s token=%" G_GUINT64_FORMAT,
+              runner->instance != NULL ? runner->instance : "-",
+              state == LIFE_READY      ? "ready"
+              : state == LIFE_CLEARING ? "clearing"
+                                       : "unknown",
+              runner->token);
+  runner->ops->changed (runner->ctx);
+}
+
+static void
+remember_instance (Runner *runner, char *instance)
+{
+  g_free (runner->past_instances[PAST_INSTANCES - 1]);
+  memmove (runner->past_instances + 1, runner->past_instances,
+           (PAST_INSTANCES - 1) * sizeof *runner->past_instances);
+  runner->past_instances[0] = instance;
+}
+
+void
+runner_forget_life (Runner *runner, const char *reason)
+{
+  if (runner->instance == NULL)
+    return;
+  runner_lose_all (runner, reason);
+  remember_instance (runner, g_steal_pointer (&runner->instance));
+  runner->life++;
+  runner->watching = FALSE;
+  runner->settling = FALSE;
+  runner_set_state (runner, LIFE_UNKNOWN);
+}
+
+static gboolean
+is_past_instance (const Runner *runner, const char *instance)
+{
+  for (guint i = 0; i < PAST_INSTANCES; i++)
+    if (g_strcmp0 (runner->past_instances[i], instance) == 0)
+      return TRUE;
+  return FALSE;
+}
+
+/* Whatever an earlier life of this process started may still run there, and its orders
+ * may still arrive. The server's own clock as fencing token is higher than any that was
+ * drawn from it before, and needs no storage. */
+static void
+begin_life (Runner *runner, const ServerFacts *facts)
+{
+  runner_forget_life (runner, "backend server restarted");
+  runner->instance = g_strdup (facts->instance);
+  runner->life++;
+  runner->sequence = 0;
+  runner->token = (guint64)facts->server_ms;
+  runner->ends_seen = 0;
+  runner->leased_until = 0;
+  memset (&runner->clock, 0, sizeof runner->clock);
+  runner_set_state (runner, LIFE_CLEARING);
+}
+
+gboolean
+runner_facts (Runner *runner, const ServerFacts *facts, gint64 now_ms)
+{
+  gboolean new_life = g_strcmp0 (runner->instance, facts->instance) != 0;
+  gboolean changed;
+
+  runner->now_ms = now_ms;
+  if (is_past_instance (runner, facts->instance))
+    return FALSE;
+  if (!new_life && facts->sequence <= runner->sequence)
+    return FALSE;
+  if (new_life)
+    begin_life (runner, facts);
+  runner->sequence = facts->sequence;
+  peer_clock_hear (&runner->clock, facts->server_ms, now_ms);
+  changed = new_life || runner->server_draining != facts->draining
+            || memcmp (&runner->capacity, &facts->capacity, sizeof facts->capacity) != 0;
+  runner->capacity = facts->capacity;
+  runner->server_draining = facts->draining;
+  if (changed)
+    event_emit ("server-facts", "-", "server=%s service=%s cpu=%u memory=%u draining=%d",
+                facts->instance, facts->service, facts->capacity.cpu_milli,
+                facts->capacity.memory_mb, facts->draining);
+  if (changed)
+    runner->ops->changed (runner->ctx);
+  if (new_life)
+    runner_send_settle (runner);
+  return TRUE;
+}
+
+void
+runner_server_leaves (Runner *runner, const char *instance, gint64 now_ms)
+{
+  runner->now_ms = now_ms;
+  if (g_strcmp0 (runner->instance, instance) == 0)
+    runner_forget_life (runner, "backend server left");
+}
+
+static gint64
+granted_until (const Runner *runner, guint64 home)
+{
+  gint64 *until = g_hash_table_lookup (runner->homes, &home);
+
+  return until != NULL ? *until : 0;
+}
+
+/* Return: NULL, or why the start must be refused. */
+static const char *
+refusal (const Runner *runner, const RunRequest *request)
+{
+  if (runner->state != LIFE_READY)
+    return "backend server not ready";
+  if (runner->draining)
+    return "agent is leaving";
+  if (runner->server_draining)
+    return "backend server is draining";
+  if (runner->now_ms > request->valid_until_ms)
+    return "order too old";
+  if (runner->now_ms > granted_until (runner, request->home))
+    return "home's lease has lapsed";
+  if (find_any_run (runner, &request->key) != NULL)
+    return "another run of the task is here";
+  if (!demand_fits (&runner->capacity, &runner->used, &request->demand))
+    return "no room";
+  return NULL;
+}
+
+void
+runner_start (Runner *runner, const RunRequest *request, gint64 now_ms)
+{
+  const char *reason;
+  Run *run;
+
+  runner->now_ms = now_ms;
+  if (runner_find (runner, &request->key) != NULL)
+    return;
+  reason = refusal (runner, request);
+  if (reason != NULL)
+    {
+      report (runner, request->home, &request->key, REPORT_NOT_STARTED, reason);
+      return;
+    }
+  run = g_new0 (Run, 1);
+  run->key = request->key;
+  run->home = request->home;
+  run->payload = g_strdup (request->payload);
+  run->demand = request->demand;
+  run->valid_until_ms = request->valid_until_ms;
+  TAILQ_INSERT_TAIL (&runner->runs, run, link);
+  runner->n_runs++;
+  demand_add (&runner->used, &run->demand);
+  runner_send_start (runner, run);
+  runner->ops->changed (runner->ctx);
+}
+
+static void
+want_stop (Runner *runner, Run *run, const char *reason)
+{
+  if (run->stop_reason == NULL)
+    {
+      run->stop_reason = reason;
+      event_emit ("run-stop", run->key.job, "task=%u run=%u reason=\"%s\"",
+                  run->key.index, run->key.run, reason);
+    }
+  if (run->state != RUN_RUNNING || runner->now_ms - run->stop_sent_ms < STOP_AGAIN_MS)
+    return;
+  run->stop_sent_ms = runner->now_ms;
+  runner_send_stop (runner, &run->key);
+}
+
+void
+runner_stop (Runner *runner, guint64 home, const RunKey *key, gint64 now_ms)
+{
+  Run *run = runner_find (runner, key);
+
+  runner->now_ms = now_ms;
+  if (run != NULL && run->home == home)
+    want_stop (runner, run, "cancelled");
+}
+
+void
+runner_grant (Runner *runner, guint64 home, gint64 until_ms)
+{
+  gint64 *until = g_hash_table_lookup (runner->homes, &home);
+
+  if (until != NULL)
+    *until = MAX (*until, until_ms);
+  else
+    g_hash_table_insert (runner->homes, g_memdup2 (&home, sizeof home),
+                         g_memdup2 (&until_ms, sizeof until_ms));
+}
+
+/* A home that was killed, frozen or cut off no longer answers for its runs, and their
+ * jobs may be started anew elsewhere: what it does not lease any more is stopped. */
+static void
+stop_unleased (Runner *runner)
+{
+  Run *run;
+
+  TAILQ_FOREACH (run, &runner->runs, link)
+    {
+      if (run->stop_reason != NULL)
+        want_stop (runner, run, run->stop_reason);
+      else if (runner->now_ms > granted_until (runner, run->home))
+        want_stop (runner, run, "home's lease lapsed");
+    }
+}
+
+static gboolean
+home_is_over (gpointer key, gpointer value, gpointer ctx)
+{
+  const Runner *runner = ctx;
+
+  return runner->now_ms - *(gint64 *)value > PAST_RUNS_MS;
+}
+
+static void
+forget_past (Runner *runner)
+{
+  PastRun *past;
+
+  while ((past = TAILQ_FIRST (&runner->past)) != NULL
+         && runner->now_ms - past->ended_ms > PAST_RUNS_MS)
+    past_free (runner, past);
+  g_hash_table_foreach_remove (runner->homes, home_is_over, runner);
+}
+
+/* The server has not answered for longer than its lease: it has killed everything, or is
+ * down. What runs there when it answers again must be looked at first. */
+static void
+check_lapse (Runner *runner)
+{
+  gint64 server_ms
+      = peer_clock_least (&runner->clock, runner->now_ms, SERVER_CLOCK_SLOW_PERCENT);
+
+  if (runner->n_runs == 0 || server_ms <= runner->leased_until)
+    return;
+  event_emit ("server-lease-lapsed", "-",
+              "server=%s runs=%u answer_age_ms=%" G_GINT64_FORMAT, runner->instance,
+              runner->n_runs, runner->now_ms - runner->clock.heard_ms);
+  runner_lose_all (runner, "backend server out of reach");
+  runner->token++;
+  runner_set_state (runner, LIFE_CLEARING);
+}
+
+static gboolean
+has_unresolved (const Runner *runner)
+{
+  Run *run;
+
+  TAILQ_FOREACH (run, &runner->runs, link)
+    if (run->state == RUN_UNRESOLVED)
+      return TRUE;
+  return FALSE;
+}
+
+void
+runner_tick (Runner *runner, gint64 now_ms)
+{
+  runner->now_ms = now_ms;
+  forget_past (runner);
+  if (runner->state == LIFE_UNKNOWN)
+    return;
+  check_lapse (runner);
+  stop_unleased (runner);
+  if (runner->state == LIFE_CLEARING || has_unresolved (runner))
+    runner_send_settle (runner);
+  if (runner->n_runs > 0 && now_ms - runner->lease_sent_ms >= RENEW_MS)
+    runner_send_renewal (runner);
+  runner_send_watch (runner);
+}
+
+void
+runner_drain (Runner *runner)
+{
+  runner->draining = TRUE;
+  runner->ops->changed (runner->ctx);
+}
+
+gboolean
+runner_ready (const Runner *runner)
+{
+  return runner->state == LIFE_READY;
+}
+
+gboolean
+runner_draining (const Runner *runner)
+{
+  return runner->draining || runner->server_draining;
+}
+
+guint
+runner_count (const Runner *runner)
+{
+  return runner->n_runs;
+}
+
+const char *
+runner_instance (const Runner *runner)
+{
+  return runner->instance;
+}
+
+const Demand *
+runner_capacity (const Runner *runner)
+{
+  return &runner->capacity;
+}
+
+Demand
+runner_used_by_others (const Runner *runner, guint64 home)
+{
+  Demand used = runner->used;
+  Run *run;
+
+  TAILQ_FOREACH (run, &runner->runs, link)
+    if (run->home == home)
+      demand_subtract (&used, &run->demand);
+  return used;
+}
+
+gboolean
+runner_has_work (const Runner *runner, guint64 home)
+{
+  Run *run;
+
+  TAILQ_FOREACH (run, &runner->runs, link)
+    if (run->home == home)
+      return TRUE;
+  return FALSE;
+}
+
+void
+runner_each_run (
+    const Runner *runner,
+    guint64 home,
+    void (*each) (const RunKey *key, ReportKind kind, const char *reason, gpointer ctx),
+    gpointer ctx)
+{
+  Run *run;
+  PastRun *past;
+
+  TAILQ_FOREACH (run, &runner->runs, link)
+    if (run->home == home)
+      each (&run->key, REPORT_STARTED, "", ctx);
+  TAILQ_FOREACH (past, &runner->past, link)
+    if (past->home == home)
+      each (&past->key, past->kind, past->reason, ctx);
+}
--- /dev/null
+++ b/src/runner.h
@@ -0,0 +1,104 @@
+#pragma once
+/* The runner: alone starts and stops tasks on one backend server. It keeps the server
+ * within its capacity, holds its lease, fences orders that went astray, and stops what
+ * nobody leases any more. No I/O of its own: calls go through ServerCalls, the time is
+ * handed in. */
+#include "server_calls.h"
+
+typedef struct Runner Runner;
+
+typedef enum
+{
+  REPORT_STARTED,
+  REPORT_NOT_STARTED, /* proved: it never runs under this number */
+  REPORT_DONE,
+  REPORT_FAILED,
+  REPORT_LOST,
+} ReportKind;
+
+/* A start that a home asks for. */
+typedef struct
+{
+  guint64 home; /* incarnation of the process that asks */
+  RunKey key;
+  const char *payload;
+  Demand demand;
+  gint64 valid_until_ms; /* own clock; later it is refused */
+} RunRequest;
+
+/* What the backend server says of itself. */
+typedef struct
+{
+  const char *instance; /* this life of it */
+  const char *service;
+  const char *zone;
+  const char *const *labels; /* NULL-terminated */
+  Demand capacity;
+  gboolean draining;
+  gint64 server_ms; /* its clock */
+  guint64 sequence; /* counts the reports of one life */
+} ServerFacts;
+
+typedef struct
+{
+  void (*report) (guint64 home,
+                  const RunKey *key,
+                  ReportKind kind,
+                  const char *reason,
+                  gpointer ctx);
+  /* Readiness, capacity or use have changed. */
+  void (*changed) (gpointer ctx);
+} RunnerOps;
+
+typedef struct
+{
+  const ServerCalls *calls;
+  gpointer server; /* handed to the calls */
+  guint lease_ms;  /* of the backend server; longer ones it would cut */
+} RunnerInit;
+
+Runner *runner_new (const RunnerInit *init, const RunnerOps *ops, gpointer ctx);
+void runner_free (Runner *runner);
+
+/** runner_close - answers that are still under way are ignored, no calls follow. */
+void runner_close (Runner *runner);
+
+/** runner_facts - a report of the backend server. Return: FALSE if it is an outdated one.
+ */
+gboolean runner_facts (Runner *runner, const ServerFacts *facts, gint64 now_ms);
+
+/** runner_server_leaves - that life of the backend server has ended in an orderly way. */
+void runner_server_leaves (Runner *runner, const char *instance, gint64 now_ms);
+
+/** runner_start - start it now or report REPORT_NOT_STARTED. */
+void runner_start (Runner *runner, const RunRequest *request, gint64 now_ms);
+void runner_stop (Runner *runner, guint64 home, const RunKey *key, gint64 now_ms);
+
+/** runner_grant - what @home started may go on until then (own clock). */
+void runner_grant (Runner *runner, guint64 home, gint64 until_ms);
+
+/** runner_tick - call it every RUNNER_TICK_MS. */
+void runner_tick (Runner *runner, gint64 now_ms);
+#define RUNNER_TICK_MS 50
+
+/** runner_drain - start nothing more. */
+void runner_drain (Runner *runner);
+
+gboolean runner_ready (const Runner *runner);
+gboolean runner_draining (const Runner *runner);
+guint runner_count (const Runner *runner);
+const char *runner_instance (const Runner *runner);
+const Demand *runner_capacity (const Runner *runner);
+
+/** runner_used_by_others - room taken by runs that @home did not order. */
+Demand runner_used_by_others (const Runner *runner, guint64 home);
+
+/** runner_has_work - whether runs of @home are there. */
+gboolean runner_has_work (const Runner *runner, guint64 home);
+
+/** runner_each_run - every run of @home and each that ended a short while ago. */
+void runner_each_run (
+    const Runner *runner,
+    guint64 home,
+    void (*each) (const RunKey *key, ReportKind kind, const char *reason, gpointer ctx),
+    gpointer ctx);
--- /dev/null
+++ b/src/runner_parts.h
@@ -0,0 +1,95 @@
+#pragma once
+/* What the parts of the runner share. runner.c keeps the runs and decides, runner_calls.c
+ * calls the backend server and takes its answers in. */
+#include "lease.h"
+#include "runner.h"
+
+#include <sys/queue.h>
+
+/* The server's steady clock may run this much slower than ours (its published bound). */
+#define SERVER_CLOCK_SLOW_PERCENT 2
+
+typedef enum
+{
+  RUN_STARTING,   /* the start is under way */
+  RUN_UNRESOLVED, /* the start was not answered: it may run now or later */
+  RUN_RUNNING,
+} RunState;
+
+typedef struct Run
+{
+  TAILQ_ENTRY (Run) link;
+  RunKey key;
+  guint64 home;
+  char *payload;
+  Demand demand;
+  RunState state;
+  gint64 valid_until_ms;
+  guint64 token;           /* of its last start */
+  guint starts;            /* sent */
+  const char *stop_reason; /* NULL: it may run */
+  gint64 stop_sent_ms;
+} Run;
+
+/* A run that ended a short while ago, kept for a home whose link broke meanwhile. */
+typedef struct PastRun
+{
+  TAILQ_ENTRY (PastRun) link;
+  RunKey key;
+  guint64 home;
+  ReportKind kind;
+  const char *reason;
+  gint64 ended_ms;
+} PastRun;
+
+typedef enum
+{
+  LIFE_UNKNOWN,  /* the server has not been heard of */
+  LIFE_CLEARING, /* what runs there is not known: it must end first */
+  LIFE_READY,
+} LifeState;
+
+struct Runner
+{
+  RunnerInit init;
+  const RunnerOps *ops;
+  gpointer ctx;
+  TAILQ_HEAD (, Run) runs;
+  TAILQ_HEAD (, PastRun) past;
+  guint n_runs;
+  Demand used;
+  GHashTable *homes; /* incarnation -> gint64 until when its runs may go on */
+  char *instance;
+  char **past_instances;
+  guint life; /* counts the lives seen, so that answers of earlier ones are told apart */
+  LifeState state;
+  guint64 sequence;
+  guint64 token;
+  guint64 ends_seen;
+  PeerClock clock;
+  gint64 leased_until; /* server's clock: the longest lease that it may have been given */
+  gint64 lease_sent_ms;
+  gint64 now_ms; /* of the call that is being handled */
+  Demand capacity;
+  gboolean server_draining;
+  gboolean draining;
+  gboolean watching;
+  gboolean settling;
+};
+
+/* runner.c */
+Run *runner_find (const Runner *runner, const RunKey *key);
+void run_end (Runner *runner, Run *run, ReportKind kind, const char *reason);
+void runner_lose_all (Runner *runner, const char *reason);
+void runner_set_state (Runner *runner, LifeState state);
+void runner_forget_life (Runner *runner, const char *reason);
+
+/* runner_calls.c */
+void runner_send_start (Runner *runner, Run *run);
+void runner_send_stop (Runner *runner, const RunKey *key);
+void runner_send_watch (Runner *runner);
+void runner_send_renewal (Runner *runner);
+
+/** runner_send_settle - raise the fencing token where that is needed, then ask what runs:
+ * what is not listed then never runs. */
+void runner_send_settle (Runner *runner);
--- a/src/settings.c
+++ b/src/settings.c
@@ -21,6 +21,8 @@
 } Kind;
 
 #define BOTH (SETTINGS_ENTRY | SETTINGS_AGENT)
+#define LEASED (SETTINGS_LEASED_ENTRY | SETTINGS_LEASED_AGENT)
+#define ALL (BOTH | LEASED)
 #define AT(member) offsetof (Settings, member)
 
 typedef struct
@@ -36,33 +38,40 @@
 } Setting;
 
 static const Setting table[] = {
-  { "name", KIND_NAME, BOTH, AT (name), NULL, 0, 0,
+  { "name", KIND_NAME, ALL, AT (name), NULL, 0, 0,
     "Unique name of this process; of an agent, also its backend server's." },
-  { "zone", KIND_NAME, BOTH, AT (zone), NULL, 0, 0, "Availability zone it runs in." },
-  { "listen.http", KIND_ADDRESS, BOTH, AT (listen_http), "127.0.0.1:8080", 0, 0,
+  { "zone", KIND_NAME, ALL, AT (zone), NULL, 0, 0, "Availability zone it runs in." },
+  { "listen.http", KIND_ADDRESS, ALL, AT (listen_http), "127.0.0.1:8080", 0, 0,
     "Where callers, operators and the balancer reach it; port 0 lets the kernel "
     "choose." },
-  { "listen.frames", KIND_ADDRESS, BOTH, AT (listen_frames), "127.0.0.1:8081", 0, 0,
-    "Where other godwitspar processes reach it." },
+  { "listen.frames", KIND_ADDRESS, BOTH | SETTINGS_LEASED_ENTRY, AT (listen_frames),
+    "127.0.0.1:8081", 0, 0, "Where other godwitspar processes reach it." },
   { "listen.advertise_http", KIND_ADDRESS_OR_EMPTY, BOTH, AT (advertise_http), "", 0, 0,
     "The same as seen by others; empty: as listened." },
   { "listen.advertise_frames", KIND_ADDRESS_OR_EMPTY, BOTH, AT (advertise_frames), "", 0,
     0, "The same as seen by others; empty: as listened." },
-  { "log.level", KIND_LOG_LEVEL, BOTH, AT (log_level), "info", 0, 0,
+  { "listen.ready", KIND_ADDRESS_OR_EMPTY, SETTINGS_LEASED_ENTRY, AT (listen_ready), "",
+    0, 0,
+    "Where the balancer asks whether it takes requests; empty: on listen.http only." },
+  { "listen.metrics", KIND_ADDRESS_OR_EMPTY, LEASED, AT (listen_metrics), "", 0, 0,
+    "Where counters and latency histograms are served; empty: nowhere." },
+  { "log.level", KIND_LOG_LEVEL, ALL, AT (log_level), "info", 0, 0,
     "error, warning, notice, info or debug." },
-  { "timeline.events", KIND_NUMBER, BOTH, AT (timeline_events), "20000", 16, 10000000,
+  { "log.events_per_s", KIND_NUMBER, LEASED, AT (events_per_s), "300", 0, 100000,
+    "Event lines on standard output a second; beyond it requests are sampled." },
+  { "timeline.events", KIND_NUMBER, ALL, AT (timeline_events), "20000", 16, 10000000,
     "Events kept in memory for the time line." },
-  { "links.heartbeat_ms", KIND_NUMBER, BOTH, AT (heartbeat_ms), "500", 10, 60000,
+  { "links.heartbeat_ms", KIND_NUMBER, ALL, AT (heartbeat_ms), "500", 10, 60000,
     "A link that carried nothing this long carries a heartbeat." },
-  { "links.timeout_ms", KIND_NUMBER, BOTH, AT (timeout_ms), "2000", 50, 600000,
+  { "links.timeout_ms", KIND_NUMBER, ALL, AT (timeout_ms), "2000", 50, 600000,
     "A link that heard nothing this long is closed; also the lease of a start." },
-  { "table.address", KIND_ADDRESS_OR_EMPTY, SETTINGS_ENTRY, AT (table_address), "", 0, 0,
-    "The platform's table service." },
+  { "table.address", KIND_ADDRESS_OR_EMPTY, SETTINGS_ENTRY | LEASED, AT (table_address),
+    "", 0, 0, "The platform's table service." },
   { "table.timeout_ms", KIND_NUMBER, SETTINGS_ENTRY, AT (table_timeout_ms), "1000", 10,
     60000, "Longest wait for one of its answers." },
   { "table.writes_per_s", KIND_NUMBER, SETTINGS_ENTRY, AT (table_writes_per_s), "50", 1,
     10000, "Most writes of callers' keys a second; what arrives meanwhile shares one." },
-  { "entries.peers", KIND_ADDRESSES, SETTINGS_ENTRY, AT (peers), "", 0, 0,
+  { "entries.peers", KIND_ADDRESSES, SETTINGS_ENTRY | LEASED, AT (peers), "", 0, 0,
     "Frame addresses of other entries, for a start while the table is down." },
   { "config.poll_ms", KIND_NUMBER, SETTINGS_ENTRY, AT (config_poll_ms), "1000", 10, 60000,
     "How often the table is asked for a newer configuration and for entries." },
@@ -74,14 +83,19 @@
     600000, "Tasks of an agent out of reach this long are given up as may have run." },
   { "agents.announcement_ms", KIND_NUMBER, SETTINGS_ENTRY, AT (announcement_ms), "3000",
     100, 600000, "Lifetime of an announcement by a backend server without an agent." },
-  { "drain.grace_ms", KIND_NUMBER, SETTINGS_ENTRY, AT (drain_grace_ms), "2000", 0, 600000,
+  { "drain.grace_ms", KIND_NUMBER, SETTINGS_ENTRY | SETTINGS_LEASED_ENTRY,
+    AT (drain_grace_ms), "2000", 0, 600000,
     "After SIGTERM, requests are still taken this long while the balancer notices." },
-  { "drain.limit_ms", KIND_NUMBER, BOTH, AT (drain_limit_ms), "60000", 0, 3600000,
+  { "drain.limit_ms", KIND_NUMBER, ALL, AT (drain_limit_ms), "60000", 0, 3600000,
     "After SIGTERM, longest wait for what is in flight." },
+  { "leases.home_ms", KIND_NUMBER, LEASED, AT (home_lease_ms), "450", 100, 60000,
+    "Without a word from a home or an entry, what it started is stopped after this." },
+  { "leases.server_ms", KIND_NUMBER, LEASED, AT (server_lease_ms), "700", 100, 60000,
+    "Without a word from its agent, a backend server ends all runs after this." },
   { "entries.http", KIND_ADDRESSES, SETTINGS_AGENT, AT (entries), NULL, 0, 0,
     "HTTP addresses of the entries or of the balancer before them." },
-  { "backend.address", KIND_ADDRESS, SETTINGS_AGENT, AT (backend_address), NULL, 0, 0,
-    "The backend server's HTTP address." },
+  { "backend.address", KIND_ADDRESS, SETTINGS_AGENT | SETTINGS_LEASED_AGENT,
+    AT (backend_address), NULL, 0, 0, "The backend server's HTTP address." },
   { "backend.service", KIND_NAME, SETTINGS_AGENT, AT (backend_service), NULL, 0, 0,
     "The service it offers." },
   { "backend.slots", KIND_NUMBER, SETTINGS_AGENT, AT (backend_slots), "8", 1, 100000,
@@ -383,12 +397,12 @@
 {
   static const char *const sections[]
       = { "",        "listen", "log",    "timeline", "links",  "table",
-          "entries", "config", "agents", "drain",    "backend" };
+          "entries", "config", "agents", "drain",    "leases", "backend" };
   GString *page = g_string_new (NULL);
 
   g_string_append_printf (
       page, "# Settings of godwitspar-%s. Values in comments are the defaults.\n",
-      role == SETTINGS_ENTRY ? "entry" : "agent");
+      role & (SETTINGS_ENTRY | SETTINGS_LEASED_ENTRY) ? "entry" : "agent");
   for (gsize i = 0; i < G_N_ELEMENTS (sections); i++)
     sample_section (page, role, sections[i]);
   return g_string_free (page, FALSE);
--- a/src/settings.h
+++ b/src/settings.h
@@ -11,10 +11,13 @@
   char *zone;
   char *listen_http;
   char *listen_frames;
+  char *listen_ready;
+  char *listen_metrics;
   char *advertise_http;   /* empty: as listened */
   char *advertise_frames; /* empty: as listened */
   char *log_level;
   guint timeline_events;
+  guint events_per_s;
   guint heartbeat_ms;
   guint timeout_ms;
 
@@ -28,6 +31,8 @@
   guint announcement_ms;
   guint drain_grace_ms;
   guint drain_limit_ms;
+  guint home_lease_ms;
+  guint server_lease_ms;
 
   char **entries;
   char *backend_address;
@@ -41,6 +46,8 @@
 {
   SETTINGS_ENTRY = 1,
   SETTINGS_AGENT = 2,
+  SETTINGS_LEASED_ENTRY = 4, /* an entry of leased jobs */
+  SETTINGS_LEASED_AGENT = 8, /* an agent that keeps a backend server's lease */
 } SettingsRole;
 
 /**
