Entry: a leaving entry closes idle callers' connections after its grace time

Cause: callers keep their connections and went on sending on them until the process ended, which cut off the last requests unanswered. Ruled out: a longer limit (requests keep coming); exit at the first idle moment.

--- a/src/leased_entry.c
+++ b/src/leased_entry.c
@@ -39,6 +39,7 @@
   struct event *pump;
   gint64 mesh_ticked_ms;
   gint64 draining_ms; /* since when; 0: not */
+  gboolean closed;    /* takes no new requests */
   guint64 home;       /* as last chosen, for the log */
 };
 
@@ -506,6 +507,9 @@
 
   if (entry->draining_ms == 0 || elapsed < entry->drain_grace_ms)
     return;
+  if (!entry->closed)
+    entry->ops->take_no_more (entry->ctx);
+  entry->closed = TRUE;
   if (elapsed < entry->drain_limit_ms
       && (requests_open (entry->requests) > 0 || dispatcher_jobs (entry->dispatcher) > 0))
     return;
--- a/src/leased_entry.h
+++ b/src/leased_entry.h
@@ -16,6 +16,8 @@
   Catalog *(*read_catalog) (const char *source, GError **error);
   /* Find other entries' addresses; leased_entry_learn () takes them. */
   void (*look_up_entries) (gpointer ctx);
+  /* The balancer has had its time to notice: take no new requests, close what is idle. */
+  void (*take_no_more) (gpointer ctx);
 } LeasedEntryOps;
 
 LeasedEntry *leased_entry_new (struct event_base *base,
