Entry: each entry is home of its own jobs

Ruled out: shorter leases alone; a proof by all agents (an agent that the entry does not know cannot be asked).

--- a/src/leased_entry.c
+++ b/src/leased_entry.c
@@ -49,42 +49,8 @@
 choose_home (gpointer ctx)
 {
   LeasedEntry *entry = ctx;
-  guint own = dispatcher_servers (entry->dispatcher);
-  guint most = own;
-  guint64 best = 0;
-  guint64 best_score = 0;
-  MeshPeer *peer;
 
-  for (peer = mesh_first (entry->mesh); peer != NULL; peer = mesh_next (peer))
-    if (peer->is_entry && peer->link != NULL && !peer->leaving)
-      most = MAX (most, peer->servers);
-  if (most == 0)
-    return 0;
-  if (entry->draining_ms == 0 && own >= HOME_SERVERS_SHARE * most)
-    {
-      best = entry->incarnation;
-      best_score = rendezvous_score ("home", entry->hello.name);
-    }
-  for (peer = mesh_first (entry->mesh); peer != NULL; peer = mesh_next (peer))
-    {
-      guint64 score;
-
-      if (!peer->is_entry || peer->link == NULL || peer->leaving || !peer->hello_done
-          || peer->servers < HOME_SERVERS_SHARE * most)
-        continue;
-      score = rendezvous_score ("home", peer->name);
-      if (best != 0 && score <= best_score)
-        continue;
-      best = peer->incarnation;
-      best_score = score;
-    }
-  if (best == 0 && own > 0)
-    best = entry->incarnation;
-  if (best != entry->home)
-    event_note ("home-chosen", "-", "home=%" G_GINT64_MODIFIER "x own_servers=%u most=%u",
-                best, own, most);
-  entry->home = best;
-  return best;
+  return dispatcher_servers (entry->dispatcher) > 0 ? entry->incarnation : 0;
 }
 
 static gboolean
