--- a/proto/godwitspar.pb-c.c
+++ b/proto/godwitspar.pb-c.c
@@ -952,141 +952,6 @@
   assert(message->base.descriptor == &gw__lease_time__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   gw__leased_job__init
-                     (Gw__LeasedJob         *message)
-{
-  static const Gw__LeasedJob init_value = GW__LEASED_JOB__INIT;
-  *message = init_value;
-}
-size_t gw__leased_job__get_packed_size
-                     (const Gw__LeasedJob *message)
-{
-  assert(message->base.descriptor == &gw__leased_job__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t gw__leased_job__pack
-                     (const Gw__LeasedJob *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &gw__leased_job__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t gw__leased_job__pack_to_buffer
-                     (const Gw__LeasedJob *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &gw__leased_job__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-Gw__LeasedJob *
-       gw__leased_job__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Gw__LeasedJob *)
-     protobuf_c_message_unpack (&gw__leased_job__descriptor,
-                                allocator, len, data);
-}
-void   gw__leased_job__free_unpacked
-                     (Gw__LeasedJob *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &gw__leased_job__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
-void   gw__job_result__init
-                     (Gw__JobResult         *message)
-{
-  static const Gw__JobResult init_value = GW__JOB_RESULT__INIT;
-  *message = init_value;
-}
-size_t gw__job_result__get_packed_size
-                     (const Gw__JobResult *message)
-{
-  assert(message->base.descriptor == &gw__job_result__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t gw__job_result__pack
-                     (const Gw__JobResult *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &gw__job_result__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t gw__job_result__pack_to_buffer
-                     (const Gw__JobResult *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &gw__job_result__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-Gw__JobResult *
-       gw__job_result__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Gw__JobResult *)
-     protobuf_c_message_unpack (&gw__job_result__descriptor,
-                                allocator, len, data);
-}
-void   gw__job_result__free_unpacked
-                     (Gw__JobResult *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &gw__job_result__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
-void   gw__job_cancel__init
-                     (Gw__JobCancel         *message)
-{
-  static const Gw__JobCancel init_value = GW__JOB_CANCEL__INIT;
-  *message = init_value;
-}
-size_t gw__job_cancel__get_packed_size
-                     (const Gw__JobCancel *message)
-{
-  assert(message->base.descriptor == &gw__job_cancel__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t gw__job_cancel__pack
-                     (const Gw__JobCancel *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &gw__job_cancel__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t gw__job_cancel__pack_to_buffer
-                     (const Gw__JobCancel *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &gw__job_cancel__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-Gw__JobCancel *
-       gw__job_cancel__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Gw__JobCancel *)
-     protobuf_c_message_unpack (&gw__job_cancel__descriptor,
-                                allocator, len, data);
-}
-void   gw__job_cancel__free_unpacked
-                     (Gw__JobCancel *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &gw__job_cancel__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
 void   gw__task_run__init
                      (Gw__TaskRun         *message)
 {
@@ -2953,7 +2818,7 @@
   (ProtobufCMessageInit) gw__config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__frame__field_descriptors[31] =
+static const ProtobufCFieldDescriptor gw__frame__field_descriptors[27] =
 {
   {
     "sequence",
@@ -3219,42 +3084,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "leased_jobs",
-    24,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gw__Frame, n_leased_jobs),
-    offsetof(Gw__Frame, leased_jobs),
-    &gw__leased_job__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "job_results",
-    25,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gw__Frame, n_job_results),
-    offsetof(Gw__Frame, job_results),
-    &gw__job_result__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "job_cancels",
-    26,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gw__Frame, n_job_cancels),
-    offsetof(Gw__Frame, job_cancels),
-    &gw__job_cancel__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "run_orders",
     27,
@@ -3315,18 +3144,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "servers",
-    32,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Gw__Frame, servers),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned gw__frame__field_indices_by_name[] = {
   11,   /* field[11] = acks */
@@ -3342,30 +3159,27 @@
   8,   /* field[8] = grants */
   18,   /* field[18] = group_loads */
   5,   /* field[5] = hello */
-  28,   /* field[28] = inventory */
-  24,   /* field[24] = job_cancels */
-  23,   /* field[23] = job_results */
-  22,   /* field[22] = leased_jobs */
+  25,   /* field[25] = inventory */
   4,   /* field[4] = leaving */
   6,   /* field[6] = load */
   10,   /* field[10] = outcomes */
   17,   /* field[17] = roster_acks */
   16,   /* field[16] = rosters */
-  25,   /* field[25] = run_orders */
-  27,   /* field[27] = run_reports */
-  26,   /* field[26] = run_stops */
+  22,   /* field[22] = run_orders */
+  24,   /* field[24] = run_reports */
+  23,   /* field[23] = run_stops */
   0,   /* field[0] = sequence */
-  29,   /* field[29] = server_state */
-  30,   /* field[30] = servers */
+  26,   /* field[26] = server_state */
   1,   /* field[1] = stamp */
   9,   /* field[9] = starts */
   21,   /* field[21] = time */
 };
-static const ProtobufCIntRange gw__frame__number_ranges[2 + 1] =
+static const ProtobufCIntRange gw__frame__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 6, 4 },
-  { 0, 31 }
+  { 27, 22 },
+  { 0, 27 }
 };
 const ProtobufCMessageDescriptor gw__frame__descriptor =
 {
@@ -3375,10 +3189,10 @@
   "Gw__Frame",
   "gw",
   sizeof(Gw__Frame),
-  31,
+  27,
   gw__frame__field_descriptors,
   gw__frame__field_indices_by_name,
-  2,  gw__frame__number_ranges,
+  3,  gw__frame__number_ranges,
   (ProtobufCMessageInit) gw__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -3497,412 +3311,6 @@
   (ProtobufCMessageInit) gw__lease_time__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__leased_job__field_descriptors[18] =
-{
-  {
-    "ticket",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Gw__LeasedJob, ticket),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "id",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Gw__LeasedJob, id),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "queue",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Gw__LeasedJob, queue),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "service",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Gw__LeasedJob, service),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "payload",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Gw__LeasedJob, payload),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "priority",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Gw__LeasedJob, priority),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "max_attempts",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Gw__LeasedJob, max_attempts),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "elapsed_ms",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Gw__LeasedJob, elapsed_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "time_left_ms",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Gw__LeasedJob, time_left_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "stretch",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_DOUBLE,
-    0,   /* quantifier_offset */
-    offsetof(Gw__LeasedJob, stretch),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "target_ms",
-    11,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Gw__LeasedJob, target_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "count",
-    12,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Gw__LeasedJob, count),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "demand",
-    13,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Gw__LeasedJob, demand),
-    &gw__demand__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "declared_ms",
-    14,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Gw__LeasedJob, declared_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "label",
-    15,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Gw__LeasedJob, label),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "most_per_server",
-    16,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Gw__LeasedJob, most_per_server),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "rack",
-    17,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Gw__LeasedJob, rack),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "valid_until_ms",
-    18,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_SINT64,
-    0,   /* quantifier_offset */
-    offsetof(Gw__LeasedJob, valid_until_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned gw__leased_job__field_indices_by_name[] = {
-  11,   /* field[11] = count */
-  13,   /* field[13] = declared_ms */
-  12,   /* field[12] = demand */
-  7,   /* field[7] = elapsed_ms */
-  1,   /* field[1] = id */
-  14,   /* field[14] = label */
-  6,   /* field[6] = max_attempts */
-  15,   /* field[15] = most_per_server */
-  4,   /* field[4] = payload */
-  5,   /* field[5] = priority */
-  2,   /* field[2] = queue */
-  16,   /* field[16] = rack */
-  3,   /* field[3] = service */
-  9,   /* field[9] = stretch */
-  10,   /* field[10] = target_ms */
-  0,   /* field[0] = ticket */
-  8,   /* field[8] = time_left_ms */
-  17,   /* field[17] = valid_until_ms */
-};
-static const ProtobufCIntRange gw__leased_job__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 18 }
-};
-const ProtobufCMessageDescriptor gw__leased_job__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.LeasedJob",
-  "LeasedJob",
-  "Gw__LeasedJob",
-  "gw",
-  sizeof(Gw__LeasedJob),
-  18,
-  gw__leased_job__field_descriptors,
-  gw__leased_job__field_indices_by_name,
-  1,  gw__leased_job__number_ranges,
-  (ProtobufCMessageInit) gw__leased_job__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCEnumValue gw__job_result__kind__enum_values_by_number[4] =
-{
-  { "COMPLETED", "GW__JOB_RESULT__KIND__COMPLETED", 0 },
-  { "FAILED", "GW__JOB_RESULT__KIND__FAILED", 1 },
-  { "REFUSED", "GW__JOB_RESULT__KIND__REFUSED", 2 },
-  { "GIVEN_UP", "GW__JOB_RESULT__KIND__GIVEN_UP", 3 },
-};
-static const ProtobufCIntRange gw__job_result__kind__value_ranges[] = {
-{0, 0},{0, 4}
-};
-static const ProtobufCEnumValueIndex gw__job_result__kind__enum_values_by_name[4] =
-{
-  { "COMPLETED", 0 },
-  { "FAILED", 1 },
-  { "GIVEN_UP", 3 },
-  { "REFUSED", 2 },
-};
-const ProtobufCEnumDescriptor gw__job_result__kind__descriptor =
-{
-  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
-  "gw.JobResult.Kind",
-  "Kind",
-  "Gw__JobResult__Kind",
-  "gw",
-  4,
-  gw__job_result__kind__enum_values_by_number,
-  4,
-  gw__job_result__kind__enum_values_by_name,
-  1,
-  gw__job_result__kind__value_ranges,
-  NULL,NULL,NULL,NULL   /* reserved[1234] */
-};
-static const ProtobufCFieldDescriptor gw__job_result__field_descriptors[4] =
-{
-  {
-    "ticket",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Gw__JobResult, ticket),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "kind",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
-    0,   /* quantifier_offset */
-    offsetof(Gw__JobResult, kind),
-    &gw__job_result__kind__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "reason",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Gw__JobResult, reason),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "retry_after_ms",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Gw__JobResult, retry_after_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned gw__job_result__field_indices_by_name[] = {
-  1,   /* field[1] = kind */
-  2,   /* field[2] = reason */
-  3,   /* field[3] = retry_after_ms */
-  0,   /* field[0] = ticket */
-};
-static const ProtobufCIntRange gw__job_result__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
-};
-const ProtobufCMessageDescriptor gw__job_result__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.JobResult",
-  "JobResult",
-  "Gw__JobResult",
-  "gw",
-  sizeof(Gw__JobResult),
-  4,
-  gw__job_result__field_descriptors,
-  gw__job_result__field_indices_by_name,
-  1,  gw__job_result__number_ranges,
-  (ProtobufCMessageInit) gw__job_result__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor gw__job_cancel__field_descriptors[1] =
-{
-  {
-    "ticket",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Gw__JobCancel, ticket),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned gw__job_cancel__field_indices_by_name[] = {
-  0,   /* field[0] = ticket */
-};
-static const ProtobufCIntRange gw__job_cancel__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor gw__job_cancel__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.JobCancel",
-  "JobCancel",
-  "Gw__JobCancel",
-  "gw",
-  sizeof(Gw__JobCancel),
-  1,
-  gw__job_cancel__field_descriptors,
-  gw__job_cancel__field_indices_by_name,
-  1,  gw__job_cancel__number_ranges,
-  (ProtobufCMessageInit) gw__job_cancel__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
 static const ProtobufCFieldDescriptor gw__task_run__field_descriptors[2] =
 {
   {
@@ -3954,7 +3362,7 @@
   (ProtobufCMessageInit) gw__task_run__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__run_order__field_descriptors[5] =
+static const ProtobufCFieldDescriptor gw__run_order__field_descriptors[6] =
 {
   {
     "job",
@@ -4016,9 +3424,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "expected_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__RunOrder, expected_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__run_order__field_indices_by_name[] = {
   3,   /* field[3] = demand */
+  5,   /* field[5] = expected_ms */
   0,   /* field[0] = job */
   2,   /* field[2] = payload */
   1,   /* field[1] = runs */
@@ -4027,7 +3448,7 @@
 static const ProtobufCIntRange gw__run_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor gw__run_order__descriptor =
 {
@@ -4037,7 +3458,7 @@
   "Gw__RunOrder",
   "gw",
   sizeof(Gw__RunOrder),
-  5,
+  6,
   gw__run_order__field_descriptors,
   gw__run_order__field_indices_by_name,
   1,  gw__run_order__number_ranges,
@@ -4095,24 +3516,26 @@
   (ProtobufCMessageInit) gw__run_stop__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue gw__run_report__kind__enum_values_by_number[5] =
+static const ProtobufCEnumValue gw__run_report__kind__enum_values_by_number[6] =
 {
   { "STARTED", "GW__RUN_REPORT__KIND__STARTED", 0 },
   { "NOT_STARTED", "GW__RUN_REPORT__KIND__NOT_STARTED", 1 },
   { "DONE", "GW__RUN_REPORT__KIND__DONE", 2 },
   { "FAILED", "GW__RUN_REPORT__KIND__FAILED", 3 },
   { "LOST", "GW__RUN_REPORT__KIND__LOST", 4 },
+  { "STRAGGLES", "GW__RUN_REPORT__KIND__STRAGGLES", 5 },
 };
 static const ProtobufCIntRange gw__run_report__kind__value_ranges[] = {
-{0, 0},{0, 5}
+{0, 0},{0, 6}
 };
-static const ProtobufCEnumValueIndex gw__run_report__kind__enum_values_by_name[5] =
+static const ProtobufCEnumValueIndex gw__run_report__kind__enum_values_by_name[6] =
 {
   { "DONE", 2 },
   { "FAILED", 3 },
   { "LOST", 4 },
   { "NOT_STARTED", 1 },
   { "STARTED", 0 },
+  { "STRAGGLES", 5 },
 };
 const ProtobufCEnumDescriptor gw__run_report__kind__descriptor =
 {
@@ -4121,15 +3544,15 @@
   "Kind",
   "Gw__RunReport__Kind",
   "gw",
-  5,
+  6,
   gw__run_report__kind__enum_values_by_number,
-  5,
+  6,
   gw__run_report__kind__enum_values_by_name,
   1,
   gw__run_report__kind__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor gw__run_report__field_descriptors[5] =
+static const ProtobufCFieldDescriptor gw__run_report__field_descriptors[7] =
 {
   {
     "job",
@@ -4191,18 +3614,44 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "remaining_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__RunReport, remaining_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "elsewhere_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__RunReport, elsewhere_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__run_report__field_indices_by_name[] = {
+  6,   /* field[6] = elsewhere_ms */
   1,   /* field[1] = index */
   0,   /* field[0] = job */
   3,   /* field[3] = kind */
   4,   /* field[4] = reason */
+  5,   /* field[5] = remaining_ms */
   2,   /* field[2] = run */
 };
 static const ProtobufCIntRange gw__run_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor gw__run_report__descriptor =
 {
@@ -4212,14 +3661,44 @@
   "Gw__RunReport",
   "gw",
   sizeof(Gw__RunReport),
-  5,
+  7,
   gw__run_report__field_descriptors,
   gw__run_report__field_indices_by_name,
   1,  gw__run_report__number_ranges,
   (ProtobufCMessageInit) gw__run_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__server_state__field_descriptors[8] =
+static const ProtobufCEnumValue gw__server_state__trust__enum_values_by_number[3] =
+{
+  { "FULL", "GW__SERVER_STATE__TRUST__FULL", 0 },
+  { "PROBE", "GW__SERVER_STATE__TRUST__PROBE", 1 },
+  { "NONE", "GW__SERVER_STATE__TRUST__NONE", 2 },
+};
+static const ProtobufCIntRange gw__server_state__trust__value_ranges[] = {
+{0, 0},{0, 3}
+};
+static const ProtobufCEnumValueIndex gw__server_state__trust__enum_values_by_name[3] =
+{
+  { "FULL", 0 },
+  { "NONE", 2 },
+  { "PROBE", 1 },
+};
+const ProtobufCEnumDescriptor gw__server_state__trust__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "gw.ServerState.Trust",
+  "Trust",
+  "Gw__ServerState__Trust",
+  "gw",
+  3,
+  gw__server_state__trust__enum_values_by_number,
+  3,
+  gw__server_state__trust__enum_values_by_name,
+  1,
+  gw__server_state__trust__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCFieldDescriptor gw__server_state__field_descriptors[11] =
 {
   {
     "instance",
@@ -4317,21 +3796,60 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "slowness_percent",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__ServerState, slowness_percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failing_percent",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__ServerState, failing_percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "trust",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Gw__ServerState, trust),
+    &gw__server_state__trust__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__server_state__field_indices_by_name[] = {
   4,   /* field[4] = capacity */
   7,   /* field[7] = draining */
+  9,   /* field[9] = failing_percent */
   0,   /* field[0] = instance */
   3,   /* field[3] = labels */
   6,   /* field[6] = ready */
   1,   /* field[1] = service */
+  8,   /* field[8] = slowness_percent */
+  10,   /* field[10] = trust */
   5,   /* field[5] = used_by_others */
   2,   /* field[2] = zone */
 };
 static const ProtobufCIntRange gw__server_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor gw__server_state__descriptor =
 {
@@ -4341,7 +3859,7 @@
   "Gw__ServerState",
   "gw",
   sizeof(Gw__ServerState),
-  8,
+  11,
   gw__server_state__field_descriptors,
   gw__server_state__field_indices_by_name,
   1,  gw__server_state__number_ranges,
--- a/proto/godwitspar.pb-c.h
+++ b/proto/godwitspar.pb-c.h
@@ -36,9 +36,6 @@
 typedef struct Gw__Frame Gw__Frame;
 typedef struct Gw__Demand Gw__Demand;
 typedef struct Gw__LeaseTime Gw__LeaseTime;
-typedef struct Gw__LeasedJob Gw__LeasedJob;
-typedef struct Gw__JobResult Gw__JobResult;
-typedef struct Gw__JobCancel Gw__JobCancel;
 typedef struct Gw__TaskRun Gw__TaskRun;
 typedef struct Gw__RunOrder Gw__RunOrder;
 typedef struct Gw__RunStop Gw__RunStop;
@@ -86,22 +83,6 @@
   GW__OUTCOME__REASON__TIMEOUT = 14
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GW__OUTCOME__REASON)
 } Gw__Outcome__Reason;
-typedef enum _Gw__JobResult__Kind {
-  GW__JOB_RESULT__KIND__COMPLETED = 0,
-  /*
-   * a task failed as often as it may
-   */
-  GW__JOB_RESULT__KIND__FAILED = 1,
-  /*
-   * proved: nothing of it ran
-   */
-  GW__JOB_RESULT__KIND__REFUSED = 2,
-  /*
-   * some of it ran
-   */
-  GW__JOB_RESULT__KIND__GIVEN_UP = 3
-    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GW__JOB_RESULT__KIND)
-} Gw__JobResult__Kind;
 typedef enum _Gw__RunReport__Kind {
   GW__RUN_REPORT__KIND__STARTED = 0,
   /*
@@ -116,9 +97,19 @@
   /*
    * stopped, lapsed or gone with its backend server
    */
-  GW__RUN_REPORT__KIND__LOST = 4
+  GW__RUN_REPORT__KIND__LOST = 4,
+  /*
+   * runs much longer than it would elsewhere
+   */
+  GW__RUN_REPORT__KIND__STRAGGLES = 5
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GW__RUN_REPORT__KIND)
 } Gw__RunReport__Kind;
+typedef enum _Gw__ServerState__Trust {
+  GW__SERVER_STATE__TRUST__FULL = 0,
+  GW__SERVER_STATE__TRUST__PROBE = 1,
+  GW__SERVER_STATE__TRUST__NONE = 2
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GW__SERVER_STATE__TRUST)
+} Gw__ServerState__Trust;
 
 /* --- messages --- */
 
@@ -474,12 +465,6 @@
    */
   char *agent_group;
   Gw__LeaseTime *time;
-  size_t n_leased_jobs;
-  Gw__LeasedJob **leased_jobs;
-  size_t n_job_results;
-  Gw__JobResult **job_results;
-  size_t n_job_cancels;
-  Gw__JobCancel **job_cancels;
   size_t n_run_orders;
   Gw__RunOrder **run_orders;
   size_t n_run_stops;
@@ -491,14 +476,10 @@
    */
   protobuf_c_boolean inventory;
   Gw__ServerState *server_state;
-  /*
-   * backend servers that the sending entry reaches
-   */
-  uint32_t servers;
 };
 #define GW__FRAME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__frame__descriptor) \
-    , 0, 0, 0, 0, 0, NULL, NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, NULL, 0 }
+    , 0, 0, 0, 0, 0, NULL, NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0, NULL }
 
 
 /*
@@ -539,98 +520,6 @@
     , 0, 0 }
 
 
-/*
- * Entry to home: queue and run this job.
- */
-struct  Gw__LeasedJob
-{
-  ProtobufCMessage base;
-  /*
-   * the entry's number of this submission
-   */
-  uint64_t ticket;
-  /*
-   * the caller's
-   */
-  char *id;
-  char *queue;
-  char *service;
-  char *payload;
-  /*
-   * 0 first
-   */
-  uint32_t priority;
-  /*
-   * failed runs of one task before the job fails
-   */
-  uint32_t max_attempts;
-  /*
-   * since the request arrived
-   */
-  uint32_t elapsed_ms;
-  /*
-   * until its caller leaves
-   */
-  uint32_t time_left_ms;
-  /*
-   * latency objective: stretch times the run time ...
-   */
-  double stretch;
-  /*
-   * ... and this
-   */
-  uint32_t target_ms;
-  uint32_t count;
-  Gw__Demand *demand;
-  uint32_t declared_ms;
-  /*
-   * a backend server must carry it; empty: any
-   */
-  char *label;
-  /*
-   * 0: no limit
-   */
-  uint32_t most_per_server;
-  /*
-   * where its data is; empty: anywhere
-   */
-  char *rack;
-  /*
-   * receiver's clock; later it is refused
-   */
-  int64_t valid_until_ms;
-};
-#define GW__LEASED_JOB__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&gw__leased_job__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, NULL, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
-
-
-/*
- * Home to entry: the last word on a job.
- */
-struct  Gw__JobResult
-{
-  ProtobufCMessage base;
-  uint64_t ticket;
-  Gw__JobResult__Kind kind;
-  char *reason;
-  uint32_t retry_after_ms;
-};
-#define GW__JOB_RESULT__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&gw__job_result__descriptor) \
-    , 0, GW__JOB_RESULT__KIND__COMPLETED, (char *)protobuf_c_empty_string, 0 }
-
-
-struct  Gw__JobCancel
-{
-  ProtobufCMessage base;
-  uint64_t ticket;
-};
-#define GW__JOB_CANCEL__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&gw__job_cancel__descriptor) \
-    , 0 }
-
-
 struct  Gw__TaskRun
 {
   ProtobufCMessage base;
@@ -660,10 +549,14 @@
    * agent's clock
    */
   int64_t valid_until_ms;
+  /*
+   * run time of one task
+   */
+  uint32_t expected_ms;
 };
 #define GW__RUN_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__run_order__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, (char *)protobuf_c_empty_string, NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0,NULL, (char *)protobuf_c_empty_string, NULL, 0, 0 }
 
 
 struct  Gw__RunStop
@@ -689,10 +582,18 @@
   uint32_t run;
   Gw__RunReport__Kind kind;
   char *reason;
+  /*
+   * of a straggler, as its progress tells
+   */
+  uint32_t remaining_ms;
+  /*
+   * what it would take on another server
+   */
+  uint32_t elsewhere_ms;
 };
 #define GW__RUN_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__run_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, GW__RUN_REPORT__KIND__STARTED, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0, 0, GW__RUN_REPORT__KIND__STARTED, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -719,10 +620,22 @@
    */
   protobuf_c_boolean ready;
   protobuf_c_boolean draining;
+  /*
+   * run times against the expected ones
+   */
+  uint32_t slowness_percent;
+  /*
+   * of the last runs
+   */
+  uint32_t failing_percent;
+  /*
+   * PROBE: one run at a time
+   */
+  Gw__ServerState__Trust trust;
 };
 #define GW__SERVER_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__server_state__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, NULL, NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, NULL, NULL, 0, 0, 0, 0, GW__SERVER_STATE__TRUST__FULL }
 
 
 /* Gw__Hello methods */
@@ -1124,63 +1037,6 @@
 void   gw__lease_time__free_unpacked
                      (Gw__LeaseTime *message,
                       ProtobufCAllocator *allocator);
-/* Gw__LeasedJob methods */
-void   gw__leased_job__init
-                     (Gw__LeasedJob         *message);
-size_t gw__leased_job__get_packed_size
-                     (const Gw__LeasedJob   *message);
-size_t gw__leased_job__pack
-                     (const Gw__LeasedJob   *message,
-                      uint8_t             *out);
-size_t gw__leased_job__pack_to_buffer
-                     (const Gw__LeasedJob   *message,
-                      ProtobufCBuffer     *buffer);
-Gw__LeasedJob *
-       gw__leased_job__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   gw__leased_job__free_unpacked
-                     (Gw__LeasedJob *message,
-                      ProtobufCAllocator *allocator);
-/* Gw__JobResult methods */
-void   gw__job_result__init
-                     (Gw__JobResult         *message);
-size_t gw__job_result__get_packed_size
-                     (const Gw__JobResult   *message);
-size_t gw__job_result__pack
-                     (const Gw__JobResult   *message,
-                      uint8_t             *out);
-size_t gw__job_result__pack_to_buffer
-                     (const Gw__JobResult   *message,
-                      ProtobufCBuffer     *buffer);
-Gw__JobResult *
-       gw__job_result__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   gw__job_result__free_unpacked
-                     (Gw__JobResult *message,
-                      ProtobufCAllocator *allocator);
-/* Gw__JobCancel methods */
-void   gw__job_cancel__init
-                     (Gw__JobCancel         *message);
-size_t gw__job_cancel__get_packed_size
-                     (const Gw__JobCancel   *message);
-size_t gw__job_cancel__pack
-                     (const Gw__JobCancel   *message,
-                      uint8_t             *out);
-size_t gw__job_cancel__pack_to_buffer
-                     (const Gw__JobCancel   *message,
-                      ProtobufCBuffer     *buffer);
-Gw__JobCancel *
-       gw__job_cancel__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   gw__job_cancel__free_unpacked
-                     (Gw__JobCancel *message,
-                      ProtobufCAllocator *allocator);
 /* Gw__TaskRun methods */
 void   gw__task_run__init
                      (Gw__TaskRun         *message);
@@ -1341,15 +1197,6 @@
 typedef void (*Gw__LeaseTime_Closure)
                  (const Gw__LeaseTime *message,
                   void *closure_data);
-typedef void (*Gw__LeasedJob_Closure)
-                 (const Gw__LeasedJob *message,
-                  void *closure_data);
-typedef void (*Gw__JobResult_Closure)
-                 (const Gw__JobResult *message,
-                  void *closure_data);
-typedef void (*Gw__JobCancel_Closure)
-                 (const Gw__JobCancel *message,
-                  void *closure_data);
 typedef void (*Gw__TaskRun_Closure)
                  (const Gw__TaskRun *message,
                   void *closure_data);
@@ -1395,16 +1242,13 @@
 extern const ProtobufCMessageDescriptor gw__frame__descriptor;
 extern const ProtobufCMessageDescriptor gw__demand__descriptor;
 extern const ProtobufCMessageDescriptor gw__lease_time__descriptor;
-extern const ProtobufCMessageDescriptor gw__leased_job__descriptor;
-extern const ProtobufCMessageDescriptor gw__job_result__descriptor;
-extern const ProtobufCEnumDescriptor    gw__job_result__kind__descriptor;
-extern const ProtobufCMessageDescriptor gw__job_cancel__descriptor;
 extern const ProtobufCMessageDescriptor gw__task_run__descriptor;
 extern const ProtobufCMessageDescriptor gw__run_order__descriptor;
 extern const ProtobufCMessageDescriptor gw__run_stop__descriptor;
 extern const ProtobufCMessageDescriptor gw__run_report__descriptor;
 extern const ProtobufCEnumDescriptor    gw__run_report__kind__descriptor;
 extern const ProtobufCMessageDescriptor gw__server_state__descriptor;
+extern const ProtobufCEnumDescriptor    gw__server_state__trust__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/dispatcher.c
+++ b/src/dispatcher.c
@@ -23,8 +23,6 @@
   dispatcher->by_id = g_hash_table_new (g_str_hash, g_str_equal);
   dispatcher->closing = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   dispatcher->recent_ids = g_hash_table_new (g_str_hash, g_str_equal);
-  dispatcher->entries
-      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   dispatcher->runtimes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return dispatcher;
 }
@@ -98,7 +96,6 @@
   g_hash_table_unref (dispatcher->by_id);
   g_hash_table_unref (dispatcher->closing);
   g_hash_table_unref (dispatcher->recent_ids);
-  g_hash_table_unref (dispatcher->entries);
   g_hash_table_unref (dispatcher->runtimes);
   g_free (dispatcher);
 }
@@ -173,7 +170,7 @@
               dispatcher->now_ms - job->spec.arrived_ms, job->ended, job->spec.count,
               job->objective_ms - dispatcher->now_ms,
               job->spec.deadline_ms - dispatcher->now_ms, retry_after_ms);
-  dispatcher->ops->result (job->spec.entry, job->spec.ticket, &result, dispatcher->ctx);
+  job->done (&result, job->ctx);
 }
 
 void
@@ -210,11 +207,13 @@
 }
 
 static LeasedJob *
-job_new (Dispatcher *dispatcher, const LeasedSpec *spec)
+job_new (Dispatcher *dispatcher, const LeasedSpec *spec, LeasedDone done, gpointer ctx)
 {
   LeasedJob *job = g_new0 (LeasedJob, 1);
 
   job->dispatcher = dispatcher;
+  job->done = done;
+  job->ctx = ctx;
   spec_copy (&job->spec, spec);
   job->tasks = g_new0 (LeasedTask, spec->count);
   for (guint i = 0; i < spec->count; i++)
@@ -233,129 +232,95 @@
   return job;
 }
 
+/* The caller came back over another connection: a second run beside the first would be
+ * work done twice, and two runs of one task at once. */
 static void
-answer_again (Dispatcher *dispatcher, const LeasedSpec *spec)
+join_job (LeasedJob *job, const LeasedSpec *spec, LeasedDone done, gpointer ctx)
 {
-  LeasedResult result = { LEASED_COMPLETED, "", 0 };
-
-  event_note ("job-answered-again", spec->id, "entry=%" G_GINT64_MODIFIER "x",
-              spec->entry);
-  dispatcher->ops->result (spec->entry, spec->ticket, &result, dispatcher->ctx);
+  LeasedResult taken_over = { LEASED_GIVEN_UP, "its caller asked again", 0 };
+
+  event_note ("job-joined", spec->id, "age_ms=%" G_GINT64_FORMAT " done=%u of=%u",
+              job->dispatcher->now_ms - job->spec.arrived_ms, job->ended,
+              job->spec.count);
+  job->done (&taken_over, job->ctx);
+  job->done = done;
+  job->ctx = ctx;
+  job->spec.deadline_ms = spec->deadline_ms;
 }
 
-void
-dispatcher_submit (Dispatcher *dispatcher, const LeasedSpec *spec, gint64 now_ms)
+LeasedJob *
+dispatcher_submit (Dispatcher *dispatcher,
+                   const LeasedSpec *spec,
+                   LeasedDone done,
+                   gpointer ctx,
+                   gint64 now_ms)
 {
   LeasedJob *job = g_hash_table_lookup (dispatcher->by_id, spec->id);
 
   dispatcher->now_ms = now_ms;
-  if (g_hash_table_contains (dispatcher->recent_ids, spec->id))
-    {
-      answer_again (dispatcher, spec);
-      return;
-    }
+  dispatcher->ops->pump (dispatcher->ctx);
   if (job != NULL)
     {
-      /* Its caller came back over another connection: a second run beside the first would
-       * be work done twice, and two runs of one task at once. */
-      event_note ("job-joined", spec->id, "age_ms=%" G_GINT64_FORMAT,
-                  now_ms - job->spec.arrived_ms);
-      job->spec.entry = spec->entry;
-      job->spec.ticket = spec->ticket;
-      job->spec.deadline_ms = spec->deadline_ms;
-      return;
+      join_job (job, spec, done, ctx);
+      return job;
     }
-  job = job_new (dispatcher, spec);
+  job = job_new (dispatcher, spec, done, ctx);
+  job->answered_before = g_hash_table_contains (dispatcher->recent_ids, spec->id);
   event_emit ("job-queued", spec->id,
               "queue=%s tasks=%u cpu=%u declared_ms=%u expected_ms=%.0f waiting=%u "
-              "time_left_ms=%" G_GINT64_FORMAT,
+              "objective_left_ms=%" G_GINT64_FORMAT " time_left_ms=%" G_GINT64_FORMAT,
               spec->queue, spec->count, spec->demand.cpu_milli, spec->declared_ms,
-              job->task_ms, dispatcher->n_waiting, spec->deadline_ms - now_ms);
-  dispatcher->ops->pump (dispatcher->ctx);
-}
-
-static LeasedJob *
-find_job (Dispatcher *dispatcher, guint64 entry, guint64 ticket)
-{
-  LeasedJob *job;
-
-  TAILQ_FOREACH (job, &dispatcher->jobs, link)
-    if (!job->closed && job->spec.ticket == ticket && job->spec.entry == entry)
-      return job;
-  return NULL;
+              job->task_ms, dispatcher->n_waiting, job->objective_ms - now_ms,
+              spec->deadline_ms - now_ms);
+  return job;
 }
 
-static void
-cancel_job (LeasedJob *job, const char *reason)
+void
+dispatcher_cancel (LeasedJob *job, gint64 now_ms)
 {
+  job->dispatcher->now_ms = now_ms;
+  if (job->closed)
+    return;
   event_note ("job-cancelled", job->spec.id,
-              "reason=\"%s\" age_ms=%" G_GINT64_FORMAT " placed=%u done=%u", reason,
-              job->dispatcher->now_ms - job->spec.arrived_ms, job->placed, job->ended);
+              "reason=\"caller has gone\" age_ms=%" G_GINT64_FORMAT " placed=%u done=%u",
+              now_ms - job->spec.arrived_ms, job->placed, job->ended);
   job_close (job);
   job_release_if_over (job);
 }
 
-void
-dispatcher_cancel (Dispatcher *dispatcher, guint64 entry, guint64 ticket, gint64 now_ms)
-{
-  LeasedJob *job = find_job (dispatcher, entry, ticket);
-
-  dispatcher->now_ms = now_ms;
-  if (job != NULL)
-    cancel_job (job, "cancelled by its entry");
-}
-
-void
-dispatcher_entry_grant (Dispatcher *dispatcher, guint64 entry, gint64 until_ms)
-{
-  gint64 *until = g_hash_table_lookup (dispatcher->entries, &entry);
-
-  if (until != NULL)
-    *until = MAX (*until, until_ms);
-  else
-    g_hash_table_insert (dispatcher->entries, g_memdup2 (&entry, sizeof entry),
-                         g_memdup2 (&until_ms, sizeof until_ms));
-}
-
-/* An entry that was killed, frozen or cut off has no caller to answer any more, or the
- * caller asks elsewhere: its jobs are stopped before they can run a second time. */
+/* Nobody waits for these any more, or their answer was given before: a caller whose
+ * connection broke while the answer was on its way gets the same one again. */
 static void
-cancel_unleased (Dispatcher *dispatcher)
+end_overdue (Dispatcher *dispatcher)
 {
   LeasedJob *job;
   LeasedJob *next;
 
   for (job = TAILQ_FIRST (&dispatcher->jobs); job != NULL; job = next)
     {
-      gint64 *until = g_hash_table_lookup (dispatcher->entries, &job->spec.entry);
-
       next = TAILQ_NEXT (job, link);
       if (job->closed)
         continue;
-      if (until == NULL || dispatcher->now_ms > *until)
-        cancel_job (job, "its entry is out of reach");
+      if (job->answered_before)
+        job_answer (job, LEASED_COMPLETED, "answered before", 0);
       else if (dispatcher->now_ms > job->spec.deadline_ms)
-        cancel_job (job, "its caller's time is over");
+        job_answer (job,
+                    job->started || job->placed > 0 ? LEASED_GIVEN_UP : LEASED_REFUSED,
+                    "its caller's time is over", 0);
+      else
+        continue;
+      job_release_if_over (job);
     }
 }
 
-static gboolean
-entry_is_over (gpointer key, gpointer value, gpointer ctx)
-{
-  const Dispatcher *dispatcher = ctx;
-
-  return dispatcher->now_ms - *(gint64 *)value > RECENT_MS;
-}
-
 void
 dispatcher_tick (Dispatcher *dispatcher, gint64 now_ms)
 {
   dispatcher->now_ms = now_ms;
-  cancel_unleased (dispatcher);
+  end_overdue (dispatcher);
   dispatcher_check_servers (dispatcher);
   dispatcher_refuse_hopeless (dispatcher);
   forget_answers (dispatcher);
-  g_hash_table_foreach_remove (dispatcher->entries, entry_is_over, dispatcher);
   if (dispatcher->n_waiting > 0)
     dispatcher_pump (dispatcher, now_ms);
 }
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -1,18 +1,18 @@
 #pragma once
-/* The dispatcher: the home of leased jobs. It queues them, places their tasks on backend
- * servers, runs lost tasks again and tells each entry how its jobs ended. No I/O of its
- * own: messages and the time are handed in. */
+/* The dispatcher of an entry's leased jobs: queues them, places their tasks on backend
+ * servers, runs lost tasks again and tells how each job ended. No I/O of its own:
+ * messages and the time are handed in. */
 #include "lease.h"
+#include "quality.h"
 #include "server_calls.h"
 
 typedef struct Dispatcher Dispatcher;
+typedef struct LeasedJob LeasedJob;
 typedef struct LeasedServer LeasedServer;
 
 /* What a caller asks for. Texts are copied. */
 typedef struct
 {
-  guint64 entry;  /* incarnation of the entry that holds the caller's request */
-  guint64 ticket; /* that entry's number of the submission */
   const char *id; /* the caller's */
   const char *queue;
   const char *service;
@@ -46,6 +46,11 @@
   guint retry_after_ms;
 } LeasedResult;
 
+/** LeasedDone - the final word on a job, once, never before dispatcher_submit ()
+ * returned.
+ */
+typedef void (*LeasedDone) (const LeasedResult *result, gpointer ctx);
+
 typedef struct
 {
   char *instance;
@@ -56,6 +61,9 @@
   Demand used_by_others;
   gboolean ready;
   gboolean draining;
+  Trust trust;
+  guint slowness_percent; /* run times against the expected ones */
+  guint failing_percent;  /* of the last runs */
 } ServerStatus;
 
 typedef struct
@@ -65,13 +73,10 @@
                  const LeasedSpec *spec,
                  const RunKey *runs,
                  gsize n_runs,
+                 guint expected_ms,
                  gint64 valid_until_ms,
                  gpointer ctx);
   void (*stop) (LeasedServer *server, const RunKey *run, gpointer ctx);
-  void (*result) (guint64 entry,
-                  guint64 ticket,
-                  const LeasedResult *result,
-                  gpointer ctx);
   /* The tasks wait for a turn of dispatcher_pump (). */
   void (*pump) (gpointer ctx);
 } DispatcherOps;
@@ -114,6 +119,7 @@
   TASK_DONE,
   TASK_FAILED,
   TASK_LOST,
+  TASK_STRAGGLES,
 } TaskEvent;
 
 typedef struct
@@ -121,6 +127,8 @@
   RunKey key;
   TaskEvent event;
   const char *reason;
+  guint remaining_ms; /* of a straggler */
+  guint elsewhere_ms; /* what it would take on another server */
 } TaskReport;
 
 /**
@@ -134,12 +142,20 @@
                          gboolean inventory,
                          gint64 now_ms);
 
-void dispatcher_submit (Dispatcher *dispatcher, const LeasedSpec *spec, gint64 now_ms);
-void
-dispatcher_cancel (Dispatcher *dispatcher, guint64 entry, guint64 ticket, gint64 now_ms);
+/**
+ * dispatcher_submit - queue a job.
+ *
+ * A job with the id of one that is under way takes its place: the caller came back over
+ * another connection, and the first one is told that it was given up.
+ */
+LeasedJob *dispatcher_submit (Dispatcher *dispatcher,
+                              const LeasedSpec *spec,
+                              LeasedDone done,
+                              gpointer ctx,
+                              gint64 now_ms);
 
-/** dispatcher_entry_grant - jobs of @entry may go on until then (own clock). */
-void dispatcher_entry_grant (Dispatcher *dispatcher, guint64 entry, gint64 until_ms);
+/** dispatcher_cancel - the caller has gone: stop it, no answer follows. */
+void dispatcher_cancel (LeasedJob *job, gint64 now_ms);
 
 /** dispatcher_pump - place what can be placed. */
 void dispatcher_pump (Dispatcher *dispatcher, gint64 now_ms);
@@ -148,5 +164,6 @@
 void dispatcher_tick (Dispatcher *dispatcher, gint64 now_ms);
 #define DISPATCHER_TICK_MS 20
 
+/** dispatcher_jobs - jobs that are not answered yet or have runs to be stopped. */
 guint dispatcher_jobs (const Dispatcher *dispatcher);
 guint dispatcher_waiting (const Dispatcher *dispatcher);
--- a/src/dispatcher_parts.h
+++ b/src/dispatcher_parts.h
@@ -2,7 +2,6 @@
 /* What the parts of the dispatcher share: dispatcher.c keeps jobs, dispatcher_servers.c
  * keeps servers and takes reports, dispatcher_place.c places and refuses. */
 #include "dispatcher.h"
-#include "health.h"
 #include "runtimes.h"
 
 #include <sys/queue.h>
@@ -14,8 +13,6 @@
   TASK_ENDED,
 } TaskState;
 
-typedef struct LeasedJob LeasedJob;
-
 typedef struct LeasedTask
 {
   TAILQ_ENTRY (LeasedTask) on_server; /* while placed */
@@ -23,6 +20,7 @@
   guint index;
   guint run; /* number of its last start */
   guint failures;
+  LeasedServer *avoid; /* where it failed last */
   TaskState state;
   LeasedServer *server;
   gint64 placed_ms;
@@ -36,13 +34,16 @@
   TAILQ_ENTRY (LeasedJob) link;
   Dispatcher *dispatcher;
   LeasedSpec spec; /* with copies of the texts */
+  LeasedDone done;
+  gpointer ctx;
   LeasedTask *tasks;
   guint waiting;
   guint placed;
   guint ended;
   gboolean started; /* a run of it began, or may have */
-  gboolean closed;  /* answered or cancelled: only runs that are being stopped are left */
-  double task_ms;   /* expected run time of one task */
+  gboolean answered_before;
+  gboolean closed; /* answered or cancelled: only runs that are being stopped are left */
+  double task_ms;  /* expected run time of one task */
   gint64 objective_ms;
   gint64 late_ms; /* no use to its caller after this */
   double rank;
@@ -62,8 +63,6 @@
   Demand placed;
   guint n_placed;
   TAILQ_HEAD (, LeasedTask) tasks;
-  Health health;
-  double slowness; /* of its run times against the expected ones */
   gboolean inventoried;
 };
 
@@ -86,10 +85,11 @@
   GHashTable *by_id;   /* id -> LeasedJob that is not closed */
   GHashTable *closing; /* id -> number of runs still being stopped */
   GHashTable *recent_ids;
-  GHashTable *entries;  /* incarnation -> gint64 until when its jobs are leased */
   GHashTable *runtimes; /* queue -> Runtimes */
   guint n_jobs;
-  guint n_waiting; /* tasks */
+  guint n_waiting;    /* tasks */
+  gboolean trust_all; /* too many servers are distrusted: the fault is in the tasks */
+  double wait_ms;     /* about how long a task waits for room */
   gint64 now_ms;
 };
 
@@ -104,4 +104,7 @@
 void dispatcher_check_servers (Dispatcher *dispatcher);
 
 /* dispatcher_place.c */
+
+/** dispatcher_straggler - decide whether a run is worth starting anew elsewhere. */
+void dispatcher_straggler (LeasedTask *task, const TaskReport *report);
 void dispatcher_refuse_hopeless (Dispatcher *dispatcher);
--- a/src/dispatcher_place.c
+++ b/src/dispatcher_place.c
@@ -8,6 +8,12 @@
 #define ORDER_VALID_MS 250
 /* Below this a server's run times are within what tasks differ among themselves. */
 #define SLOWNESS_NORMAL 1.6
+/* A slot elsewhere that frees this much sooner is not worth waiting for. */
+#define SLOW_SLACK_MS 20
+/* A straggler is started anew only if that is expected to gain this much. */
+#define STRAGGLER_GAIN_MS 40
+/* Beyond this share of distrusted servers the fault is taken to be in the tasks. */
+#define DISTRUSTED_SHARE 0.34
 
 /* How the waiting jobs are ordered: first those that can still make their objective, then
  * those that are of some use, then the rest; among equals the least remaining work. */
@@ -54,7 +60,7 @@
 
   TAILQ_FOREACH (job, &dispatcher->jobs, link)
     {
-      if (job->closed || job->waiting == 0
+      if (job->closed || job->waiting == 0 || job->answered_before
           || g_hash_table_contains (dispatcher->closing, job->spec.id))
         continue;
       job->rank = chance_of (job, dispatcher->now_ms) * 1e15 + remaining_work (job);
@@ -84,21 +90,59 @@
   return n;
 }
 
+static double
+slowness_of (const LeasedServer *server)
+{
+  double slowness = server->status.slowness_percent / 100.0;
+
+  return slowness > SLOWNESS_NORMAL ? slowness : 1;
+}
+
+/* One run at a time on a server that has just failed or stood still. */
 static gboolean
-is_suitable (LeasedServer *server, const LeasedJob *job)
+is_trusted (const LeasedServer *server)
+{
+  switch (server->status.trust)
+    {
+    case TRUST_FULL:
+      return TRUE;
+    case TRUST_PROBE:
+      return (server->n_placed == 0 && server->status.used_by_others.cpu_milli == 0)
+             || server->dispatcher->trust_all;
+    case TRUST_NONE:
+      return server->dispatcher->trust_all;
+    }
+  g_assert_not_reached ();
+}
+
+static gboolean
+is_open (const LeasedServer *server)
+{
+  return server->owner != NULL && server->inventoried && server->status.ready
+         && !server->status.draining
+         && server->dispatcher->now_ms >= server->hold_until_ms;
+}
+
+static gboolean
+has_room (const LeasedServer *server, const Demand *need)
 {
-  const Dispatcher *dispatcher = server->dispatcher;
   Demand used = server->placed;
 
-  if (server->owner == NULL || !server->inventoried || !server->status.ready
-      || server->status.draining || dispatcher->now_ms < server->hold_until_ms
+  demand_add (&used, &server->status.used_by_others);
+  return demand_fits (&server->status.capacity, &used, need);
+}
+
+static gboolean
+is_suitable (const LeasedServer *server, const LeasedJob *job, const LeasedTask *task)
+{
+  double lost_ms = (slowness_of (server) - 1) * job->task_ms;
+
+  if (!is_open (server) || server == task->avoid || !is_trusted (server)
       || strcmp (server->status.service, job->spec.service) != 0
-      || !has_label (server, job->spec.label))
+      || !has_label (server, job->spec.label) || !has_room (server, &job->spec.demand))
     return FALSE;
-  if (server->n_placed >= health_capacity (&server->health, G_MAXINT, dispatcher->now_ms))
-    return FALSE;
-  demand_add (&used, &server->status.used_by_others);
-  if (!demand_fits (&server->status.capacity, &used, &job->spec.demand))
+  /* With a slow server free and all others busy, waiting a little ends sooner. */
+  if (lost_ms > server->dispatcher->wait_ms + SLOW_SLACK_MS)
     return FALSE;
   return job->spec.most_per_server == 0
          || tasks_of_job (server, job) < job->spec.most_per_server;
@@ -107,16 +151,16 @@
 static double
 cost_of (const LeasedServer *server, const LeasedJob *job)
 {
-  double slowness = server->slowness > SLOWNESS_NORMAL ? server->slowness : 1;
   guint used = server->placed.cpu_milli + server->status.used_by_others.cpu_milli;
   double filled = (double)used / MAX (server->status.capacity.cpu_milli, 1);
   double away = has_label (server, job->spec.rack) ? 0 : 0.5;
 
-  return slowness + away + filled * 0.01;
+  return slowness_of (server) + away + filled * 0.01
+         + server->status.failing_percent * 0.01;
 }
 
 static LeasedServer *
-choose_server (Dispatcher *dispatcher, const LeasedJob *job)
+choose_server (Dispatcher *dispatcher, const LeasedJob *job, const LeasedTask *task)
 {
   LeasedServer *best = NULL;
   LeasedServer *server;
@@ -126,7 +170,7 @@
     {
       double cost;
 
-      if (!is_suitable (server, job))
+      if (!is_suitable (server, job, task))
         continue;
       cost = cost_of (server, job);
       if (best != NULL && cost >= best_cost)
@@ -181,8 +225,9 @@
               "agent=%s tasks=%" G_GSIZE_FORMAT " waited_ms=%" G_GINT64_FORMAT
               " server_used_cpu=%u slowness=%.2f waiting=%u",
               server->name, n, dispatcher->now_ms - job->spec.arrived_ms,
-              server->placed.cpu_milli, server->slowness, dispatcher->n_waiting);
-  dispatcher->ops->order (server, &job->spec, runs, n,
+              server->placed.cpu_milli, server->status.slowness_percent / 100.0,
+              dispatcher->n_waiting);
+  dispatcher->ops->order (server, &job->spec, runs, n, (guint)MAX (job->task_ms, 1),
                           peer_clock_least (&server->clock, dispatcher->now_ms, 0)
                               + ORDER_VALID_MS,
                           dispatcher->ctx);
@@ -201,7 +246,7 @@
 
       if (job->tasks[i].state != TASK_WAITS)
         continue;
-      server = choose_server (dispatcher, job);
+      server = choose_server (dispatcher, job, &job->tasks[i]);
       if (server == NULL)
         {
           all = FALSE;
@@ -217,20 +262,6 @@
   return all;
 }
 
-void
-dispatcher_pump (Dispatcher *dispatcher, gint64 now_ms)
-{
-  GPtrArray *jobs;
-
-  dispatcher->now_ms = now_ms;
-  if (dispatcher->n_waiting == 0)
-    return;
-  jobs = ordered_jobs (dispatcher);
-  for (guint i = 0; i < jobs->len; i++)
-    place_job (dispatcher, g_ptr_array_index (jobs, i));
-  g_ptr_array_unref (jobs);
-}
-
 /* When there will be room again: the work that waits, spread over all servers. */
 static guint
 expected_wait_ms (const Dispatcher *dispatcher)
@@ -249,6 +280,40 @@
   return capacity > 0 ? (guint)MIN (work / capacity, 60000) : 1000;
 }
 
+static void
+note_trust (Dispatcher *dispatcher)
+{
+  const LeasedServer *server;
+  guint n = 0;
+  guint distrusted = 0;
+
+  TAILQ_FOREACH (server, &dispatcher->servers, link)
+    {
+      if (!is_open (server))
+        continue;
+      n++;
+      if (server->status.trust != TRUST_FULL)
+        distrusted++;
+    }
+  dispatcher->trust_all = distrusted > MAX (1, n * DISTRUSTED_SHARE);
+}
+
+void
+dispatcher_pump (Dispatcher *dispatcher, gint64 now_ms)
+{
+  GPtrArray *jobs;
+
+  dispatcher->now_ms = now_ms;
+  if (dispatcher->n_waiting == 0)
+    return;
+  note_trust (dispatcher);
+  dispatcher->wait_ms = expected_wait_ms (dispatcher);
+  jobs = ordered_jobs (dispatcher);
+  for (guint i = 0; i < jobs->len; i++)
+    place_job (dispatcher, g_ptr_array_index (jobs, i));
+  g_ptr_array_unref (jobs);
+}
+
 /* What cannot end while it is of use is refused now rather than when its time is over:
  * its caller can go elsewhere, and its place is free for what can. */
 void
@@ -271,3 +336,28 @@
       job_release_if_over (job);
     }
 }
+
+/* A run that hangs or crawls on a bad server: its job waits for it alone. Starting it
+ * anew costs what it has done, so it must end clearly sooner elsewhere, and in time. */
+void
+dispatcher_straggler (LeasedTask *task, const TaskReport *report)
+{
+  LeasedJob *job = task->job;
+  Dispatcher *dispatcher = job->dispatcher;
+  LeasedServer *before = task->avoid;
+
+  if (task->stopping || job->closed || task->state != TASK_PLACED
+      || report->remaining_ms < report->elsewhere_ms + STRAGGLER_GAIN_MS
+      || dispatcher->now_ms + report->elsewhere_ms > job->spec.deadline_ms)
+    return;
+  task->avoid = task->server;
+  if (choose_server (dispatcher, job, task) == NULL)
+    {
+      task->avoid = before;
+      return;
+    }
+  event_note ("straggler-restarted", job->spec.id,
+              "task=%u run=%u agent=%s remaining_ms=%u elsewhere_ms=%u", task->index,
+              task->run, task->server->name, report->remaining_ms, report->elsewhere_ms);
+  task_stop (task);
+}
--- a/src/dispatcher_servers.c
+++ b/src/dispatcher_servers.c
@@ -9,7 +9,6 @@
 #define STOP_SLACK_MS 150
 /* A server that refused a start for want of room has told its state by then. */
 #define REFUSED_HOLD_MS 30
-#define SLOWNESS_RATE 0.15
 
 void
 server_status_free (ServerStatus *status)
@@ -46,7 +45,6 @@
       server->dispatcher = dispatcher;
       server->agent = agent;
       server->name = g_strdup (name);
-      server->slowness = 1;
       TAILQ_INIT (&server->tasks);
       TAILQ_INSERT_TAIL (&dispatcher->servers, server, link);
     }
@@ -150,49 +148,14 @@
   job->dispatcher->n_waiting++;
 }
 
-static HealthPeers
-peers_of (const LeasedServer *server)
-{
-  HealthPeers peers = { 0 };
-  const LeasedServer *other;
-  double failing = 0;
-
-  TAILQ_FOREACH (other, &server->dispatcher->servers, link)
-    {
-      if (g_strcmp0 (other->status.service, server->status.service) != 0)
-        continue;
-      peers.backends++;
-      if (other->health.state == HEALTH_EJECTED)
-        peers.ejected++;
-      if (other != server)
-        failing += other->health.failing;
-    }
-  peers.failing = peers.backends > 1 ? failing / (peers.backends - 1) : 0;
-  return peers;
-}
-
-static void
-observe_health (LeasedServer *server, gboolean failed)
-{
-  HealthPeers peers = peers_of (server);
-
-  if (health_observe (&server->health, failed, &peers, server->dispatcher->now_ms))
-    event_note ("server-ejected", "-",
-                "agent=%s failing=%.2f peers_failing=%.2f until_in_ms=%" G_GINT64_FORMAT,
-                server->name, server->health.failing, peers.failing,
-                server->health.until_ms - server->dispatcher->now_ms);
-}
-
 static void
 observe_run_time (LeasedTask *task)
 {
-  LeasedServer *server = task->server;
   LeasedJob *job = task->job;
   double run_ms = MAX (1, job->dispatcher->now_ms - task->started_ms);
 
   runtimes_observe (dispatcher_runtimes (job->dispatcher, job->spec.queue),
                     job->spec.declared_ms, (guint)run_ms);
-  server->slowness += SLOWNESS_RATE * (run_ms / job->task_ms - server->slowness);
 }
 
 static void
@@ -200,7 +163,6 @@
 {
   LeasedJob *job = task->job;
 
-  observe_health (task->server, FALSE);
   if (task->started_ms > 0)
     observe_run_time (task);
   task_detach (task);
@@ -215,7 +177,7 @@
 {
   LeasedJob *job = task->job;
 
-  observe_health (task->server, TRUE);
+  task->avoid = task->server;
   task_detach (task);
   task->failures++;
   task_wait_again (task);
@@ -228,33 +190,38 @@
 {
   LeasedServer *server = task->server;
 
-  /* A superseded number says nothing about the server: the next one is tried at once. */
-  if (strcmp (reason, "superseded") != 0)
+  /* A superseded number says nothing about the server: the next one is tried at once. Of
+   * a lack of room the agent has just told its present state. */
+  if (strcmp (reason, "superseded") != 0 && strcmp (reason, "no room") != 0)
     server->hold_until_ms = server->dispatcher->now_ms + REFUSED_HOLD_MS;
-  if (strcmp (reason, "unhealthy") == 0)
-    observe_health (server, TRUE);
   task_detach (task);
   task_wait_again (task);
 }
 
+static gboolean
+is_run_of (const LeasedTask *task, const RunKey *key)
+{
+  return task->index == key->index && task->run == key->run
+         && strcmp (task->job->spec.id, key->job) == 0;
+}
+
 static LeasedTask *
 find_task (const LeasedServer *server, const RunKey *key)
 {
   LeasedTask *task;
 
   TAILQ_FOREACH (task, &server->tasks, on_server)
-    if (task->index == key->index && task->run == key->run
-        && strcmp (task->job->spec.id, key->job) == 0)
+    if (is_run_of (task, key))
       return task;
   return NULL;
 }
 
 static void
-take_event (LeasedTask *task, TaskEvent event, const char *reason)
+take_event (LeasedTask *task, const TaskReport *report)
 {
   LeasedJob *job = task->job;
 
-  switch (event)
+  switch (report->event)
     {
     case TASK_STARTED:
       if (task->started_ms == 0)
@@ -262,7 +229,7 @@
       job->started = TRUE;
       return;
     case TASK_NOT_STARTED:
-      task_not_started (task, reason);
+      task_not_started (task, report->reason);
       break;
     case TASK_DONE:
       job->started = TRUE;
@@ -277,10 +244,21 @@
       task_detach (task);
       task_wait_again (task);
       break;
+    case TASK_STRAGGLES:
+      dispatcher_straggler (task, report);
+      return;
     }
   job_release_if_over (job);
 }
 
+static void
+lose_task (LeasedTask *task, TaskEvent event, const char *reason)
+{
+  TaskReport report = { .event = event, .reason = reason };
+
+  take_event (task, &report);
+}
+
 /* The agent told all it has: an order that it does not name was lost with its link, and
  * no later one of that link can reach it. */
 static void
@@ -295,11 +273,10 @@
 
       next = TAILQ_NEXT (task, on_server);
       for (gsize i = 0; i < n && !named; i++)
-        named = reports[i].key.index == task->index && reports[i].key.run == task->run
-                && strcmp (reports[i].key.job, task->job->spec.id) == 0;
+        named = is_run_of (task, &reports[i].key);
       if (!named)
-        take_event (task, task->started_ms > 0 ? TASK_LOST : TASK_NOT_STARTED,
-                    "lost with its link");
+        lose_task (task, task->started_ms > 0 ? TASK_LOST : TASK_NOT_STARTED,
+                   "lost with its link");
     }
 }
 
@@ -323,7 +300,7 @@
       LeasedTask *task = find_task (server, &reports[i].key);
 
       if (task != NULL)
-        take_event (task, reports[i].event, reports[i].reason);
+        take_event (task, &reports[i]);
       else if (reports[i].event == TASK_STARTED && server->owner != NULL)
         dispatcher->ops->stop (server, &reports[i].key, dispatcher->ctx);
     }
@@ -336,7 +313,7 @@
   LeasedTask *task;
 
   while ((task = TAILQ_FIRST (&server->tasks)) != NULL)
-    take_event (task, TASK_LOST, "agent out of reach");
+    lose_task (task, TASK_LOST, "agent out of reach");
 }
 
 static void
@@ -374,15 +351,14 @@
   gboolean other_life = g_strcmp0 (server->status.instance, status->instance) != 0;
 
   if (other_life || server->status.ready != status->ready
-      || server->status.draining != status->draining)
-    event_note ("server-status", "-", "agent=%s server=%s ready=%d draining=%d cpu=%u",
+      || server->status.draining != status->draining
+      || server->status.trust != status->trust)
+    event_note ("server-status", "-",
+                "agent=%s server=%s ready=%d draining=%d cpu=%u trust=%d slowness=%u "
+                "failing=%u",
                 server->name, status->instance, status->ready, status->draining,
-                status->capacity.cpu_milli);
-  if (other_life)
-    {
-      memset (&server->health, 0, sizeof server->health);
-      server->slowness = 1;
-    }
+                status->capacity.cpu_milli, status->trust, status->slowness_percent,
+                status->failing_percent);
   server_status_free (&server->status);
   server->status = *status;
   if (status->ready)
--- a/src/leased_agent.c
+++ b/src/leased_agent.c
@@ -73,24 +73,57 @@
   event_active (agent->changed, EV_TIMEOUT, 0);
 }
 
-static const RunnerOps runner_ops = { on_report, on_runner_changed };
+static void
+on_straggles (guint64 home,
+              const RunKey *key,
+              guint remaining_ms,
+              guint elsewhere_ms,
+              gpointer ctx)
+{
+  LeasedAgent *agent = ctx;
+  MeshPeer *peer = mesh_find (agent->mesh, home);
+  Gw__RunReport *report;
+
+  if (peer == NULL || peer->link == NULL)
+    return;
+  report = message_report (key, REPORT_STRAGGLES, "");
+  report->remaining_ms = remaining_ms;
+  report->elsewhere_ms = elsewhere_ms;
+  link_append (peer->link, LINK_RUN_REPORTS, &report->base);
+}
+
+static const RunnerOps runner_ops = { on_report, on_straggles, on_runner_changed };
 
 typedef struct
 {
   gboolean ready;
   gboolean draining;
+  Trust trust;
+  guint slowness_percent;
+  guint failing_percent;
   Demand capacity;
   Demand used_by_others;
 } ToldState;
 
+/* Told in steps: each step is news to all entries. */
+static guint
+in_steps (double share, guint step)
+{
+  return (guint)(share * 100 / step + 0.5) * step;
+}
+
 static ToldState
 state_for (const LeasedAgent *agent, guint64 home)
 {
+  const Quality *quality = runner_quality (agent->runner);
   ToldState state;
 
   memset (&state, 0, sizeof state);
   state.ready = runner_ready (agent->runner);
   state.draining = runner_draining (agent->runner);
+  state.trust = quality->trust;
+  state.slowness_percent = in_steps (quality->slowness, 20);
+  state.failing_percent = in_steps (quality->failing, 20);
   state.capacity = *runner_capacity (agent->runner);
   state.used_by_others = runner_used_by_others (agent->runner, home);
   return state;
@@ -135,6 +168,9 @@
   agent->state.n_labels = agent->labels != NULL ? g_strv_length (agent->labels) : 0;
   agent->state.ready = told.ready;
   agent->state.draining = told.draining;
+  agent->state.trust = (Gw__ServerState__Trust)told.trust;
+  agent->state.slowness_percent = told.slowness_percent;
+  agent->state.failing_percent = told.failing_percent;
   demand_to_wire (&told.capacity, &agent->capacity);
   demand_to_wire (&told.used_by_others, &agent->used_by_others);
   agent->state.capacity = &agent->capacity;
@@ -179,6 +215,7 @@
   RunRequest request = { .home = home,
                          .payload = order->payload,
                          .demand = demand_from_wire (order->demand),
+                         .expected_ms = order->expected_ms,
                          .valid_until_ms = order->valid_until_ms };
 
   g_strlcpy (request.key.job, order->job, sizeof request.key.job);
--- a/src/leased_entry.c
+++ b/src/leased_entry.c
@@ -5,18 +5,13 @@
 #include "jobid.h"
 #include "listen.h"
 #include "mesh.h"
-#include "rendezvous.h"
 
 #include <string.h>
 
 #define TICK_MS DISPATCHER_TICK_MS
 #define PROTOCOL_VERSION 1
-/* An entry that reaches far fewer backend servers than another is cut off from them and
- * makes a poor home. */
-#define HOME_SERVERS_SHARE 0.7
-/* After the end of a home's lease, its agents need their tick and the call to stop. */
-#define STOP_SLACK_MS 150
-#define ORDER_GRACE_MS 100
+/* The last frames are given this long to leave the process. */
+#define FAREWELL_MS 100
 
 struct LeasedEntry
 {
@@ -26,140 +21,19 @@
   guint64 incarnation;
   Gw__Hello hello;
   char *listen_frames;
-  guint home_lease_ms;
-  guint server_lease_ms;
   guint drain_grace_ms;
   guint drain_limit_ms;
   Listener *frames;
   Mesh *mesh;
   Dispatcher *dispatcher;
-  Requests *requests;
   Catalog *catalog;
   struct event *tick;
   struct event *pump;
   gint64 mesh_ticked_ms;
   gint64 draining_ms; /* since when; 0: not */
   gboolean closed;    /* takes no new requests */
-  guint64 home;       /* as last chosen, for the log */
 };
 
-/* The home of all jobs: each entry ranks those it sees, so nobody has to be elected. Two
- * homes at once share the servers by what the agents tell of each other's use. */
-static guint64
-choose_home (gpointer ctx)
-{
-  LeasedEntry *entry = ctx;
-
-  return dispatcher_servers (entry->dispatcher) > 0 ? entry->incarnation : 0;
-}
-
-static gboolean
-home_is_linked (guint64 home, gpointer ctx)
-{
-  LeasedEntry *entry = ctx;
-  MeshPeer *peer;
-
-  if (home == entry->incarnation)
-    return TRUE;
-  peer = mesh_find (entry->mesh, home);
-  return peer != NULL && peer->link != NULL;
-}
-
-/* First our lease to the home ends and it stops our jobs; if it is gone, its leases to
- * the agents end; if an agent is gone too, its lease to the backend server. */
-static gboolean
-home_is_over (guint64 home, gpointer ctx)
-{
-  LeasedEntry *entry = ctx;
-  MeshPeer *peer = mesh_find (entry->mesh, home);
-  gint64 now = clock_now_ms ();
-  gint64 rest = entry->home_lease_ms + entry->server_lease_ms
-                + entry->server_lease_ms / 50 + STOP_SLACK_MS;
-
-  if (peer == NULL)
-    return TRUE;
-  if (peer->dead_ms > 0)
-    return now - peer->dead_ms > rest;
-  return peer_clock_least (&peer->clock, now, 0) - peer->granted_until > rest;
-}
-
-static void
-fill_demand (const LeasedSpec *spec, Gw__LeasedJob *job)
-{
-  job->demand = g_new (Gw__Demand, 1);
-  demand_to_wire (&spec->demand, job->demand);
-}
-
-static Gw__LeasedJob *
-message_leased_job (const LeasedSpec *spec, const MeshPeer *peer, gint64 now)
-{
-  Gw__LeasedJob *job = g_new (Gw__LeasedJob, 1);
-
-  gw__leased_job__init (job);
-  job->ticket = spec->ticket;
-  job->id = g_strdup (spec->id);
-  job->queue = g_strdup (spec->queue);
-  job->service = g_strdup (spec->service);
-  job->payload = g_strdup (spec->payload);
-  job->label = g_strdup (spec->label);
-  job->rack = g_strdup (spec->rack);
-  job->priority = spec->priority;
-  job->max_attempts = spec->max_attempts;
-  job->elapsed_ms = (guint32)MAX (now - spec->arrived_ms, 0);
-  job->time_left_ms = (guint32)MAX (spec->deadline_ms - now, 0);
-  job->stretch = spec->stretch;
-  job->target_ms = spec->target_ms;
-  job->count = spec->count;
-  job->declared_ms = spec->declared_ms;
-  job->most_per_server = spec->most_per_server;
-  job->valid_until_ms = peer_clock_least (&peer->clock, now, 0) + ORDER_GRACE_MS + 200;
-  fill_demand (spec, job);
-  return job;
-}
-
-static void
-submit_to_home (guint64 home, const LeasedSpec *spec, gpointer ctx)
-{
-  LeasedEntry *entry = ctx;
-  gint64 now = clock_now_ms ();
-  MeshPeer *peer;
-
-  if (home == entry->incarnation)
-    {
-      dispatcher_entry_grant (entry->dispatcher, home, G_MAXINT64 / 2);
-      dispatcher_submit (entry->dispatcher, spec, now);
-      return;
-    }
-  peer = mesh_find (entry->mesh, home);
-  if (peer != NULL && peer->link != NULL)
-    link_append (peer->link, LINK_LEASED_JOBS,
-                 &message_leased_job (spec, peer, now)->base);
-}
-
-static void
-cancel_at_home (guint64 home, guint64 ticket, gpointer ctx)
-{
-  LeasedEntry *entry = ctx;
-  Gw__JobCancel *cancel;
-  MeshPeer *peer;
-
-  if (home == entry->incarnation)
-    {
-      dispatcher_cancel (entry->dispatcher, home, ticket, clock_now_ms ());
-      return;
-    }
-  peer = mesh_find (entry->mesh, home);
-  if (peer == NULL || peer->link == NULL)
-    return;
-  cancel = g_new (Gw__JobCancel, 1);
-  gw__job_cancel__init (cancel);
-  cancel->ticket = ticket;
-  link_append (peer->link, LINK_JOB_CANCELS, &cancel->base);
-}
-
-static const RequestsOps requests_ops
-    = { choose_home, home_is_linked, home_is_over, submit_to_home, cancel_at_home };
-
 /* The dispatcher's messages. */
 
 static Gw__TaskRun *
@@ -178,6 +52,7 @@
           const LeasedSpec *spec,
           const RunKey *runs,
           gsize n_runs,
+          guint expected_ms,
           gint64 valid_until_ms,
           gpointer ctx)
 {
@@ -188,6 +63,7 @@
   order->job = g_strdup (spec->id);
   order->payload = g_strdup (spec->payload);
   order->valid_until_ms = valid_until_ms;
+  order->expected_ms = expected_ms;
   order->demand = g_new (Gw__Demand, 1);
   demand_to_wire (&spec->demand, order->demand);
   order->n_runs = n_runs;
@@ -211,30 +87,6 @@
   link_append (peer->link, LINK_RUN_STOPS, &stop->base);
 }
 
-static void
-on_result (guint64 owner, guint64 ticket, const LeasedResult *result, gpointer ctx)
-{
-  LeasedEntry *entry = ctx;
-  Gw__JobResult *message;
-  MeshPeer *peer;
-
-  if (owner == entry->incarnation)
-    {
-      requests_result (entry->requests, ticket, result);
-      return;
-    }
-  peer = mesh_find (entry->mesh, owner);
-  if (peer == NULL || peer->link == NULL)
-    return;
-  message = g_new (Gw__JobResult, 1);
-  gw__job_result__init (message);
-  message->ticket = ticket;
-  message->kind = (Gw__JobResult__Kind)result->end;
-  message->reason = g_strdup (result->reason);
-  message->retry_after_ms = result->retry_after_ms;
-  link_append (peer->link, LINK_JOB_RESULTS, &message->base);
-}
-
 static void
 on_want_pump (gpointer ctx)
 {
@@ -243,8 +95,7 @@
   event_active (entry->pump, EV_TIMEOUT, 0);
 }
 
-static const DispatcherOps dispatcher_ops
-    = { on_order, on_stop, on_result, on_want_pump };
+static const DispatcherOps dispatcher_ops = { on_order, on_stop, on_want_pump };
 
 static void
 on_pump (evutil_socket_t fd, short what, void *ctx)
@@ -256,51 +107,6 @@
 
 /* Frames. */
 
-static char *
-text_or_empty (const char *text)
-{
-  return (char *)(text != NULL ? text : "");
-}
-
-static void
-take_leased_job (LeasedEntry *entry, MeshPeer *peer, const Gw__LeasedJob *job)
-{
-  gint64 now = clock_now_ms ();
-  LeasedSpec spec = { .entry = peer->incarnation,
-                      .ticket = job->ticket,
-                      .id = job->id,
-                      .queue = job->queue,
-                      .service = job->service,
-                      .payload = job->payload,
-                      .label = text_or_empty (job->label),
-                      .rack = text_or_empty (job->rack),
-                      .priority = job->priority,
-                      .max_attempts = job->max_attempts,
-                      .count = job->count,
-                      .declared_ms = job->declared_ms,
-                      .most_per_server = job->most_per_server,
-                      .target_ms = job->target_ms,
-                      .stretch = job->stretch,
-                      .demand = demand_from_wire (job->demand),
-                      .arrived_ms = now - job->elapsed_ms,
-                      .deadline_ms = now + job->time_left_ms };
-  LeasedResult late = { LEASED_REFUSED, "submission too old at its home", 100 };
-
-  if (job->valid_until_ms > 0 && now > job->valid_until_ms)
-    on_result (peer->incarnation, job->ticket, &late, entry);
-  else
-    dispatcher_submit (entry->dispatcher, &spec, now);
-}
-
-static void
-take_result (LeasedEntry *entry, const Gw__JobResult *message)
-{
-  LeasedResult result
-      = { (LeasedEnd)message->kind, message->reason, message->retry_after_ms };
-
-  requests_result (entry->requests, message->ticket, &result);
-}
-
 static void
 take_catalog (LeasedEntry *entry, const Gw__Config *config)
 {
@@ -323,17 +129,6 @@
 static void
 take_entry_frame (LeasedEntry *entry, MeshPeer *peer, const Gw__Frame *frame)
 {
-  peer->servers = frame->servers;
-  if (frame->time != NULL && frame->time->granted_until_ms > 0)
-    dispatcher_entry_grant (entry->dispatcher, peer->incarnation,
-                            frame->time->granted_until_ms);
-  for (gsize i = 0; i < frame->n_leased_jobs; i++)
-    take_leased_job (entry, peer, frame->leased_jobs[i]);
-  for (gsize i = 0; i < frame->n_job_cancels; i++)
-    dispatcher_cancel (entry->dispatcher, peer->incarnation,
-                       frame->job_cancels[i]->ticket, clock_now_ms ());
-  for (gsize i = 0; i < frame->n_job_results; i++)
-    take_result (entry, frame->job_results[i]);
   if (frame->config != NULL)
     take_catalog (entry, frame->config);
   else if (entry->catalog != NULL && frame->config_version < entry->catalog->version
@@ -350,7 +145,10 @@
                           .capacity = demand_from_wire (state->capacity),
                           .used_by_others = demand_from_wire (state->used_by_others),
                           .ready = state->ready,
-                          .draining = state->draining };
+                          .draining = state->draining,
+                          .trust = (Trust)state->trust,
+                          .slowness_percent = state->slowness_percent,
+                          .failing_percent = state->failing_percent };
 
   status.labels = g_new0 (char *, state->n_labels + 1);
   for (gsize i = 0; i < state->n_labels; i++)
@@ -371,6 +169,8 @@
       return TASK_DONE;
     case GW__RUN_REPORT__KIND__FAILED:
       return TASK_FAILED;
+    case GW__RUN_REPORT__KIND__STRAGGLES:
+      return TASK_STRAGGLES;
     default:
       return TASK_LOST;
     }
@@ -390,6 +190,8 @@
       reports[i].key.run = report->run;
       reports[i].event = task_event (report->kind);
       reports[i].reason = report->reason;
+      reports[i].remaining_ms = report->remaining_ms;
+      reports[i].elsewhere_ms = report->elsewhere_ms;
     }
   dispatcher_reports (peer->data, reports, frame->n_run_reports, frame->inventory,
                       clock_now_ms ());
@@ -421,13 +223,9 @@
 {
   LeasedEntry *entry = ctx;
 
-  if (peer->is_entry)
-    {
-      requests_home_up (entry->requests, peer->incarnation, clock_now_ms ());
-      return;
-    }
-  peer->data
-      = dispatcher_server_up (entry->dispatcher, peer->incarnation, peer->name, peer);
+  if (!peer->is_entry)
+    peer->data
+        = dispatcher_server_up (entry->dispatcher, peer->incarnation, peer->name, peer);
 }
 
 static void
@@ -443,7 +241,6 @@
   LeasedEntry *entry = ctx;
 
   frame->leaving = entry->draining_ms > 0;
-  frame->servers = dispatcher_servers (entry->dispatcher);
   frame->config_version = entry->catalog != NULL ? entry->catalog->version : 0;
   if (!peer->is_entry && peer->data != NULL)
     dispatcher_server_granted (peer->data, peer->granted_until);
@@ -469,19 +266,17 @@
 drain_tick (LeasedEntry *entry, gint64 now)
 {
   gint64 elapsed = now - entry->draining_ms;
-  struct timeval delay = timeval_from_ms (ORDER_GRACE_MS);
+  struct timeval delay = timeval_from_ms (FAREWELL_MS);
 
   if (entry->draining_ms == 0 || elapsed < entry->drain_grace_ms)
     return;
   if (!entry->closed)
     entry->ops->take_no_more (entry->ctx);
   entry->closed = TRUE;
-  if (elapsed < entry->drain_limit_ms
-      && (requests_open (entry->requests) > 0 || dispatcher_jobs (entry->dispatcher) > 0))
+  if (elapsed < entry->drain_limit_ms && dispatcher_jobs (entry->dispatcher) > 0)
     return;
-  event_note ("stopped", "-", "open=%u jobs=%u after_ms=%" G_GINT64_FORMAT,
-              requests_open (entry->requests), dispatcher_jobs (entry->dispatcher),
-              elapsed);
+  event_note ("stopped", "-", "jobs=%u after_ms=%" G_GINT64_FORMAT,
+              dispatcher_jobs (entry->dispatcher), elapsed);
   event_base_loopexit (entry->base, &delay);
 }
 
@@ -496,7 +291,6 @@
       entry->mesh_ticked_ms = now;
       mesh_tick (entry->mesh, now);
     }
-  requests_tick (entry->requests, now);
   dispatcher_tick (entry->dispatcher, now);
   drain_tick (entry, now);
 }
@@ -534,15 +328,12 @@
   entry->ctx = ctx;
   entry->incarnation = incarnation_new ();
   entry->listen_frames = g_strdup (settings->listen_frames);
-  entry->home_lease_ms = settings->home_lease_ms;
-  entry->server_lease_ms = settings->server_lease_ms;
   entry->drain_grace_ms = settings->drain_grace_ms;
   entry->drain_limit_ms = settings->drain_limit_ms;
   fill_hello (entry, settings);
   entry->mesh = mesh_new (&mesh, &mesh_ops, entry);
   mesh_seed (entry->mesh, settings->peers);
   entry->dispatcher = dispatcher_new (&dispatcher, &dispatcher_ops, entry);
-  entry->requests = requests_new (entry->incarnation, &requests_ops, entry);
   entry->tick = event_new (base, -1, EV_PERSIST, on_tick, entry);
   entry->pump = event_new (base, -1, 0, on_pump, entry);
   return entry;
@@ -554,7 +345,6 @@
   if (entry == NULL)
     return;
   listen_free (entry->frames);
-  requests_free (entry->requests);
   dispatcher_free (entry->dispatcher);
   mesh_free (entry->mesh);
   catalog_unref (entry->catalog);
@@ -610,8 +400,7 @@
   if (entry->draining_ms > 0)
     return;
   entry->draining_ms = clock_now_ms ();
-  event_note ("leaving", "-", "open=%u jobs=%u", requests_open (entry->requests),
-              dispatcher_jobs (entry->dispatcher));
+  event_note ("leaving", "-", "jobs=%u", dispatcher_jobs (entry->dispatcher));
   tell_all (entry);
 }
 
@@ -644,10 +433,10 @@
   mesh_learn (entry->mesh, address);
 }
 
-Requests *
-leased_entry_requests (LeasedEntry *entry)
+Dispatcher *
+leased_entry_dispatcher (LeasedEntry *entry)
 {
-  return entry->requests;
+  return entry->dispatcher;
 }
 
 gboolean
@@ -660,5 +449,5 @@
 leased_entry_ready (const LeasedEntry *entry)
 {
   return entry->draining_ms == 0 && entry->catalog != NULL
-         && choose_home ((gpointer)entry) != 0;
+         && dispatcher_servers (entry->dispatcher) > 0;
 }
--- a/src/leased_entry.h
+++ b/src/leased_entry.h
@@ -2,7 +2,7 @@
 /* An entry of leased jobs: takes callers' requests, is home for jobs where it ranks
  * first, and keeps links to the other entries and to the agents. */
 #include "catalog.h"
-#include "requests.h"
+#include "dispatcher.h"
 #include "settings.h"
 
 #include <event2/event.h>
@@ -40,7 +40,7 @@
 Catalog *leased_entry_catalog (const LeasedEntry *entry);
 
 void leased_entry_learn (LeasedEntry *entry, const char *address);
-Requests *leased_entry_requests (LeasedEntry *entry);
+Dispatcher *leased_entry_dispatcher (LeasedEntry *entry);
 gboolean leased_entry_draining (const LeasedEntry *entry);
 
 /** leased_entry_ready - whether the balancer should send requests. */
--- a/src/link_send.c
+++ b/src/link_send.c
@@ -98,9 +98,6 @@
       ATTACH (LINK_ROSTER_ACKS, roster_acks);
       ATTACH (LINK_GROUP_LOADS, group_loads);
       ATTACH (LINK_ANNOUNCEMENTS, announcements);
-      ATTACH (LINK_LEASED_JOBS, leased_jobs);
-      ATTACH (LINK_JOB_RESULTS, job_results);
-      ATTACH (LINK_JOB_CANCELS, job_cancels);
       ATTACH (LINK_RUN_ORDERS, run_orders);
       ATTACH (LINK_RUN_STOPS, run_stops);
       ATTACH (LINK_RUN_REPORTS, run_reports);
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -23,7 +23,6 @@
   gint64 lost_ms;       /* since when it is not linked */
   gint64 dead_ms;       /* own clock when its process was proved gone; 0: it was not */
   gboolean leaving;
-  guint servers; /* of an entry: how many backend servers it reaches */
   guint64 config_version;
   gboolean hello_done; /* first frame on this link handled */
   gpointer data;       /* the owner's record */
--- /dev/null
+++ b/src/quality.c
@@ -0,0 +1,79 @@
+#include "quality.h"
+
+#include <math.h>
+
+/* Two failures in a row among successes are beyond what tasks fail by themselves (a few
+ * in a thousand). */
+#define FAILING_RATE 0.25
+#define FAILING_LIMIT 0.4
+#define FAILING_GOOD 0.25
+/* Run times differ by about 0.4 of their mean; this mean moves by about 0.1. */
+#define SLOWNESS_RATE 0.15
+#define SLOWNESS_MOST 20.0
+#define DISTRUST_MS 400
+#define DISTRUST_DOUBLINGS 3
+
+void
+quality_init (Quality *quality)
+{
+  Quality fresh = { .trust = TRUST_FULL, .slowness = 1 };
+
+  *quality = fresh;
+}
+
+static void
+distrust (Quality *quality, gint64 now_ms)
+{
+  if (quality->trust == TRUST_NONE)
+    return;
+  quality->trust = TRUST_NONE;
+  quality->until_ms
+      = now_ms + ((gint64)DISTRUST_MS << MIN (quality->periods, DISTRUST_DOUBLINGS));
+  quality->periods++;
+}
+
+static void
+trust_again (Quality *quality)
+{
+  quality->trust = TRUST_FULL;
+  quality->periods = 0;
+  quality->failing = MIN (quality->failing, FAILING_GOOD);
+}
+
+void
+quality_slow (Quality *quality, double ratio)
+{
+  double bounded = CLAMP (ratio, 1 / SLOWNESS_MOST, SLOWNESS_MOST);
+
+  /* The mean of the logarithms: one run of ten times the length is no slow server. */
+  quality->slowness = exp (log (quality->slowness)
+                           + SLOWNESS_RATE * (log (bounded) - log (quality->slowness)));
+}
+
+void
+quality_ended (Quality *quality, gboolean failed, gint64 now_ms)
+{
+  quality->failing += FAILING_RATE * ((failed ? 1.0 : 0.0) - quality->failing);
+  if (failed && (quality->failing > FAILING_LIMIT || quality->trust == TRUST_PROBE))
+    distrust (quality, now_ms);
+  else if (!failed && quality->trust == TRUST_PROBE)
+    trust_again (quality);
+}
+
+void
+quality_looked (Quality *quality, guint stalled, guint moving, gint64 now_ms)
+{
+  quality->stalls = stalled;
+  if (stalled > 0 && moving == 0)
+    distrust (quality, now_ms);
+  else if (moving > 0 && stalled == 0 && quality->trust == TRUST_PROBE
+           && quality->failing < FAILING_LIMIT)
+    trust_again (quality);
+}
+
+void
+quality_tick (Quality *quality, gint64 now_ms)
+{
+  if (quality->trust == TRUST_NONE && now_ms >= quality->until_ms && quality->stalls == 0)
+    quality->trust = TRUST_PROBE;
+}
--- /dev/null
+++ b/src/quality.h
@@ -0,0 +1,37 @@
+#pragma once
+/* How well a backend server runs its tasks, as the agent beside it sees: from the
+ * progress and the ends of all runs, whoever ordered them. A server that fails or hangs
+ * everything looks free and would draw all work. */
+#include <glib.h>
+
+typedef enum
+{
+  TRUST_FULL,
+  TRUST_PROBE, /* one run at a time, to see whether it has recovered */
+  TRUST_NONE,
+} Trust;
+
+typedef struct
+{
+  Trust trust;
+  double slowness; /* mean of run times against the expected ones */
+  double failing;  /* share of failures among recent ends */
+  guint stalls;    /* runs that stand still now */
+  guint periods;   /* without trust in a row, for the backoff */
+  gint64 until_ms; /* end of the period without trust */
+} Quality;
+
+void quality_init (Quality *quality);
+
+/** quality_ended - a run ended by itself. */
+void quality_ended (Quality *quality, gboolean failed, gint64 now_ms);
+
+/** quality_slow - a run takes @ratio times as long as expected. */
+void quality_slow (Quality *quality, double ratio);
+
+/** quality_looked - of @running runs that were looked at, @stalled make no progress and
+ * @moving do. */
+void quality_looked (Quality *quality, guint stalled, guint moving, gint64 now_ms);
+
+/** quality_tick - let a period without trust end. */
+void quality_tick (Quality *quality, gint64 now_ms);
--- a/src/runner.c
+++ b/src/runner.c
@@ -4,8 +4,9 @@
 
 #include <string.h>
 
-/* A renewal is sent when the last lease is this old: three may fail within a lease. */
-#define RENEW_MS 200
+/* While something runs the server is looked at this often; each look renews its lease. A
+ * hung task of 60 ms is found while it can still be run elsewhere in time. */
+#define LOOK_MS 100
 /* A stop whose end is not listed by then is sent again. */
 #define STOP_AGAIN_MS 100
 /* A home whose link broke is back within its lease or has given the run up. */
@@ -14,7 +15,7 @@
 #define PAST_INSTANCES 8
 
 static const char *const report_names[]
-    = { "started", "not-started", "done", "failed", "lost" };
+    = { "started", "not-started", "done", "failed", "lost", "straggles" };
 
 Runner *
 runner_new (const RunnerInit *init, const RunnerOps *ops, gpointer ctx)
@@ -81,8 +82,7 @@
   Run *run;
 
   TAILQ_FOREACH (run, &runner->runs, link)
-    if (run->key.index == key->index && run->key.run == key->run
-        && strcmp (run->key.job, key->job) == 0)
+    if (run_key_equal (&run->key, key))
       return run;
   return NULL;
 }
@@ -194,6 +194,7 @@
   runner->sequence = 0;
   runner->token = (guint64)facts->server_ms;
   runner->ends_seen = 0;
+  quality_init (&runner->quality);
   runner->leased_until = 0;
   memset (&runner->clock, 0, sizeof runner->clock);
   runner_set_state (runner, LIFE_CLEARING);
@@ -287,6 +288,7 @@
   run->payload = g_strdup (request->payload);
   run->demand = request->demand;
   run->valid_until_ms = request->valid_until_ms;
+  run->expected_ms = MAX (request->expected_ms, 1);
   TAILQ_INSERT_TAIL (&runner->runs, run, link);
   runner->n_runs++;
   demand_add (&runner->used, &run->demand);
@@ -395,6 +397,18 @@
   return FALSE;
 }
 
+static void
+tick_quality (Runner *runner)
+{
+  Trust before = runner->quality.trust;
+
+  if (runner->n_runs == 0)
+    runner->quality.stalls = 0;
+  quality_tick (&runner->quality, runner->now_ms);
+  if (runner->quality.trust != before)
+    runner->ops->changed (runner->ctx);
+}
+
 void
 runner_tick (Runner *runner, gint64 now_ms)
 {
@@ -402,11 +416,12 @@
   forget_past (runner);
   if (runner->state == LIFE_UNKNOWN)
     return;
+  tick_quality (runner);
   check_lapse (runner);
   stop_unleased (runner);
   if (runner->state == LIFE_CLEARING || has_unresolved (runner))
     runner_send_settle (runner);
-  if (runner->n_runs > 0 && now_ms - runner->lease_sent_ms >= RENEW_MS)
+  if (runner->n_runs > 0 && now_ms - runner->lease_sent_ms >= LOOK_MS)
     runner_send_renewal (runner);
   runner_send_watch (runner);
 }
@@ -448,6 +463,12 @@
   return &runner->capacity;
 }
 
+const Quality *
+runner_quality (const Runner *runner)
+{
+  return &runner->quality;
+}
+
 Demand
 runner_used_by_others (const Runner *runner, guint64 home)
 {
--- a/src/runner.h
+++ b/src/runner.h
@@ -3,6 +3,7 @@
  * within its capacity, holds its lease, fences orders that went astray, and stops what
  * nobody leases any more. No I/O of its own: calls go through ServerCalls, the time is
  * handed in. */
+#include "quality.h"
 #include "server_calls.h"
 
 typedef struct Runner Runner;
@@ -14,6 +15,7 @@
   REPORT_DONE,
   REPORT_FAILED,
   REPORT_LOST,
+  REPORT_STRAGGLES, /* it runs, but much longer than expected */
 } ReportKind;
 
 /* A start that a home asks for. */
@@ -23,6 +25,7 @@
   RunKey key;
   const char *payload;
   Demand demand;
+  guint expected_ms;     /* its run time */
   gint64 valid_until_ms; /* own clock; later it is refused */
 } RunRequest;
 
@@ -46,6 +49,13 @@
                   ReportKind kind,
                   const char *reason,
                   gpointer ctx);
+  /* Because of its server a run will take about @remaining_ms more; started anew
+   * elsewhere it would take @elsewhere_ms. */
+  void (*straggles) (guint64 home,
+                     const RunKey *key,
+                     guint remaining_ms,
+                     guint elsewhere_ms,
+                     gpointer ctx);
   /* Readiness, capacity or use have changed. */
   void (*changed) (gpointer ctx);
 } RunnerOps;
@@ -89,6 +99,7 @@
 guint runner_count (const Runner *runner);
 const char *runner_instance (const Runner *runner);
 const Demand *runner_capacity (const Runner *runner);
+const Quality *runner_quality (const Runner *runner);
 
 /** runner_used_by_others - room taken by runs that @home did not order. */
 Demand runner_used_by_others (const Runner *runner, guint64 home);
--- a/src/runner_calls.c
+++ b/src/runner_calls.c
@@ -85,6 +85,8 @@
   if (run->state == RUN_RUNNING)
     return;
   run->state = RUN_RUNNING;
+  run->started_ms = runner->now_ms;
+  run->progress_ms = runner->now_ms;
   event_emit ("run-started", run->key.job, "task=%u run=%u server=%s", run->key.index,
               run->key.run, runner->instance);
   runner->ops->report (run->home, &run->key, REPORT_STARTED, "", runner->ctx);
@@ -179,9 +181,11 @@
   switch (how)
     {
     case RUN_END_DONE:
+      run_rate (runner, run, FALSE);
       run_end (runner, run, REPORT_DONE, "");
       break;
     case RUN_END_FAILED:
+      run_rate (runner, run, TRUE);
       run_end (runner, run, REPORT_FAILED, "task failed");
       break;
     case RUN_END_STOPPED:
@@ -221,8 +225,7 @@
 is_listed (const CallReply *reply, const RunKey *key)
 {
   for (gsize i = 0; i < reply->n_running; i++)
-    if (reply->running[i].index == key->index && reply->running[i].run == key->run
-        && strcmp (reply->running[i].job, key->job) == 0)
+    if (run_key_equal (&reply->running[i].key, key))
       return TRUE;
   return FALSE;
 }
@@ -256,7 +259,7 @@
       return;
     }
   for (gsize i = 0; i < reply->n_running; i++)
-    runner_send_stop (runner, &reply->running[i]);
+    runner_send_stop (runner, &reply->running[i].key);
 }
 
 static void
@@ -272,6 +275,7 @@
   if (!take_reply (runner, reply, cookie) || reply->end != CALL_DONE)
     goto out;
   take_ends (runner, reply);
+  runner_take_progress (runner, reply);
   if (cookie->settle && runner->state == LIFE_CLEARING && cookie->token == runner->token)
     clear_strangers (runner, reply);
   else if (cookie->settle)
--- a/src/runner_parts.h
+++ b/src/runner_parts.h
@@ -25,6 +25,12 @@
   Demand demand;
   RunState state;
   gint64 valid_until_ms;
+  guint expected_ms;
+  gint64 started_ms;
+  guint percent;           /* of its work that is done */
+  gint64 progress_ms;      /* when that last changed */
+  gint64 told_ms;          /* when it was last reported as a straggler */
+  gboolean rated;          /* its run time is part of the server's quality */
   guint64 token;           /* of its last start */
   guint starts;            /* sent */
   const char *stop_reason; /* NULL: it may run */
@@ -71,6 +77,7 @@
   gint64 lease_sent_ms;
   gint64 now_ms; /* of the call that is being handled */
   Demand capacity;
+  Quality quality;
   gboolean server_draining;
   gboolean draining;
   gboolean watching;
@@ -84,6 +91,14 @@
 void runner_set_state (Runner *runner, LifeState state);
 void runner_forget_life (Runner *runner, const char *reason);
 
+/* runner_progress.c */
+
+/** run_rate - note its run time against the expected one. */
+void run_rate (Runner *runner, Run *run, gboolean failed);
+
+/** runner_take_progress - what a list of running tasks tells about each. */
+void runner_take_progress (Runner *runner, const CallReply *reply);
+
 /* runner_calls.c */
 void runner_send_start (Runner *runner, Run *run);
 void runner_send_stop (Runner *runner, const RunKey *key);
--- a/src/server_calls.h
+++ b/src/server_calls.h
@@ -16,6 +16,8 @@
   guint run; /* counts the starts of the task from 1 */
 } RunKey;
 
+gboolean run_key_equal (const RunKey *a, const RunKey *b);
+
 typedef enum
 {
   CALL_DONE,
@@ -45,13 +47,19 @@
   RunEnd how;
 } EndedRun;
 
+typedef struct
+{
+  RunKey key;
+  guint percent; /* of its work that is done */
+} RunningRun;
+
 /* A list of runs that is empty for a call other than hold. */
 typedef struct
 {
   CallEnd end;
   gint64 server_ms; /* the server's clock; 0: not told */
   gint64 now_ms;    /* own clock when the answer came */
-  const RunKey *running;
+  const RunningRun *running;
   gsize n_running;
   const EndedRun *ended;
   gsize n_ended;
