--- a/src/link.c
+++ b/src/link.c
@@ -11,7 +11,7 @@
 #include <netinet/tcp.h>
 
 #define FRAME_MAX (16u << 20)
-#define CONNECT_TIMEOUT_S 1
+#define CONNECT_TIMEOUT_MS 1000
 
 static const char *const end_names[]
     = { "refused", "unreachable", "closed", "silent", "broken" };
@@ -245,7 +245,9 @@
 {
   struct sockaddr_storage where;
   int length = sizeof where;
-  struct timeval connect_timeout = { CONNECT_TIMEOUT_S, 0 };
+  guint connect_ms = config->connect_timeout_ms;
+  struct timeval connect_timeout
+      = timeval_from_ms (connect_ms > 0 ? connect_ms : CONNECT_TIMEOUT_MS);
   struct timeval now = { 0, 0 };
   Link *link = link_new (config, -1);
 
--- a/src/link.h
+++ b/src/link.h
@@ -39,6 +39,7 @@
   Gw__Hello *hello; /* sent first on every link */
   guint heartbeat_ms;
   guint timeout_ms;
+  guint connect_timeout_ms; /* 0: a second */
 } LinkConfig;
 
 /* The lists of a frame that can be appended to. */
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -5,10 +5,12 @@
 
 #include <string.h>
 
-/* Dialling again and again costs a packet each; a machine that is back is found by then.
- */
+/* Dialling again costs a packet; a machine that is back is found this soon. */
 #define DIAL_FIRST_MS 100
-#define DIAL_MOST_MS 1000
+#define DIAL_MOST_MS 250
+/* The first packet to a machine that is down is lost, and TCP repeats it only after a
+ * second: a new attempt finds the machine sooner. */
+#define CONNECT_TIMEOUT_MS 300
 /* An address learned from others that has not answered for this long is dropped. */
 #define ADDRESS_FORGET_MS 20000
 #define ISOLATED_MS 700
@@ -294,6 +296,7 @@
   mesh->links.hello = init->hello;
   mesh->links.heartbeat_ms = init->heartbeat_ms;
   mesh->links.timeout_ms = init->timeout_ms;
+  mesh->links.connect_timeout_ms = CONNECT_TIMEOUT_MS;
   mesh->strangers = g_ptr_array_new_with_free_func ((GDestroyNotify)link_unref);
   TAILQ_INIT (&mesh->peers);
   TAILQ_INIT (&mesh->addresses);
