--- a/src/http.c
+++ b/src/http.c
@@ -212,15 +212,20 @@
   struct evhttp_request *request = evhttp_request_new (on_response, job);
   struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
   char *host = g_strdup_printf ("%s:%u", conn->pool->ip, conn->pool->port);
+  gboolean has_host = FALSE;
   gsize size = 0;
   const void *body = job->body != NULL ? g_bytes_get_data (job->body, &size) : NULL;
 
   conn->job = job;
   job->conn = conn;
-  evhttp_add_header (headers, "Host", host);
-  g_free (host);
   for (char **header = job->headers; header != NULL && *header != NULL; header += 2)
-    evhttp_add_header (headers, header[0], header[1]);
+    {
+      evhttp_add_header (headers, header[0], header[1]);
+      has_host |= g_ascii_strcasecmp (header[0], "Host") == 0;
+    }
+  if (!has_host)
+    evhttp_add_header (headers, "Host", host);
+  g_free (host);
   if (size > 0)
     evbuffer_add (evhttp_request_get_output_buffer (request), body, size);
   if (evhttp_make_request (conn->evcon, request, job->method, job->path) < 0)
--- a/src/leased_entry.c
+++ b/src/leased_entry.c
@@ -374,6 +374,8 @@
       = listen_frames (entry->base, entry->listen_frames, on_accept, entry, error);
   if (entry->frames == NULL)
     return FALSE;
+  g_free (entry->hello.frame_address);
+  entry->hello.frame_address = g_strdup (listen_address (entry->frames));
   event_add (entry->tick, &interval);
   event_note ("started", "-", "incarnation=%" G_GINT64_MODIFIER "x frames=%s version=%s",
               entry->incarnation, listen_address (entry->frames), GODWITSPAR_VERSION);
@@ -421,6 +423,12 @@
       link_send_config (peer->link, catalog->version, "", catalog->source);
 }
 
+const char *
+leased_entry_frame_address (const LeasedEntry *entry)
+{
+  return entry->hello.frame_address;
+}
+
 Catalog *
 leased_entry_catalog (const LeasedEntry *entry)
 {
--- a/src/settings.c
+++ b/src/settings.c
@@ -166,7 +166,9 @@
     case KIND_ADDRESS_OR_EMPTY:
       if (text[0] == '\0')
         return NULL;
-      return is_address (text, FALSE) ? NULL : "expected \"ip:port\"";
+      return is_address (text, listens && strstr (setting->key, "advertise") == NULL)
+                 ? NULL
+                 : "expected \"ip:port\"";
     case KIND_ADDRESS:
       return is_address (text, listens) ? NULL : "expected \"ip:port\"";
     case KIND_LOG_LEVEL:
--- /dev/null
+++ b/standins/store.c
@@ -0,0 +1,347 @@
+/* A stand-in for the users' platform's row store, by its published protocol: rows-get,
+ * rows-tx, rows-feed. A test plays the operator by writing the table "op" itself.
+ *
+ * POST /faults?mode=MODE switches: "ok"; "down" (503 at once); "hang" (no answer, nothing
+ * done); "lose" (writes are done, their answers are lost); "forget" (the history is
+ * dropped: feeds answer 410 once). */
+#include "clock.h"
+#include "http.h"
+#include "listen.h"
+
+#include <event2/event.h>
+#include <json-glib/json-glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define FEED_MOST_MS 30000
+
+typedef enum
+{
+  MODE_OK,
+  MODE_DOWN,
+  MODE_HANG,
+  MODE_LOSE,
+  MODE_FORGET,
+} Mode;
+
+static const char *const mode_names[] = { "ok", "down", "hang", "lose", "forget" };
+
+typedef struct
+{
+  char *table;
+  char *key;
+  char *value; /* base64 */
+  gint64 version;
+} Row;
+
+/* A feed that waits for a change. */
+typedef struct
+{
+  struct evhttp_request *request;
+  char *table;
+  gint64 after;
+  gint64 until_ms;
+} Feed;
+
+typedef struct
+{
+  struct event_base *base;
+  GPtrArray *rows;
+  GPtrArray *feeds;
+  gint64 version;
+  gint64 oldest; /* feeds from before this version are refused */
+  Mode mode;
+} Store;
+
+static void
+row_free (gpointer data)
+{
+  Row *row = data;
+
+  g_free (row->table);
+  g_free (row->key);
+  g_free (row->value);
+  g_free (row);
+}
+
+static void
+feed_free (gpointer data)
+{
+  Feed *feed = data;
+
+  g_free (feed->table);
+  g_free (feed);
+}
+
+static Row *
+row_find (Store *store, const char *table, const char *key)
+{
+  for (guint i = 0; i < store->rows->len; i++)
+    {
+      Row *row = g_ptr_array_index (store->rows, i);
+
+      if (strcmp (row->table, table) == 0 && strcmp (row->key, key) == 0)
+        return row;
+    }
+  return NULL;
+}
+
+static void
+add_row (GString *body, const Row *row)
+{
+  g_string_append_printf (body,
+                          "%s{\"table\":\"%s\",\"part\":\"\",\"key\":\"%s\",\"value\":\"%"
+                          "s\",\"ver\":%" G_GINT64_FORMAT "}",
+                          body->str[body->len - 1] == '[' ? "" : ",", row->table,
+                          row->key, row->value, row->version);
+}
+
+static void
+reply_rows (Store *store, struct evhttp_request *request, GString *body)
+{
+  g_string_append_printf (body,
+                          "],\"has_more\":false,\"ver\":%" G_GINT64_FORMAT
+                          ",\"now_ms\":%" G_GINT64_FORMAT "}",
+                          store->version, clock_now_ms ());
+  http_reply (request, 200, "application/json", body->str, body->len, 0);
+  g_string_free (body, TRUE);
+}
+
+static void
+reply_empty (struct evhttp_request *request, int status)
+{
+  http_reply (request, status, "application/json", "{}", 2, 0);
+}
+
+static void
+serve_get (Store *store, struct evhttp_request *request)
+{
+  char *table = http_query_value (request, "table");
+  char *from = http_query_value (request, "from");
+  GString *body = g_string_new ("{\"rows\":[");
+
+  for (guint i = 0; i < store->rows->len; i++)
+    {
+      const Row *row = g_ptr_array_index (store->rows, i);
+
+      if (g_strcmp0 (row->table, table) == 0
+          && (from == NULL || strcmp (row->key, from) == 0))
+        add_row (body, row);
+    }
+  reply_rows (store, request, body);
+  g_free (table);
+  g_free (from);
+}
+
+static gboolean
+answer_feed (Store *store, const Feed *feed, gboolean even_empty)
+{
+  GString *body = g_string_new ("{\"rows\":[");
+  guint n = 0;
+
+  for (guint i = 0; i < store->rows->len; i++)
+    {
+      const Row *row = g_ptr_array_index (store->rows, i);
+
+      if (strcmp (row->table, feed->table) != 0 || row->version <= feed->after)
+        continue;
+      add_row (body, row);
+      n++;
+    }
+  if (n == 0 && !even_empty)
+    {
+      g_string_free (body, TRUE);
+      return FALSE;
+    }
+  reply_rows (store, feed->request, body);
+  return TRUE;
+}
+
+static gint64
+query_int (struct evhttp_request *request, const char *name)
+{
+  char *text = http_query_value (request, name);
+  gint64 value = text != NULL ? g_ascii_strtoll (text, NULL, 10) : 0;
+
+  g_free (text);
+  return value;
+}
+
+static void
+on_feeder_gone (struct evhttp_connection *connection, void *ctx)
+{
+  Store *store = ctx;
+
+  for (guint i = store->feeds->len; i > 0; i--)
+    {
+      Feed *feed = g_ptr_array_index (store->feeds, i - 1);
+
+      if (evhttp_request_get_connection (feed->request) == connection)
+        g_ptr_array_remove_index (store->feeds, i - 1);
+    }
+}
+
+static void
+serve_feed (Store *store, struct evhttp_request *request)
+{
+  Feed *feed;
+
+  if (query_int (request, "after") < store->oldest)
+    {
+      reply_empty (request, 410);
+      return;
+    }
+  feed = g_new0 (Feed, 1);
+  feed->request = request;
+  feed->table = http_query_value (request, "table");
+  feed->after = query_int (request, "after");
+  feed->until_ms = clock_now_ms () + MIN (query_int (request, "wait_ms"), FEED_MOST_MS);
+  if (answer_feed (store, feed, FALSE))
+    {
+      feed_free (feed);
+      return;
+    }
+  evhttp_connection_set_closecb (evhttp_request_get_connection (request), on_feeder_gone,
+                                 store);
+  g_ptr_array_add (store->feeds, feed);
+}
+
+static void
+feed_all (Store *store)
+{
+  gint64 now = clock_now_ms ();
+
+  for (guint i = store->feeds->len; i > 0; i--)
+    {
+      Feed *feed = g_ptr_array_index (store->feeds, i - 1);
+      gboolean over = now >= feed->until_ms;
+
+      if (store->mode != MODE_OK)
+        continue;
+      evhttp_connection_set_closecb (evhttp_request_get_connection (feed->request), NULL,
+                                     NULL);
+      if (answer_feed (store, feed, over))
+        g_ptr_array_remove_index (store->feeds, i - 1);
+      else
+        evhttp_connection_set_closecb (evhttp_request_get_connection (feed->request),
+                                       on_feeder_gone, store);
+    }
+}
+
+static void
+put (Store *store, JsonObject *object)
+{
+  const char *table = json_object_get_string_member (object, "table");
+  const char *key = json_object_get_string_member (object, "key");
+  Row *row = row_find (store, table, key);
+
+  if (row == NULL)
+    {
+      row = g_new0 (Row, 1);
+      row->table = g_strdup (table);
+      row->key = g_strdup (key);
+      g_ptr_array_add (store->rows, row);
+    }
+  g_free (row->value);
+  row->value = g_strdup (json_object_get_string_member (object, "value"));
+  row->version = store->version;
+}
+
+static void
+serve_tx (Store *store, struct evhttp_request *request)
+{
+  gsize size;
+  char *text = http_request_body (request, &size);
+  JsonNode *root = json_from_string (text, NULL);
+  JsonArray *puts;
+
+  if (root == NULL || !JSON_NODE_HOLDS_OBJECT (root))
+    {
+      reply_empty (request, 400);
+      goto out;
+    }
+  puts = json_object_get_array_member (json_node_get_object (root), "puts");
+  store->version++;
+  for (guint i = 0; i < json_array_get_length (puts); i++)
+    put (store, json_array_get_object_element (puts, i));
+  feed_all (store);
+  if (store->mode != MODE_LOSE)
+    reply_empty (request, 200);
+
+out:
+  g_clear_pointer (&root, json_node_unref);
+  g_free (text);
+}
+
+static void
+serve_faults (Store *store, struct evhttp_request *request)
+{
+  char *mode = http_query_value (request, "mode");
+
+  for (guint i = 0; i < G_N_ELEMENTS (mode_names); i++)
+    if (g_strcmp0 (mode, mode_names[i]) == 0)
+      store->mode = i;
+  if (store->mode == MODE_FORGET)
+    {
+      store->oldest = store->version + 1;
+      store->version++;
+      store->mode = MODE_OK;
+    }
+  reply_empty (request, 200);
+  g_free (mode);
+}
+
+static void
+on_request (struct evhttp_request *request, void *ctx)
+{
+  Store *store = ctx;
+  const char *path = evhttp_uri_get_path (evhttp_request_get_evhttp_uri (request));
+
+  if (strcmp (path, "/faults") == 0)
+    serve_faults (store, request);
+  else if (store->mode == MODE_DOWN)
+    reply_empty (request, 503);
+  else if (store->mode == MODE_HANG)
+    return;
+  else if (strcmp (path, "/rows-get") == 0)
+    serve_get (store, request);
+  else if (strcmp (path, "/rows-feed") == 0)
+    serve_feed (store, request);
+  else if (strcmp (path, "/rows-tx") == 0)
+    serve_tx (store, request);
+  else
+    reply_empty (request, 404);
+}
+
+static void
+on_tick (evutil_socket_t fd, short what, void *ctx)
+{
+  feed_all (ctx);
+}
+
+int
+main (int argc, char **argv)
+{
+  Store store = { event_base_new () };
+  GError *error = NULL;
+  char *address = NULL;
+  struct timeval interval = timeval_from_ms (20);
+  struct event *tick = event_new (store.base, -1, EV_PERSIST, on_tick, &store);
+  struct evhttp *http = listen_http (store.base, "127.0.0.1:0", &address, &error);
+
+  signal (SIGPIPE, SIG_IGN);
+  if (http == NULL)
+    {
+      fprintf (stderr, "standin-store: %s\n", error->message);
+      return EXIT_FAILURE;
+    }
+  store.rows = g_ptr_array_new_with_free_func (row_free);
+  store.feeds = g_ptr_array_new_with_free_func (feed_free);
+  evhttp_set_gencb (http, on_request, &store);
+  event_add (tick, &interval);
+  fprintf (stderr, "standin-store listens, http %s\n", address);
+  event_base_dispatch (store.base);
+  return EXIT_SUCCESS;
+}
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -86,6 +86,7 @@
     {
       process->http = find_word_after (line, "http ");
       process->frames = find_word_after (line, "frames ");
+      process->ready_address = find_word_after (line, "ready ");
     }
   g_free (text);
   return end != NULL;
@@ -102,14 +103,17 @@
 process_spawn (Harness *harness, Process *process)
 {
   GSubprocessLauncher *launcher = g_subprocess_launcher_new (G_SUBPROCESS_FLAGS_NONE);
+  char *events = g_strconcat (process->log, ".events", NULL);
   GError *error = NULL;
   GSubprocess *child;
 
   g_clear_pointer (&process->http, g_free);
   g_clear_pointer (&process->frames, g_free);
+  g_clear_pointer (&process->ready_address, g_free);
   g_unlink (process->log);
   g_subprocess_launcher_set_child_setup (launcher, die_with_parent, NULL, NULL);
   g_subprocess_launcher_set_stderr_file_path (launcher, process->log);
+  g_subprocess_launcher_set_stdout_file_path (launcher, events);
   child = g_subprocess_launcher_spawnv (launcher, (const char *const *)process->argv,
                                         &error);
   g_assert_no_error (error);
@@ -118,6 +122,7 @@
   /* The child is waited for by its id; GLib's own watch must not reap it first. */
   g_object_ref (child);
   g_object_unref (launcher);
+  g_free (events);
   harness_wait (harness, is_listening, process, process->name);
 }
 
@@ -181,7 +186,7 @@
   g_free (text);
 }
 
-static void
+void
 process_free (gpointer data)
 {
   Process *process = data;
@@ -196,6 +201,7 @@
   g_free (process->name);
   g_free (process->http);
   g_free (process->frames);
+  g_free (process->ready_address);
   g_free (process->settings);
   g_free (process->log);
   g_strfreev (process->argv);
@@ -250,6 +256,21 @@
   return process;
 }
 
+Process *
+harness_spawn (Harness *harness, const char *name, const char *const *argv)
+{
+  return process_new (harness, name, argv);
+}
+
+Process *
+harness_spawn_daemon (Harness *harness,
+                      const char *program,
+                      const char *name,
+                      const char *settings)
+{
+  return start_daemon (harness, program, name, g_strdup (settings));
+}
+
 Process *
 harness_add_entry (Harness *harness, const char *name, const char *settings)
 {
@@ -372,11 +393,9 @@
 }
 
 Harness *
-harness_new (const HarnessInit *init)
+harness_new_bare (void)
 {
   Harness *harness = g_new0 (Harness, 1);
-  const char *platform_argv[] = { PLATFORM_EXE, NULL };
-  guint slots = init->slots > 0 ? init->slots : 8;
 
   signal (SIGPIPE, SIG_IGN);
   harness->base = event_base_new ();
@@ -387,6 +406,16 @@
   harness->backends = g_ptr_array_new_with_free_func (process_free);
   harness->pool_of = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                             (GDestroyNotify)http_pool_free);
+  return harness;
+}
+
+Harness *
+harness_new (const HarnessInit *init)
+{
+  Harness *harness = harness_new_bare ();
+  const char *platform_argv[] = { PLATFORM_EXE, NULL };
+  guint slots = init->slots > 0 ? init->slots : 8;
+
   harness->platform = process_new (harness, "platform", platform_argv);
   for (guint i = 0; i < init->entries; i++)
     {
@@ -442,7 +471,8 @@
   g_ptr_array_unref (harness->agents);
   g_ptr_array_unref (harness->entries);
   g_ptr_array_unref (harness->backends);
-  process_free (harness->platform);
+  if (harness->platform != NULL)
+    process_free (harness->platform);
   g_clear_pointer (&harness->relay, relay_free);
   event_base_free (harness->base);
   remove_folder (harness->folder);
@@ -450,6 +480,12 @@
   g_free (harness);
 }
 
+void
+harness_close_raw (Harness *harness)
+{
+  g_ptr_array_set_size (harness->raw, 0);
+}
+
 Process *
 harness_entry (Harness *harness, guint i)
 {
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -16,8 +16,9 @@
   char *name;
   char *http;
   char *frames;
-  char *settings; /* path of its file, NULL if it has none */
-  char *log;      /* path */
+  char *ready_address; /* of an entry of leased jobs */
+  char *settings;      /* path of its file, NULL if it has none */
+  char *log;           /* path */
   char **argv;
   int pid; /* 0: not running */
   int exit_code;
@@ -67,6 +68,19 @@
 Harness *harness_new (const HarnessInit *init);
 void harness_free (Harness *harness);
 
+/** harness_new_bare - a folder and a loop, no processes. */
+Harness *harness_new_bare (void);
+
+/** harness_spawn - start a program of the test's own and wait until it listens. */
+Process *harness_spawn (Harness *harness, const char *name, const char *const *argv);
+
+/** harness_spawn_daemon - the same with a settings file of that text. */
+Process *harness_spawn_daemon (Harness *harness,
+                               const char *program,
+                               const char *name,
+                               const char *settings);
+void process_free (gpointer process);
+
 Process *harness_entry (Harness *harness, guint i);
 Process *harness_agent (Harness *harness, guint i);
 Process *harness_backend (Harness *harness, guint i);
@@ -146,6 +160,9 @@
 void
 harness_send_raw (Harness *harness, const char *address, const char *bytes, gsize size);
 
+/** harness_close_raw - close all that harness_send_raw () opened. */
+void harness_close_raw (Harness *harness);
+
 /**
  * harness_starts - starts logged by all backend servers, by task id.
  * Return: a table of id -> count.
