--- a/src/dispatcher_place.c
+++ b/src/dispatcher_place.c
@@ -66,7 +66,8 @@
       if (job->closed || job->waiting == 0 || job->answered_before
           || g_hash_table_contains (dispatcher->closing, job->spec.id))
         continue;
-      job->rank = chance_of (job, dispatcher->now_ms) * 1e15 + remaining_work (job);
+      job->rank = chance_of (job, dispatcher->now_ms) * 1e15
+                  + remaining_work (job) * (1 << MIN (job->spec.priority, 8));
       g_ptr_array_add (jobs, job);
     }
   g_ptr_array_sort (jobs, compare_jobs);
