Agents tell the start of a run with the next frame, the state at most every 15 ms

Cause: an entry of the grown site took 6,000 frames a second, one for each start and end on any server; entries have 0.12 of a core.

--- a/proto/godwitspar.pb-c.c
+++ b/proto/godwitspar.pb-c.c
@@ -3565,7 +3565,7 @@
   gw__run_report__kind__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor gw__run_report__field_descriptors[7] =
+static const ProtobufCFieldDescriptor gw__run_report__field_descriptors[8] =
 {
   {
     "job",
@@ -3651,6 +3651,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "run_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__RunReport, run_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__run_report__field_indices_by_name[] = {
   6,   /* field[6] = elsewhere_ms */
@@ -3660,11 +3672,12 @@
   4,   /* field[4] = reason */
   5,   /* field[5] = remaining_ms */
   2,   /* field[2] = run */
+  7,   /* field[7] = run_ms */
 };
 static const ProtobufCIntRange gw__run_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor gw__run_report__descriptor =
 {
@@ -3674,7 +3687,7 @@
   "Gw__RunReport",
   "gw",
   sizeof(Gw__RunReport),
-  7,
+  8,
   gw__run_report__field_descriptors,
   gw__run_report__field_indices_by_name,
   1,  gw__run_report__number_ranges,
--- a/proto/godwitspar.pb-c.h
+++ b/proto/godwitspar.pb-c.h
@@ -594,10 +594,14 @@
    * what it would take on another server
    */
   uint32_t elsewhere_ms;
+  /*
+   * of one that is done
+   */
+  uint32_t run_ms;
 };
 #define GW__RUN_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__run_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, GW__RUN_REPORT__KIND__STARTED, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, GW__RUN_REPORT__KIND__STARTED, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -130,6 +130,7 @@
   const char *reason;
   guint remaining_ms; /* of a straggler */
   guint elsewhere_ms; /* what it would take on another server */
+  guint run_ms;       /* of one that is done */
 } TaskReport;
 
 /**
--- a/src/dispatcher_servers.c
+++ b/src/dispatcher_servers.c
@@ -153,22 +153,18 @@
 }
 
 static void
-observe_run_time (LeasedTask *task)
+observe_run_time (const LeasedJob *job, guint run_ms)
 {
-  LeasedJob *job = task->job;
-  double run_ms = MAX (1, job->dispatcher->now_ms - task->started_ms);
-
   runtimes_observe (dispatcher_runtimes (job->dispatcher, job->spec.queue),
-                    job->spec.declared_ms, (guint)run_ms);
+                    job->spec.declared_ms, MAX (run_ms, 1));
 }
 
 static void
-task_done (LeasedTask *task)
+task_done (LeasedTask *task, guint run_ms)
 {
   LeasedJob *job = task->job;
 
-  if (task->started_ms > 0)
-    observe_run_time (task);
+  observe_run_time (job, run_ms);
   task_detach (task);
   task->state = TASK_ENDED;
   job->ended++;
@@ -237,7 +233,7 @@
       break;
     case TASK_DONE:
       job->started = TRUE;
-      task_done (task);
+      task_done (task, report->run_ms);
       break;
     case TASK_FAILED:
       job->started = TRUE;
--- a/src/leased_agent.c
+++ b/src/leased_agent.c
@@ -12,6 +12,13 @@
 /* Reports of the last runs are given this long to leave the process. */
 #define FAREWELL_MS 100
 
+/* The state of the server is told to an entry at most this often by a frame of its own:
+ * with 66 agents and 10 entries, a frame for each start and end took half of an entry's
+ * time. */
+#define STATE_LEAST_MS 15
+/* Room is tight when less than this part of the server is free. */
+#define TIGHT_PART 4
+
 struct LeasedAgent
 {
   struct event_base *base;
@@ -40,33 +47,36 @@
 /* What the runner reports. */
 
 static Gw__RunReport *
-message_report (const RunKey *key, ReportKind kind, const char *reason)
+message_report (const RunReport *report)
 {
-  Gw__RunReport *report = g_new (Gw__RunReport, 1);
+  Gw__RunReport *message = g_new (Gw__RunReport, 1);
 
-  gw__run_report__init (report);
-  report->job = g_strdup (key->job);
-  report->index = key->index;
-  report->run = key->run;
-  report->kind = (Gw__RunReport__Kind)kind;
-  report->reason = g_strdup (reason);
-  return report;
+  gw__run_report__init (message);
+  message->job = g_strdup (report->key.job);
+  message->index = report->key.index;
+  message->run = report->key.run;
+  message->kind = (Gw__RunReport__Kind)report->kind;
+  message->reason = g_strdup (report->reason);
+  message->run_ms = report->run_ms;
+  return message;
 }
 
+/* Nobody waits for the word that a run has started: it goes with the next frame, often
+ * that of the run's end. */
 static void
-on_report (guint64 home,
-           const RunKey *key,
-           ReportKind kind,
-           const char *reason,
-           gpointer ctx)
+on_report (guint64 home, const RunReport *report, gpointer ctx)
 {
   LeasedAgent *agent = ctx;
   MeshPeer *peer = mesh_find (agent->mesh, home);
 
-  if (kind == REPORT_DONE || kind == REPORT_FAILED || kind == REPORT_LOST)
+  if (report->kind != REPORT_STARTED && report->kind != REPORT_NOT_STARTED)
     offers_freed (agent->offers, clock_now_ms ());
-  if (peer != NULL && peer->link != NULL)
-    link_append (peer->link, LINK_RUN_REPORTS, &message_report (key, kind, reason)->base);
+  if (peer == NULL || peer->link == NULL)
+    return;
+  if (report->kind == REPORT_STARTED)
+    link_append_lazily (peer->link, LINK_RUN_REPORTS, &message_report (report)->base);
+  else
+    link_append (peer->link, LINK_RUN_REPORTS, &message_report (report)->base);
 }
 
 /* The state rides on every frame; a change is worth a frame of its own. */
@@ -87,14 +97,15 @@
 {
   LeasedAgent *agent = ctx;
   MeshPeer *peer = mesh_find (agent->mesh, home);
-  Gw__RunReport *report;
+  RunReport report = { *key, REPORT_STRAGGLES, "" };
+  Gw__RunReport *message;
 
   if (peer == NULL || peer->link == NULL)
     return;
-  report = message_report (key, REPORT_STRAGGLES, "");
-  report->remaining_ms = remaining_ms;
-  report->elsewhere_ms = elsewhere_ms;
-  link_append (peer->link, LINK_RUN_REPORTS, &report->base);
+  message = message_report (&report);
+  message->remaining_ms = remaining_ms;
+  message->elsewhere_ms = elsewhere_ms;
+  link_append (peer->link, LINK_RUN_REPORTS, &message->base);
 }
 
 static void
@@ -117,6 +128,13 @@
   guint failing_percent;
   Demand capacity;
   Demand used_by_others;
+} State;
+
+/* What an entry was told last. */
+typedef struct
+{
+  State state;
+  gint64 told_ms;
 } ToldState;
 
 /* Told in steps: each step is news to all entries. */
@@ -128,7 +146,7 @@
 
 /* What is free is offered to another entry: to this one it is in use. */
 static void
-hide_room (const LeasedAgent *agent, ToldState *state)
+hide_room (const LeasedAgent *agent, State *state)
 {
   Demand own = *runner_used (agent->runner);
 
@@ -137,11 +155,11 @@
   demand_subtract (&state->used_by_others, &own);
 }
 
-static ToldState
+static State
 state_for (const LeasedAgent *agent, guint64 home)
 {
   const Quality *quality = runner_quality (agent->runner);
-  ToldState state;
+  State state;
 
   memset (&state, 0, sizeof state);
   state.ready = runner_ready (agent->runner);
@@ -157,11 +175,27 @@
 }
 
 static gboolean
-state_is_news (const LeasedAgent *agent, const MeshPeer *peer)
+state_is_news (const State *state, const ToldState *told)
+{
+  return told == NULL || memcmp (&told->state, state, sizeof *state) != 0;
+}
+
+static gboolean
+is_tight (const State *state)
 {
-  ToldState state = state_for (agent, peer->incarnation);
+  return state->used_by_others.cpu_milli
+         > state->capacity.cpu_milli - state->capacity.cpu_milli / TIGHT_PART;
+}
 
-  return peer->data == NULL || memcmp (peer->data, &state, sizeof state) != 0;
+/* Whether an entry must know now. With much room left it places just as well by what it
+ * knows, and the news rides on the next frame. */
+static gboolean
+is_urgent (const State *state, const ToldState *told)
+{
+  if (told == NULL || told->state.ready != state->ready
+      || told->state.draining != state->draining || told->state.trust != state->trust)
+    return TRUE;
+  return is_tight (state) || is_tight (&told->state);
 }
 
 static void
@@ -177,12 +211,27 @@
 on_changed (evutil_socket_t fd, short what, void *ctx)
 {
   LeasedAgent *agent = ctx;
+  struct timeval delay = timeval_from_ms (STATE_LEAST_MS);
+  gint64 now = clock_now_ms ();
+  gboolean later = FALSE;
   MeshPeer *peer;
 
   schedule_offer_end (agent);
   for (peer = mesh_first (agent->mesh); peer != NULL; peer = mesh_next (peer))
-    if (peer->link != NULL && state_is_news (agent, peer))
-      link_touch (peer->link);
+    {
+      const ToldState *told = peer->data;
+      State state = state_for (agent, peer->incarnation);
+
+      if (peer->link == NULL || !state_is_news (&state, told)
+          || !is_urgent (&state, told))
+        continue;
+      if (told == NULL || now - told->told_ms >= STATE_LEAST_MS)
+        link_touch (peer->link);
+      else
+        later = TRUE;
+    }
+  if (later && !event_pending (agent->changed, EV_TIMEOUT, NULL))
+    event_add (agent->changed, &delay);
 }
 
 static void
@@ -199,26 +248,26 @@
 {
   LeasedAgent *agent = ctx;
   const char *instance = runner_instance (agent->runner);
-  ToldState told;
+  ToldState now = { state_for (agent, peer->incarnation), clock_now_ms () };
+  const State *state = &now.state;
 
-  if (instance == NULL || !state_is_news (agent, peer))
+  if (instance == NULL || !state_is_news (state, peer->data))
     return;
-  told = state_for (agent, peer->incarnation);
   g_free (peer->data);
-  peer->data = g_memdup2 (&told, sizeof told);
+  peer->data = g_memdup2 (&now, sizeof now);
   gw__server_state__init (&agent->state);
   agent->state.instance = (char *)instance;
   agent->state.service = agent->service;
   agent->state.zone = agent->zone;
   agent->state.labels = agent->labels;
   agent->state.n_labels = agent->labels != NULL ? g_strv_length (agent->labels) : 0;
-  agent->state.ready = told.ready;
-  agent->state.draining = told.draining;
-  agent->state.trust = (Gw__ServerState__Trust)told.trust;
-  agent->state.slowness_percent = told.slowness_percent;
-  agent->state.failing_percent = told.failing_percent;
-  demand_to_wire (&told.capacity, &agent->capacity);
-  demand_to_wire (&told.used_by_others, &agent->used_by_others);
+  agent->state.ready = state->ready;
+  agent->state.draining = state->draining;
+  agent->state.trust = (Gw__ServerState__Trust)state->trust;
+  agent->state.slowness_percent = state->slowness_percent;
+  agent->state.failing_percent = state->failing_percent;
+  demand_to_wire (&state->capacity, &agent->capacity);
+  demand_to_wire (&state->used_by_others, &agent->used_by_others);
   agent->state.capacity = &agent->capacity;
   agent->state.used_by_others = &agent->used_by_others;
   frame->server_state = &agent->state;
@@ -227,11 +276,11 @@
 /* Links. */
 
 static void
-add_to_inventory (const RunKey *key, ReportKind kind, const char *reason, gpointer ctx)
+add_to_inventory (const RunReport *report, gpointer ctx)
 {
   MeshPeer *peer = ctx;
 
-  link_append (peer->link, LINK_RUN_REPORTS, &message_report (key, kind, reason)->base);
+  link_append (peer->link, LINK_RUN_REPORTS, &message_report (report)->base);
 }
 
 static void
--- a/src/leased_entry.c
+++ b/src/leased_entry.c
@@ -194,6 +194,7 @@
       reports[i].reason = report->reason;
       reports[i].remaining_ms = report->remaining_ms;
       reports[i].elsewhere_ms = report->elsewhere_ms;
+      reports[i].run_ms = report->run_ms;
     }
   dispatcher_reports (peer->data, reports, frame->n_run_reports, frame->inventory,
                       clock_now_ms ());
--- a/src/runner.c
+++ b/src/runner.c
@@ -102,16 +102,14 @@
 }
 
 static void
-report (Runner *runner,
-        guint64 home,
-        const RunKey *key,
-        ReportKind kind,
-        const char *reason)
-{
-  event_emit ("run-report", key->job, "task=%u run=%u outcome=%s reason=\"%s\" server=%s",
-              key->index, key->run, report_names[kind], reason,
+tell (Runner *runner, guint64 home, const RunReport *report)
+{
+  event_emit ("run-report", report->key.job,
+              "task=%u run=%u outcome=%s reason=\"%s\" run_ms=%u server=%s",
+              report->key.index, report->key.run, report_names[report->kind],
+              report->reason, report->run_ms,
               runner->instance != NULL ? runner->instance : "-");
-  runner->ops->report (home, key, kind, reason, runner->ctx);
+  runner->ops->report (home, report, runner->ctx);
 }
 
 void
@@ -119,14 +117,16 @@
 {
   PastRun *past = g_new0 (PastRun, 1);
 
-  past->key = run->key;
+  past->report.key = run->key;
+  past->report.kind = kind;
+  past->report.reason = reason;
+  if (run->started_ms > 0)
+    past->report.run_ms = (guint)(runner->now_ms - run->started_ms);
   past->home = run->home;
-  past->kind = kind;
-  past->reason = reason;
   past->ended_ms = runner->now_ms;
   TAILQ_INSERT_TAIL (&runner->past, past, link);
   run_free (runner, run);
-  report (runner, past->home, &past->key, kind, reason);
+  tell (runner, past->home, &past->report);
   runner->ops->changed (runner->ctx);
 }
 
@@ -294,7 +294,9 @@
     }
   if (reason != NULL)
     {
-      report (runner, request->home, &request->key, REPORT_NOT_STARTED, reason);
+      RunReport refused = { request->key, REPORT_NOT_STARTED, reason };
+
+      tell (runner, request->home, &refused);
       return;
     }
   run = g_new0 (Run, 1);
@@ -514,19 +516,22 @@
 }
 
 void
-runner_each_run (
-    const Runner *runner,
-    guint64 home,
-    void (*each) (const RunKey *key, ReportKind kind, const char *reason, gpointer ctx),
-    gpointer ctx)
+runner_each_run (const Runner *runner,
+                 guint64 home,
+                 void (*each) (const RunReport *report, gpointer ctx),
+                 gpointer ctx)
 {
   Run *run;
   PastRun *past;
 
   TAILQ_FOREACH (run, &runner->runs, link)
-    if (run->home == home)
-      each (&run->key, REPORT_STARTED, "", ctx);
+    {
+      RunReport report = { run->key, REPORT_STARTED, "" };
+
+      if (run->home == home)
+        each (&report, ctx);
+    }
   TAILQ_FOREACH (past, &runner->past, link)
     if (past->home == home)
-      each (&past->key, past->kind, past->reason, ctx);
+      each (&past->report, ctx);
 }
--- a/src/runner.h
+++ b/src/runner.h
@@ -18,6 +18,14 @@
   REPORT_STRAGGLES, /* it runs, but much longer than expected */
 } ReportKind;
 
+typedef struct
+{
+  RunKey key;
+  ReportKind kind;
+  const char *reason; /* a constant; empty if there is nothing to say */
+  guint run_ms;       /* of a run that is done */
+} RunReport;
+
 /* A start that a home asks for. */
 typedef struct
 {
@@ -45,11 +53,7 @@
 
 typedef struct
 {
-  void (*report) (guint64 home,
-                  const RunKey *key,
-                  ReportKind kind,
-                  const char *reason,
-                  gpointer ctx);
+  void (*report) (guint64 home, const RunReport *report, gpointer ctx);
   /* Because of its server a run will take about @remaining_ms more; started anew
    * elsewhere it would take @elsewhere_ms. */
   void (*straggles) (guint64 home,
@@ -113,8 +117,7 @@
 gboolean runner_has_work (const Runner *runner, guint64 home);
 
 /** runner_each_run - every run of @home and each that ended a short while ago. */
-void runner_each_run (
-    const Runner *runner,
-    guint64 home,
-    void (*each) (const RunKey *key, ReportKind kind, const char *reason, gpointer ctx),
-    gpointer ctx);
+void runner_each_run (const Runner *runner,
+                      guint64 home,
+                      void (*each) (const RunReport *report, gpointer ctx),
+                      gpointer ctx);
--- a/src/runner_calls.c
+++ b/src/runner_calls.c
@@ -87,6 +87,8 @@
 static void
 run_is_running (Runner *runner, Run *run)
 {
+  RunReport report = { run->key, REPORT_STARTED, "" };
+
   if (run->state == RUN_RUNNING)
     return;
   run->state = RUN_RUNNING;
@@ -94,7 +96,7 @@
   run->progress_ms = runner->now_ms;
   event_emit ("run-started", run->key.job, "task=%u run=%u server=%s", run->key.index,
               run->key.run, runner->instance);
-  runner->ops->report (run->home, &run->key, REPORT_STARTED, "", runner->ctx);
+  runner->ops->report (run->home, &report, runner->ctx);
 }
 
 static void
--- a/src/runner_parts.h
+++ b/src/runner_parts.h
@@ -41,10 +41,8 @@
 typedef struct PastRun
 {
   TAILQ_ENTRY (PastRun) link;
-  RunKey key;
+  RunReport report;
   guint64 home;
-  ReportKind kind;
-  const char *reason;
   gint64 ended_ms;
 } PastRun;
 
--- a/tests/lease_world.c
+++ b/tests/lease_world.c
@@ -268,15 +268,22 @@
   return NULL;
 }
 
+static TaskReport
+task_report (const RunReport *report)
+{
+  TaskReport task = { .key = report->key,
+                      .event = event_of (report->kind),
+                      .reason = report->reason,
+                      .run_ms = report->run_ms };
+
+  return task;
+}
+
 static void
-on_report (guint64 home,
-           const RunKey *key,
-           ReportKind kind,
-           const char *reason,
-           gpointer ctx)
+on_report (guint64 home, const RunReport *told, gpointer ctx)
 {
   Wire *wire = wire_to_home (ctx, home);
-  TaskReport report = { .key = *key, .event = event_of (kind), .reason = reason };
+  TaskReport report = task_report (told);
 
   if (wire != NULL)
     g_array_append_val (agent_out (wire)->reports, report);
@@ -375,9 +382,9 @@
 }
 
 static void
-add_to_inventory (const RunKey *key, ReportKind kind, const char *reason, gpointer ctx)
+add_to_inventory (const RunReport *told, gpointer ctx)
 {
-  TaskReport report = { .key = *key, .event = event_of (kind), .reason = reason };
+  TaskReport report = task_report (told);
 
   g_array_append_val (((Message *)ctx)->reports, report);
 }
--- a/tests/test-runner.c
+++ b/tests/test-runner.c
@@ -88,11 +88,7 @@
 static const ServerCalls calls = { on_start, on_stop, on_hold };
 
 static void
-on_report (guint64 home,
-           const RunKey *key,
-           ReportKind kind,
-           const char *reason,
-           gpointer ctx)
+on_report (guint64 home, const RunReport *told, gpointer ctx)
 {
   Scene *scene = ctx;
   Report *report;
@@ -100,9 +96,9 @@
   g_assert_cmpuint (scene->n_reports, <, REPORTS_MAX);
   report = &scene->reports[scene->n_reports++];
   report->home = home;
-  report->key = *key;
-  report->kind = kind;
-  g_strlcpy (report->reason, reason, sizeof report->reason);
+  report->key = told->key;
+  report->kind = told->kind;
+  g_strlcpy (report->reason, told->reason, sizeof report->reason);
 }
 
 static void
