Agents offer room to the longest queue, at once

Cause: entries serve different numbers of callers; offered in equal turns, room starved those with more, and the pace of 15 ms held the offers back until they had lapsed.

--- a/proto/godwitspar.pb-c.c
+++ b/proto/godwitspar.pb-c.c
@@ -3437,12 +3437,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "rank",
+    "waiting",
     7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__RunOrder, rank),
+    offsetof(Gw__RunOrder, waiting),
     NULL,
     NULL,
     0,             /* flags */
@@ -3454,9 +3454,9 @@
   5,   /* field[5] = expected_ms */
   0,   /* field[0] = job */
   2,   /* field[2] = payload */
-  6,   /* field[6] = rank */
   1,   /* field[1] = runs */
   4,   /* field[4] = valid_until_ms */
+  6,   /* field[6] = waiting */
 };
 static const ProtobufCIntRange gw__run_order__number_ranges[1 + 1] =
 {
--- a/proto/godwitspar.pb-c.h
+++ b/proto/godwitspar.pb-c.h
@@ -554,9 +554,9 @@
    */
   uint32_t expected_ms;
   /*
-   * its urgency, the lowest first
+   * tasks that wait at the sender
    */
-  uint32_t rank;
+  uint32_t waiting;
 };
 #define GW__RUN_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__run_order__descriptor) \
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -74,7 +74,7 @@
                  const RunKey *runs,
                  gsize n_runs,
                  guint expected_ms,
-                 guint rank,
+                 guint waiting,
                  gint64 valid_until_ms,
                  gpointer ctx);
   void (*stop) (LeasedServer *server, const RunKey *run, gpointer ctx);
--- a/src/dispatcher_place.c
+++ b/src/dispatcher_place.c
@@ -19,11 +19,6 @@
 #define DISTRUSTED_SHARE 0.34
 
 #define PRIORITY_STEPS 8
-/* Ranks for agents: work in units of 16 ms of a thousandth of a core, below the chance.
- */
-#define RANK_UNIT 16
-#define RANK_CHANCE (1u << 28)
-
 /* How the waiting jobs are ordered: first those that can still make their objective, then
  * those that are of some use, then the rest; among equals the least remaining work. */
 typedef enum
@@ -60,15 +55,6 @@
   return remaining_work (job) * (1 << MIN (job->spec.priority, PRIORITY_STEPS));
 }
 
-/* The same order as a number for the agents, who see the starts of all entries. */
-static guint
-rank_for_agent (const LeasedJob *job, gint64 now_ms)
-{
-  double work = MIN (weighted_work (job) / RANK_UNIT, RANK_CHANCE - 1);
-
-  return (guint)chance_of (job, now_ms) * RANK_CHANCE + (guint)work;
-}
-
 static int
 compare_jobs (gconstpointer a, gconstpointer b)
 {
@@ -257,7 +243,7 @@
               server->placed.cpu_milli, server->status.slowness_percent / 100.0,
               dispatcher->n_waiting);
   dispatcher->ops->order (server, &job->spec, runs, n, (guint)MAX (job->task_ms, 1),
-                          rank_for_agent (job, dispatcher->now_ms),
+                          dispatcher->n_waiting + (guint)n,
                           peer_clock_least (&server->clock, dispatcher->now_ms, 0)
                               + ORDER_VALID_MS,
                           dispatcher->ctx);
--- a/src/leased_agent.c
+++ b/src/leased_agent.c
@@ -109,11 +109,11 @@
 }
 
 static void
-on_no_room (guint64 home, guint rank, gpointer ctx)
+on_no_room (guint64 home, guint waiting, gpointer ctx)
 {
   LeasedAgent *agent = ctx;
 
-  offers_refused (agent->offers, home, rank, clock_now_ms ());
+  offers_refused (agent->offers, home, waiting, clock_now_ms ());
 }
 
 static const RunnerOps runner_ops
@@ -225,7 +225,8 @@
       if (peer->link == NULL || !state_is_news (&state, told)
           || !is_urgent (&state, told))
         continue;
-      if (told == NULL || now - told->told_ms >= STATE_LEAST_MS)
+      if (told == NULL || offers_to (agent->offers) == peer->incarnation
+          || now - told->told_ms >= STATE_LEAST_MS)
         link_touch (peer->link);
       else
         later = TRUE;
@@ -321,7 +322,7 @@
                          .payload = order->payload,
                          .demand = demand_from_wire (order->demand),
                          .expected_ms = order->expected_ms,
-                         .rank = order->rank,
+                         .waiting = order->waiting,
                          .valid_until_ms = order->valid_until_ms };
 
   g_strlcpy (request.key.job, order->job, sizeof request.key.job);
--- a/src/leased_entry.c
+++ b/src/leased_entry.c
@@ -53,7 +53,7 @@
           const RunKey *runs,
           gsize n_runs,
           guint expected_ms,
-          guint rank,
+          guint waiting,
           gint64 valid_until_ms,
           gpointer ctx)
 {
@@ -65,7 +65,7 @@
   order->payload = g_strdup (spec->payload);
   order->valid_until_ms = valid_until_ms;
   order->expected_ms = expected_ms;
-  order->rank = rank;
+  order->waiting = waiting;
   order->demand = g_new (Gw__Demand, 1);
   demand_to_wire (&spec->demand, order->demand);
   order->n_runs = n_runs;
--- a/src/offers.c
+++ b/src/offers.c
@@ -6,7 +6,7 @@
 typedef struct
 {
   guint64 home;
-  guint rank;
+  guint waiting;
   gint64 refused_ms;
 } Wanting;
 
@@ -56,7 +56,7 @@
     {
       const Wanting *wanting = &g_array_index (offers->wanting, Wanting, i);
 
-      if (best == NULL || wanting->rank < best->rank)
+      if (best == NULL || wanting->waiting > best->waiting)
         best = wanting;
     }
   offers->chosen = best != NULL ? best->home : 0;
@@ -64,9 +64,9 @@
 }
 
 void
-offers_refused (Offers *offers, guint64 home, guint rank, gint64 now_ms)
+offers_refused (Offers *offers, guint64 home, guint waiting, gint64 now_ms)
 {
-  Wanting wanting = { home, rank, now_ms };
+  Wanting wanting = { home, MAX (waiting, 1), now_ms };
 
   forget (offers, home);
   g_array_append_val (offers->wanting, wanting);
@@ -79,10 +79,23 @@
     choose (offers, now_ms);
 }
 
+static void
+count_down (Offers *offers, guint64 home)
+{
+  for (guint i = 0; i < offers->wanting->len; i++)
+    {
+      Wanting *wanting = &g_array_index (offers->wanting, Wanting, i);
+
+      if (wanting->home == home && --wanting->waiting > 0)
+        return;
+    }
+  forget (offers, home);
+}
+
 void
 offers_used (Offers *offers, guint64 home, gint64 now_ms)
 {
-  forget (offers, home);
+  count_down (offers, home);
   if (offers->chosen == home)
     choose (offers, now_ms);
 }
@@ -102,6 +115,12 @@
   return offers->chosen != 0;
 }
 
+guint64
+offers_to (const Offers *offers)
+{
+  return offers->chosen;
+}
+
 gboolean
 offers_may_use (const Offers *offers, guint64 home)
 {
--- a/src/offers.h
+++ b/src/offers.h
@@ -3,7 +3,8 @@
  * all at once, the nearest entry would win each time and callers of other availability
  * zones would be refused, and most orders would cross a refusal: of four entries three,
  * measured as 26,000 of 33,000 orders in a minute of overload. Room is offered to one
- * entry at a time, the most urgent first. */
+ * entry at a time, first to the one with the most waiting tasks: entries differ in how
+ * many callers they serve, and an equal part for each starves those with more. */
 #include <glib.h>
 
 typedef struct Offers Offers;
@@ -11,8 +12,8 @@
 Offers *offers_new (void);
 void offers_free (Offers *offers);
 
-/** offers_refused - @home has work, of that rank (lowest first), and found no room. */
-void offers_refused (Offers *offers, guint64 home, guint rank, gint64 now_ms);
+/** offers_refused - @home has so many waiting tasks, and found no room. */
+void offers_refused (Offers *offers, guint64 home, guint waiting, gint64 now_ms);
 
 /** offers_freed - there is room again. */
 void offers_freed (Offers *offers, gint64 now_ms);
@@ -26,6 +27,9 @@
 /** offers_open - whether room is offered to one entry now. */
 gboolean offers_open (const Offers *offers);
 
+/** offers_to - the entry that room is offered to now; 0: to all. */
+guint64 offers_to (const Offers *offers);
+
 /** offers_may_use - whether @home is to be told of free room. */
 gboolean offers_may_use (const Offers *offers, guint64 home);
 
--- a/src/runner.h
+++ b/src/runner.h
@@ -34,7 +34,7 @@
   const char *payload;
   Demand demand;
   guint expected_ms;     /* its run time */
-  guint rank;            /* its urgency, the lowest first */
+  guint waiting;         /* tasks that wait for room where it comes from */
   gint64 valid_until_ms; /* own clock; later it is refused */
 } RunRequest;
 
@@ -62,7 +62,7 @@
                      guint elsewhere_ms,
                      gpointer ctx);
   /* @home asked for a start and there was no room. */
-  void (*no_room) (guint64 home, guint rank, gpointer ctx);
+  void (*no_room) (guint64 home, guint waiting, gpointer ctx);
   /* Readiness, capacity or use have changed. */
   void (*changed) (gpointer ctx);
 } RunnerOps;
