--- a/completions/godwitspar.bash
+++ b/completions/godwitspar.bash
@@ -20,4 +20,5 @@
   esac
   mapfile -t COMPREPLY < <(compgen -W "$words" -- "$word")
 }
-complete -F _godwitspar godwitspar godwitspar-entry godwitspar-agent
+complete -F _godwitspar godwitspar godwitspar-entry godwitspar-agent \
+  godwitspar-platform-entry godwitspar-platform-agent
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -107,6 +107,20 @@
 mutant claims-unpaced src/claims.c 'if (now < due)' 'if (FALSE)' test-keys /keys/paced
 mutant waits-in-lost-group src/holder_outcomes.c 'group_stands (holder, from) ? from->group : NULL' \
   'from->group' test-path /path/regroup-under-load
+mutant unleased-go-on src/runner.c \
+  'else if (runner->now_ms > granted_until (runner, run->home))' 'else if (FALSE)' \
+  test-runner /runner/lapsed-home-is-stopped
+mutant strangers-ignored src/runner_calls.c 'if (reply->n_running == 0)' 'if (TRUE)' \
+  test-runner /runner/strangers-end-first
+mutant link-loss-is-end src/dispatcher_servers.c '> longest;' '> 0 || longest;' \
+  test-dispatcher /dispatcher/cut-off-runs-are-waited-for
+mutant order-before-inventory src/dispatcher_place.c 'server->inventoried && ' '' \
+  test-dispatcher /dispatcher/nothing-is-ordered-before-the-inventory
+mutant old-orders-start src/runner.c 'if (runner->now_ms > request->valid_until_ms)' 'if (FALSE)' \
+  test-runner /runner/old-orders-are-refused
+mutant closing-ignored src/dispatcher_place.c \
+  '|| g_hash_table_contains (dispatcher->closing, job->spec.id)' '' \
+  test-dispatcher /dispatcher/resubmission-waits-for-stops
 
 echo "mutants: $failures not noticed"
 [ "$failures" -eq 0 ]
--- /dev/null
+++ b/src/leased_agent_state.c
@@ -0,0 +1,166 @@
+#include "clock.h"
+#include "leased_agent_parts.h"
+
+#include <string.h>
+
+/* The state of the server is told to an entry at most this often by a frame of its own:
+ * with 66 agents and 10 entries, a frame for each start and end took half of an entry's
+ * time. */
+#define STATE_LEAST_MS 15
+/* Room is tight when less than this part of the server is free. */
+#define TIGHT_PART 4
+
+typedef struct
+{
+  gboolean ready;
+  gboolean draining;
+  Trust trust;
+  guint slowness_percent;
+  guint failing_percent;
+  Demand capacity;
+  Demand used_by_others;
+} State;
+
+/* What an entry was told last. */
+typedef struct
+{
+  State state;
+  gint64 told_ms;
+} ToldState;
+
+/* Told in steps: each step is news to all entries. */
+static guint
+in_steps (double share, guint step)
+{
+  return (guint)(share * 100 / step + 0.5) * step;
+}
+
+/* What is free is offered to another entry: to this one it is in use. */
+static void
+hide_room (const LeasedAgent *agent, State *state)
+{
+  Demand own = *runner_used (agent->runner);
+
+  demand_subtract (&own, &state->used_by_others);
+  state->used_by_others = state->capacity;
+  demand_subtract (&state->used_by_others, &own);
+}
+
+static State
+state_for (const LeasedAgent *agent, guint64 home)
+{
+  const Quality *quality = runner_quality (agent->runner);
+  State state;
+
+  memset (&state, 0, sizeof state);
+  state.ready = runner_ready (agent->runner);
+  state.draining = runner_draining (agent->runner);
+  state.trust = quality->trust;
+  state.slowness_percent = in_steps (quality->slowness, 20);
+  state.failing_percent = in_steps (quality->failing, 20);
+  state.capacity = *runner_capacity (agent->runner);
+  state.used_by_others = runner_used_by_others (agent->runner, home);
+  if (!offers_may_use (agent->offers, home))
+    hide_room (agent, &state);
+  return state;
+}
+
+static gboolean
+state_is_news (const State *state, const ToldState *told)
+{
+  return told == NULL || memcmp (&told->state, state, sizeof *state) != 0;
+}
+
+static gboolean
+is_tight (const State *state)
+{
+  return state->used_by_others.cpu_milli
+         > state->capacity.cpu_milli - state->capacity.cpu_milli / TIGHT_PART;
+}
+
+/* Whether an entry must know now. With much room left it places just as well by what it
+ * knows, and the news rides on the next frame. */
+static gboolean
+is_urgent (const State *state, const ToldState *told)
+{
+  if (told == NULL || told->state.ready != state->ready
+      || told->state.draining != state->draining || told->state.trust != state->trust)
+    return TRUE;
+  return is_tight (state) || is_tight (&told->state);
+}
+
+static void
+schedule_offer_end (LeasedAgent *agent)
+{
+  struct timeval delay = timeval_from_ms (OFFER_MS);
+
+  if (offers_open (agent->offers) && !event_pending (agent->offer_ends, EV_TIMEOUT, NULL))
+    event_add (agent->offer_ends, &delay);
+}
+
+void
+leased_agent_tell_state (evutil_socket_t fd, short what, void *ctx)
+{
+  LeasedAgent *agent = ctx;
+  struct timeval delay = timeval_from_ms (STATE_LEAST_MS);
+  gint64 now = clock_now_ms ();
+  gboolean later = FALSE;
+  MeshPeer *peer;
+
+  schedule_offer_end (agent);
+  for (peer = mesh_first (agent->mesh); peer != NULL; peer = mesh_next (peer))
+    {
+      const ToldState *told = peer->data;
+      State state = state_for (agent, peer->incarnation);
+
+      if (peer->link == NULL || !state_is_news (&state, told)
+          || !is_urgent (&state, told))
+        continue;
+      if (told == NULL || offers_to (agent->offers) == peer->incarnation
+          || now - told->told_ms >= STATE_LEAST_MS)
+        link_touch (peer->link);
+      else
+        later = TRUE;
+    }
+  if (later && !event_pending (agent->changed, EV_TIMEOUT, NULL))
+    event_add (agent->changed, &delay);
+}
+
+void
+leased_agent_end_offer (evutil_socket_t fd, short what, void *ctx)
+{
+  LeasedAgent *agent = ctx;
+
+  offers_tick (agent->offers, clock_now_ms ());
+  leased_agent_tell_state (-1, 0, agent);
+}
+
+void
+leased_agent_prepare (MeshPeer *peer, Gw__Frame *frame, gpointer ctx)
+{
+  LeasedAgent *agent = ctx;
+  const char *instance = runner_instance (agent->runner);
+  ToldState now = { state_for (agent, peer->incarnation), clock_now_ms () };
+  const State *state = &now.state;
+
+  if (instance == NULL || !state_is_news (state, peer->data))
+    return;
+  g_free (peer->data);
+  peer->data = g_memdup2 (&now, sizeof now);
+  gw__server_state__init (&agent->state);
+  agent->state.instance = (char *)instance;
+  agent->state.service = agent->service;
+  agent->state.zone = agent->zone;
+  agent->state.labels = agent->labels;
+  agent->state.n_labels = agent->labels != NULL ? g_strv_length (agent->labels) : 0;
+  agent->state.ready = state->ready;
+  agent->state.draining = state->draining;
+  agent->state.trust = (Gw__ServerState__Trust)state->trust;
+  agent->state.slowness_percent = state->slowness_percent;
+  agent->state.failing_percent = state->failing_percent;
+  demand_to_wire (&state->capacity, &agent->capacity);
+  demand_to_wire (&state->used_by_others, &agent->used_by_others);
+  agent->state.capacity = &agent->capacity;
+  agent->state.used_by_others = &agent->used_by_others;
+  frame->server_state = &agent->state;
+}
--- a/src/runner_parts.h
+++ b/src/runner_parts.h
@@ -1,11 +1,15 @@
 #pragma once
-/* What the parts of the runner share. runner.c keeps the runs and decides, runner_calls.c
- * calls the backend server and takes its answers in. */
+/* What the parts of the runner share. runner.c keeps the runs and decides, runner_life.c
+ * follows the lives of the backend server, runner_calls.c calls it and takes its answers
+ * in, runner_progress.c judges it by what they tell. */
 #include "lease.h"
 #include "runner.h"
 
 #include <sys/queue.h>
 
+/* Lives remembered, so that a delayed report of an earlier one is not taken for news. */
+#define PAST_INSTANCES 8
+
 /* The server's steady clock may run this much slower than ours (its published bound). */
 #define SERVER_CLOCK_SLOW_PERCENT 2
 
@@ -87,11 +91,9 @@
 Run *runner_find (const Runner *runner, const RunKey *key);
 void run_end (Runner *runner, Run *run, ReportKind kind, const char *reason);
 void runner_lose_all (Runner *runner, const char *reason);
-void runner_set_state (Runner *runner, LifeState state);
 
 /** runner_server_is_silent - several calls in a row got no answer. */
 gboolean runner_server_is_silent (const Runner *runner);
-void runner_forget_life (Runner *runner, const char *reason);
 
 /* runner_progress.c */
 
@@ -101,6 +103,10 @@
 /** runner_take_progress - what a list of running tasks tells about each. */
 void runner_take_progress (Runner *runner, const CallReply *reply);
 
+/* runner_life.c */
+void runner_set_state (Runner *runner, LifeState state);
+void runner_forget_life (Runner *runner, const char *reason);
+
 /* runner_calls.c */
 void runner_send_start (Runner *runner, Run *run);
 void runner_send_stop (Runner *runner, const RunKey *key);
--- a/tests/test-command.c
+++ b/tests/test-command.c
@@ -218,7 +218,9 @@
 
 static const SampleCase sample_cases[]
     = { { "entry", SETTINGS_ENTRY, SAMPLES "/entry.toml" },
-        { "agent", SETTINGS_AGENT, SAMPLES "/agent.toml" } };
+        { "agent", SETTINGS_AGENT, SAMPLES "/agent.toml" },
+        { "platform-entry", SETTINGS_LEASED_ENTRY, SAMPLES "/platform-entry.toml" },
+        { "platform-agent", SETTINGS_LEASED_AGENT, SAMPLES "/platform-agent.toml" } };
 
 /* The committed sample is what the code prints, and loads without a fault. */
 static void
