--- a/tests/test-events.c
+++ b/tests/test-events.c
@@ -54,7 +54,8 @@
   written = counter_values[COUNTER_EVENTS_WRITTEN];
   for (guint i = 0; i < 10 * BUDGET; i++)
     event_emit ("routine", "job", "number=%u", i);
-  g_assert_cmpuint (counter_values[COUNTER_EVENTS_WRITTEN] - written, <=, 2 * BUDGET);
+  g_assert_cmpuint (counter_values[COUNTER_EVENTS_WRITTEN] - written, <=,
+                    (guint64)2 * BUDGET);
   written = counter_values[COUNTER_EVENTS_WRITTEN];
   event_note ("important", "job", "number=%u", 1);
   g_assert_cmpuint (counter_values[COUNTER_EVENTS_WRITTEN] - written, ==, 1);
