--- a/src/quality.c
+++ b/src/quality.c
@@ -7,6 +7,8 @@
 #define FAILING_RATE 0.25
 #define FAILING_LIMIT 0.4
 #define FAILING_GOOD 0.25
+/* Single starts go astray on the way to sound servers; five in a row do not. */
+#define ASTRAY_RATE 0.1
 /* Run times differ by about 0.4 of their mean; this mean moves by about 0.1. */
 #define SLOWNESS_RATE 0.15
 #define SLOWNESS_MOST 20.0
@@ -74,6 +76,14 @@
     trust_again (quality);
 }
 
+void
+quality_astray (Quality *quality, gint64 now_ms)
+{
+  quality->failing += ASTRAY_RATE * (1 - quality->failing);
+  if (quality->failing > FAILING_LIMIT || quality->trust == TRUST_PROBE)
+    distrust (quality, now_ms);
+}
+
 void
 quality_looked (Quality *quality, guint stalled, guint moving, gint64 now_ms)
 {
--- a/src/quality.h
+++ b/src/quality.h
@@ -27,6 +27,9 @@
 /** quality_ended - a run ended by itself. */
 void quality_ended (Quality *quality, gboolean failed, gint64 now_ms);
 
+/** quality_astray - a start was refused or never answered: weighs less than a failure. */
+void quality_astray (Quality *quality, gint64 now_ms);
+
 /** quality_slow - a run takes @ratio times as long as expected. */
 void quality_slow (Quality *quality, double ratio);
 
--- a/src/runner.c
+++ b/src/runner.c
@@ -298,17 +298,6 @@
   runner_set_state (runner, LIFE_CLEARING);
 }
 
-static gboolean
-has_unresolved (const Runner *runner)
-{
-  Run *run;
-
-  TAILQ_FOREACH (run, &runner->runs, link)
-    if (run->state == RUN_UNRESOLVED)
-      return TRUE;
-  return FALSE;
-}
-
 static void
 tick_quality (Runner *runner)
 {
@@ -331,7 +320,7 @@
   tick_quality (runner);
   check_lapse (runner);
   stop_unleased (runner);
-  if (runner->state == LIFE_CLEARING || has_unresolved (runner))
+  if (runner->state == LIFE_CLEARING || runner_must_settle (runner))
     runner_send_settle (runner);
   if (runner->n_runs > 0 && now_ms - runner->lease_sent_ms >= LOOK_MS)
     runner_send_renewal (runner);
--- a/src/runner_calls.c
+++ b/src/runner_calls.c
@@ -5,10 +5,13 @@
 #include <string.h>
 
 /* A start is answered within a few ms on the server's own VM; a task's latency objective
- * is about 150 ms at the shortest, so an astray one is settled well before that. */
-#define START_TIMEOUT_MS 60
+ * is about 150 ms at the shortest, so an astray one is settled well before that. Where
+ * the VM is slow, its usual answers take longer, and so does the wait for them. */
+#define SHORT_TIMEOUT_MS 40
+#define LONG_TIMEOUT_MS 150
+#define TIMEOUT_FACTOR 6
+#define CALL_TIME_RATE 0.2
 #define STOP_TIMEOUT_MS 100
-#define HOLD_TIMEOUT_MS 150
 /* How long the server may wait for an end before it answers, and the answer's own time.
  */
 #define WATCH_WAIT_MS 1000
@@ -21,6 +24,7 @@
   RunKey key;
   guint life;
   guint64 token;
+  gint64 sent_ms;
   gboolean watch;
   gboolean settle;
 } Cookie;
@@ -32,6 +36,7 @@
 
   cookie->life = runner->life;
   cookie->token = runner->token;
+  cookie->sent_ms = runner->now_ms;
   return cookie;
 }
 
@@ -48,6 +53,13 @@
   return call;
 }
 
+static guint
+short_timeout (const Runner *runner)
+{
+  return (guint)CLAMP (TIMEOUT_FACTOR * runner->call_ms, SHORT_TIMEOUT_MS,
+                       LONG_TIMEOUT_MS);
+}
+
 /* A lease that is sent may have been taken even if no answer comes: only a server that is
  * given none for the length of one has surely ended everything. */
 static void
@@ -70,6 +82,9 @@
     return FALSE;
   runner->now_ms = reply->now_ms;
   runner->unanswered = reply->end == CALL_UNANSWERED ? runner->unanswered + 1 : 0;
+  if (reply->end != CALL_UNANSWERED && !cookie->watch)
+    runner->call_ms
+        += CALL_TIME_RATE * (reply->now_ms - cookie->sent_ms - runner->call_ms);
   if (reply->server_ms > 0)
     peer_clock_hear (&runner->clock, reply->server_ms, runner->now_ms);
   if (reply->end == CALL_OTHER_LIFE)
@@ -104,7 +119,7 @@
 static void
 run_refused (Runner *runner, Run *run, const char *reason)
 {
-  quality_ended (&runner->quality, TRUE, runner->now_ms);
+  quality_astray (&runner->quality, runner->now_ms);
   run_end (runner, run, REPORT_NOT_STARTED, reason);
 }
 
@@ -161,7 +176,7 @@
 runner_send_start (Runner *runner, Run *run)
 {
   Cookie *cookie = cookie_new (runner);
-  ServerCall call = server_call (runner, START_TIMEOUT_MS, on_start_reply, cookie);
+  ServerCall call = server_call (runner, short_timeout (runner), on_start_reply, cookie);
 
   cookie->key = run->key;
   add_lease (runner, &call);
@@ -278,6 +293,17 @@
     runner_send_stop (runner, &reply->running[i].key);
 }
 
+gboolean
+runner_must_settle (const Runner *runner)
+{
+  const Run *run;
+
+  TAILQ_FOREACH (run, &runner->runs, link)
+    if (run->state == RUN_UNRESOLVED)
+      return TRUE;
+  return FALSE;
+}
+
 static void
 on_hold_reply (const CallReply *reply, gpointer ctx, gpointer data)
 {
@@ -288,8 +314,14 @@
     runner->watching = FALSE;
   if (cookie->life == runner->life && cookie->settle)
     runner->settling = FALSE;
-  if (!take_reply (runner, reply, cookie) || reply->end != CALL_DONE)
+  if (!take_reply (runner, reply, cookie))
     goto out;
+  if (reply->end != CALL_DONE)
+    {
+      if (cookie->settle && runner_must_settle (runner))
+        runner_send_settle (runner);
+      goto out;
+    }
   take_ends (runner, reply);
   runner_take_progress (runner, reply);
   if (cookie->settle && runner->state == LIFE_CLEARING && cookie->token == runner->token)
@@ -324,7 +356,7 @@
 runner_send_renewal (Runner *runner)
 {
   ServerCall call
-      = server_call (runner, HOLD_TIMEOUT_MS, on_hold_reply, cookie_new (runner));
+      = server_call (runner, LONG_TIMEOUT_MS, on_hold_reply, cookie_new (runner));
 
   add_lease (runner, &call);
   runner->init.calls->hold (&call, runner->ends_seen, 0, runner->init.server);
@@ -355,6 +387,6 @@
   runner->settling = TRUE;
   cookie = cookie_new (runner);
   cookie->settle = TRUE;
-  call = server_call (runner, HOLD_TIMEOUT_MS, on_hold_reply, cookie);
+  call = server_call (runner, short_timeout (runner), on_hold_reply, cookie);
   runner->init.calls->hold (&call, runner->ends_seen, 0, runner->init.server);
 }
--- a/src/runner_parts.h
+++ b/src/runner_parts.h
@@ -78,6 +78,7 @@
   gint64 leased_until; /* server's clock: the longest lease that it may have been given */
   gint64 lease_sent_ms;
   guint unanswered; /* calls since the last answer */
+  double call_ms;   /* what an answer usually takes */
   gint64 now_ms;    /* of the call that is being handled */
   Demand capacity;
   Quality quality;
@@ -113,6 +114,9 @@
 void runner_send_watch (Runner *runner);
 void runner_send_renewal (Runner *runner);
 
+/** runner_must_settle - whether the fate of a start is not known. */
+gboolean runner_must_settle (const Runner *runner);
+
 /** runner_send_settle - raise the fencing token where that is needed, then ask what runs:
  * what is not listed then never runs. */
 void runner_send_settle (Runner *runner);
