--- a/src/events.h
+++ b/src/events.h
@@ -17,7 +17,7 @@
 
 /**
  * event_emit - a routine line about one request.
- * @name: what happened, a constant such as "run-started".
+ * @name: what happened, a constant such as "task-started".
  * @job: id of the request, "-" if it is about none.
  * @format: "key=value ..." with all that decided it.
  */
--- a/src/runner.c
+++ b/src/runner.c
@@ -102,7 +102,7 @@
 static void
 tell (Runner *runner, guint64 home, const RunReport *report)
 {
-  event_emit ("run-report", report->key.job,
+  event_emit ("task-report", report->key.job,
               "task=%u run=%u outcome=%s reason=\"%s\" run_ms=%u server=%s",
               report->key.index, report->key.run, report_names[report->kind],
               report->reason, report->run_ms,
@@ -214,7 +214,7 @@
   if (run->stop_reason == NULL)
     {
       run->stop_reason = reason;
-      event_emit ("run-stop", run->key.job, "task=%u run=%u reason=\"%s\"",
+      event_emit ("task-stopping", run->key.job, "task=%u run=%u reason=\"%s\"",
                   run->key.index, run->key.run, reason);
     }
   if (run->state != RUN_RUNNING || runner->now_ms - run->stop_sent_ms < STOP_AGAIN_MS)
--- a/src/runner_calls.c
+++ b/src/runner_calls.c
@@ -109,7 +109,7 @@
   run->state = RUN_RUNNING;
   run->started_ms = runner->now_ms;
   run->progress_ms = runner->now_ms;
-  event_emit ("run-started", run->key.job, "task=%u run=%u server=%s", run->key.index,
+  event_emit ("task-started", run->key.job, "task=%u run=%u server=%s", run->key.index,
               run->key.run, runner->instance);
   runner->ops->report (run->home, &report, runner->ctx);
 }
--- a/src/runner_progress.c
+++ b/src/runner_progress.c
@@ -71,7 +71,7 @@
       elsewhere_ms = whole_ms / slowness;
     }
   run->told_ms = runner->now_ms;
-  event_note ("run-straggles", run->key.job,
+  event_note ("task-straggles", run->key.job,
               "task=%u run=%u percent=%u elapsed_ms=%" G_GINT64_FORMAT
               " expected_ms=%u remaining_ms=%.0f elsewhere_ms=%.0f slowness=%.2f",
               run->key.index, run->key.run, run->percent,
