--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -108,8 +108,8 @@
 mutant waits-in-lost-group src/holder_outcomes.c 'group_stands (holder, from) ? from->group : NULL' \
   'from->group' test-path /path/regroup-under-load
 mutant unleased-go-on src/runner.c \
-  'else if (runner->now_ms > granted_until (runner, run->home))' 'else if (FALSE)' \
-  test-runner /runner/lapsed-home-is-stopped
+  'else if (runner->now_ms > granted_until (runner, run->entry))' 'else if (FALSE)' \
+  test-runner /runner/lapsed-entry-is-stopped
 mutant strangers-ignored src/runner_calls.c 'if (reply->n_running == 0)' 'if (TRUE)' \
   test-runner /runner/strangers-end-first
 mutant link-loss-is-end src/dispatcher_servers.c '> longest;' '> 0 || longest;' \
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -68,7 +68,7 @@
 
 typedef struct
 {
-  /* Ask a server's agent to start runs of one job. */
+  /* Ask a server's agent to start runs of one job. @waiting: tasks that wait here. */
   void (*order) (LeasedServer *server,
                  const LeasedSpec *spec,
                  const RunKey *runs,
--- a/src/dispatcher_place.c
+++ b/src/dispatcher_place.c
@@ -21,7 +21,11 @@
 /* Beyond this share of distrusted servers the fault is taken to be in the tasks. */
 #define DISTRUSTED_SHARE 0.34
 
+/* Priorities beyond this count alike. */
 #define PRIORITY_STEPS 8
+/* Any chance goes before any amount of work. */
+#define CHANCE_STEP 1e15
+
 /* How the waiting jobs are ordered: first those that can still make their objective, then
  * those that are of some use, then the rest; among equals the least remaining work. */
 typedef enum
@@ -78,7 +82,7 @@
       if (job->closed || job->waiting == 0 || job->answered_before
           || g_hash_table_contains (dispatcher->closing, job->spec.id))
         continue;
-      job->rank = chance_of (job, dispatcher->now_ms) * 1e15 + weighted_work (job);
+      job->rank = chance_of (job, dispatcher->now_ms) * CHANCE_STEP + weighted_work (job);
       g_ptr_array_add (jobs, job);
     }
   g_ptr_array_sort (jobs, compare_jobs);
--- a/src/dispatcher_servers.c
+++ b/src/dispatcher_servers.c
@@ -4,7 +4,7 @@
 
 #include <string.h>
 
-/* After the lease of a home an agent needs its tick, the call and the server's own time
+/* After the lease of an entry an agent needs its tick, the call and the server's own time
  * to end a run. */
 #define STOP_SLACK_MS 150
 /* An agent names ends of the last three seconds; less what a link takes to come back. */
--- a/src/leased_agent.c
+++ b/src/leased_agent.c
@@ -31,10 +31,10 @@
 /* Nobody waits for the word that a run has started: it goes with the next frame, often
  * that of the run's end. */
 static void
-on_report (guint64 home, const RunReport *report, gpointer ctx)
+on_report (guint64 entry, const RunReport *report, gpointer ctx)
 {
   LeasedAgent *agent = ctx;
-  MeshPeer *peer = mesh_find (agent->mesh, home);
+  MeshPeer *peer = mesh_find (agent->mesh, entry);
 
   if (report->kind != REPORT_STARTED && report->kind != REPORT_NOT_STARTED)
     offers_freed (agent->offers, clock_now_ms ());
@@ -56,14 +56,14 @@
 }
 
 static void
-on_straggles (guint64 home,
+on_straggles (guint64 entry,
               const RunKey *key,
               guint remaining_ms,
               guint elsewhere_ms,
               gpointer ctx)
 {
   LeasedAgent *agent = ctx;
-  MeshPeer *peer = mesh_find (agent->mesh, home);
+  MeshPeer *peer = mesh_find (agent->mesh, entry);
   RunReport report = { *key, REPORT_STRAGGLES, "" };
   Gw__RunReport *message;
 
@@ -76,11 +76,11 @@
 }
 
 static void
-on_no_room (guint64 home, guint waiting, gpointer ctx)
+on_no_room (guint64 entry, guint waiting, gpointer ctx)
 {
   LeasedAgent *agent = ctx;
 
-  offers_refused (agent->offers, home, waiting, clock_now_ms ());
+  offers_refused (agent->offers, entry, waiting, clock_now_ms ());
 }
 
 static const RunnerOps runner_ops
@@ -124,13 +124,13 @@
 
   runner_start (agent->runner, request, now);
   if (runner_count (agent->runner) > before)
-    offers_used (agent->offers, request->home, now);
+    offers_used (agent->offers, request->entry, now);
 }
 
 static void
-take_order (LeasedAgent *agent, guint64 home, const Gw__RunOrder *order, gint64 now)
+take_order (LeasedAgent *agent, guint64 entry, const Gw__RunOrder *order, gint64 now)
 {
-  RunRequest request = { .home = home,
+  RunRequest request = { .entry = entry,
                          .payload = order->payload,
                          .demand = demand_from_wire (order->demand),
                          .expected_ms = order->expected_ms,
@@ -147,7 +147,7 @@
 }
 
 static void
-take_stop (LeasedAgent *agent, guint64 home, const Gw__RunStop *stop, gint64 now)
+take_stop (LeasedAgent *agent, guint64 entry, const Gw__RunStop *stop, gint64 now)
 {
   RunKey key;
 
@@ -156,7 +156,7 @@
     {
       key.index = stop->runs[i]->index;
       key.run = stop->runs[i]->run;
-      runner_stop (agent->runner, home, &key, now);
+      runner_stop (agent->runner, entry, &key, now);
     }
 }
 
@@ -244,8 +244,8 @@
                     .hello = &agent->hello,
                     .heartbeat_ms = settings->heartbeat_ms,
                     .timeout_ms = settings->timeout_ms,
-                    .lease_ms = settings->home_lease_ms,
-                    .forget_ms = 4 * settings->home_lease_ms };
+                    .lease_ms = settings->entry_lease_ms,
+                    .forget_ms = 4 * settings->entry_lease_ms };
 
   agent->base = base;
   agent->ops = ops;
--- a/src/leased_agent_state.c
+++ b/src/leased_agent_state.c
@@ -47,7 +47,7 @@
 }
 
 static State
-state_for (const LeasedAgent *agent, guint64 home)
+state_for (const LeasedAgent *agent, guint64 entry)
 {
   const Quality *quality = runner_quality (agent->runner);
   State state;
@@ -59,8 +59,8 @@
   state.slowness_percent = in_steps (quality->slowness, 20);
   state.failing_percent = in_steps (quality->failing, 20);
   state.capacity = *runner_capacity (agent->runner);
-  state.used_by_others = runner_used_by_others (agent->runner, home);
-  if (!offers_may_use (agent->offers, home))
+  state.used_by_others = runner_used_by_others (agent->runner, entry);
+  if (!offers_may_use (agent->offers, entry))
     hide_room (agent, &state);
   return state;
 }
--- a/src/leased_entry.c
+++ b/src/leased_entry.c
@@ -328,8 +328,8 @@
           .hello = &entry->hello,
           .heartbeat_ms = settings->heartbeat_ms,
           .timeout_ms = settings->timeout_ms,
-          .lease_ms = settings->home_lease_ms,
-          .forget_ms = 4 * (settings->home_lease_ms + settings->server_lease_ms) };
+          .lease_ms = settings->entry_lease_ms,
+          .forget_ms = 4 * (settings->entry_lease_ms + settings->server_lease_ms) };
 
   entry->base = base;
   entry->ops = ops;
--- a/src/leased_entry.h
+++ b/src/leased_entry.h
@@ -1,6 +1,7 @@
 #pragma once
-/* An entry of leased jobs: takes callers' requests, is home for jobs where it ranks
- * first, and keeps links to the other entries and to the agents. */
+/* An entry of leased jobs: runs its own callers' jobs on all backend servers, whose
+ * agents divide the room among the entries. Entries tell each other configurations and
+ * addresses, nothing else: the loss of one costs only its own callers. */
 #include "catalog.h"
 #include "dispatcher.h"
 #include "settings.h"
@@ -33,7 +34,7 @@
 /** leased_entry_reload - other seeds. */
 void leased_entry_reload (LeasedEntry *entry, const Settings *settings);
 
-/** leased_entry_drain - leave: others become home, what is open is finished. */
+/** leased_entry_drain - leave: what is open is finished. */
 void leased_entry_drain (LeasedEntry *entry);
 
 /** leased_entry_offer - a configuration; an older one than known is ignored. */
--- a/src/offers.c
+++ b/src/offers.c
@@ -5,14 +5,14 @@
 
 typedef struct
 {
-  guint64 home;
+  guint64 entry;
   guint waiting;
   gint64 refused_ms;
 } Wanting;
 
 struct Offers
 {
-  GArray *wanting; /* of Wanting, one for each home */
+  GArray *wanting; /* of Wanting, one for each entry */
   guint64 chosen;  /* 0: all may use what is free */
   gint64 until_ms;
 };
@@ -34,10 +34,10 @@
 }
 
 static void
-forget (Offers *offers, guint64 home)
+forget (Offers *offers, guint64 entry)
 {
   for (guint i = 0; i < offers->wanting->len; i++)
-    if (g_array_index (offers->wanting, Wanting, i).home == home)
+    if (g_array_index (offers->wanting, Wanting, i).entry == entry)
       {
         g_array_remove_index_fast (offers->wanting, i);
         return;
@@ -59,16 +59,16 @@
       if (best == NULL || wanting->waiting > best->waiting)
         best = wanting;
     }
-  offers->chosen = best != NULL ? best->home : 0;
+  offers->chosen = best != NULL ? best->entry : 0;
   offers->until_ms = now_ms + OFFER_MS;
 }
 
 void
-offers_refused (Offers *offers, guint64 home, guint waiting, gint64 now_ms)
+offers_refused (Offers *offers, guint64 entry, guint waiting, gint64 now_ms)
 {
-  Wanting wanting = { home, MAX (waiting, 1), now_ms };
+  Wanting wanting = { entry, MAX (waiting, 1), now_ms };
 
-  forget (offers, home);
+  forget (offers, entry);
   g_array_append_val (offers->wanting, wanting);
 }
 
@@ -80,23 +80,23 @@
 }
 
 static void
-count_down (Offers *offers, guint64 home)
+count_down (Offers *offers, guint64 entry)
 {
   for (guint i = 0; i < offers->wanting->len; i++)
     {
       Wanting *wanting = &g_array_index (offers->wanting, Wanting, i);
 
-      if (wanting->home == home && --wanting->waiting > 0)
+      if (wanting->entry == entry && --wanting->waiting > 0)
         return;
     }
-  forget (offers, home);
+  forget (offers, entry);
 }
 
 void
-offers_used (Offers *offers, guint64 home, gint64 now_ms)
+offers_used (Offers *offers, guint64 entry, gint64 now_ms)
 {
-  count_down (offers, home);
-  if (offers->chosen == home)
+  count_down (offers, entry);
+  if (offers->chosen == entry)
     choose (offers, now_ms);
 }
 
@@ -122,7 +122,7 @@
 }
 
 gboolean
-offers_may_use (const Offers *offers, guint64 home)
+offers_may_use (const Offers *offers, guint64 entry)
 {
-  return offers->chosen == 0 || offers->chosen == home;
+  return offers->chosen == 0 || offers->chosen == entry;
 }
--- a/src/offers.h
+++ b/src/offers.h
@@ -12,14 +12,14 @@
 Offers *offers_new (void);
 void offers_free (Offers *offers);
 
-/** offers_refused - @home has so many waiting tasks, and found no room. */
-void offers_refused (Offers *offers, guint64 home, guint waiting, gint64 now_ms);
+/** offers_refused - @entry has so many waiting tasks, and found no room. */
+void offers_refused (Offers *offers, guint64 entry, guint waiting, gint64 now_ms);
 
 /** offers_freed - there is room again. */
 void offers_freed (Offers *offers, gint64 now_ms);
 
-/** offers_used - @home has started something. */
-void offers_used (Offers *offers, guint64 home, gint64 now_ms);
+/** offers_used - @entry has started something. */
+void offers_used (Offers *offers, guint64 entry, gint64 now_ms);
 
 /** offers_tick - let an offer lapse that was not taken. */
 void offers_tick (Offers *offers, gint64 now_ms);
@@ -30,8 +30,8 @@
 /** offers_to - the entry that room is offered to now; 0: to all. */
 guint64 offers_to (const Offers *offers);
 
-/** offers_may_use - whether @home is to be told of free room. */
-gboolean offers_may_use (const Offers *offers, guint64 home);
+/** offers_may_use - whether @entry is to be told of free room. */
+gboolean offers_may_use (const Offers *offers, guint64 entry);
 
 /* An offer is taken within two ways through the network and a turn of both loops. */
 #define OFFER_MS 6
--- a/src/runner.c
+++ b/src/runner.c
@@ -12,7 +12,7 @@
 #define SILENT_CALLS 3
 /* A stop whose end is not listed by then is sent again. */
 #define STOP_AGAIN_MS 100
-/* A home whose link broke is back within its lease or has given the run up. */
+/* A entry whose link broke is back within its lease or has given the run up. */
 #define PAST_RUNS_MS 3000
 
 static const char *const report_names[]
@@ -26,7 +26,7 @@
   runner->init = *init;
   runner->ops = ops;
   runner->ctx = ctx;
-  runner->homes = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  runner->entries = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   runner->past_instances = g_new0 (char *, PAST_INSTANCES);
   TAILQ_INIT (&runner->runs);
   TAILQ_INIT (&runner->past);
@@ -65,7 +65,7 @@
   for (guint i = 0; i < PAST_INSTANCES; i++)
     g_free (runner->past_instances[i]);
   g_free (runner->past_instances);
-  g_hash_table_unref (runner->homes);
+  g_hash_table_unref (runner->entries);
   g_free (runner->instance);
   g_free (runner);
 }
@@ -100,14 +100,14 @@
 }
 
 static void
-tell (Runner *runner, guint64 home, const RunReport *report)
+tell (Runner *runner, guint64 entry, const RunReport *report)
 {
   event_emit ("task-report", report->key.job,
               "task=%u run=%u outcome=%s reason=\"%s\" run_ms=%u server=%s",
               report->key.index, report->key.run, report_names[report->kind],
               report->reason, report->run_ms,
               runner->instance != NULL ? runner->instance : "-");
-  runner->ops->report (home, report, runner->ctx);
+  runner->ops->report (entry, report, runner->ctx);
 }
 
 void
@@ -120,11 +120,11 @@
   past->report.reason = reason;
   if (run->started_ms > 0)
     past->report.run_ms = (guint)(runner->now_ms - run->started_ms);
-  past->home = run->home;
+  past->entry = run->entry;
   past->ended_ms = runner->now_ms;
   TAILQ_INSERT_TAIL (&runner->past, past, link);
   run_free (runner, run);
-  tell (runner, past->home, &past->report);
+  tell (runner, past->entry, &past->report);
   runner->ops->changed (runner->ctx);
 }
 
@@ -144,9 +144,9 @@
 }
 
 static gint64
-granted_until (const Runner *runner, guint64 home)
+granted_until (const Runner *runner, guint64 entry)
 {
-  gint64 *until = g_hash_table_lookup (runner->homes, &home);
+  gint64 *until = g_hash_table_lookup (runner->entries, &entry);
 
   return until != NULL ? *until : 0;
 }
@@ -165,8 +165,8 @@
     return "backend server is draining";
   if (runner->now_ms > request->valid_until_ms)
     return "order too old";
-  if (runner->now_ms > granted_until (runner, request->home))
-    return "home's lease has lapsed";
+  if (runner->now_ms > granted_until (runner, request->entry))
+    return "entry's lease has lapsed";
   if (find_any_run (runner, &request->key) != NULL)
     return "another run of the task is here";
   return NULL;
@@ -184,19 +184,19 @@
   reason = refusal (runner, request);
   if (reason == NULL && !demand_fits (&runner->capacity, &runner->used, &request->demand))
     {
-      runner->ops->no_room (request->home, request->waiting, runner->ctx);
+      runner->ops->no_room (request->entry, request->waiting, runner->ctx);
       reason = "no room";
     }
   if (reason != NULL)
     {
       RunReport refused = { request->key, REPORT_NOT_STARTED, reason };
 
-      tell (runner, request->home, &refused);
+      tell (runner, request->entry, &refused);
       return;
     }
   run = g_new0 (Run, 1);
   run->key = request->key;
-  run->home = request->home;
+  run->entry = request->entry;
   run->payload = g_strdup (request->payload);
   run->demand = request->demand;
   run->valid_until_ms = request->valid_until_ms;
@@ -224,28 +224,28 @@
 }
 
 void
-runner_stop (Runner *runner, guint64 home, const RunKey *key, gint64 now_ms)
+runner_stop (Runner *runner, guint64 entry, const RunKey *key, gint64 now_ms)
 {
   Run *run = runner_find (runner, key);
 
   runner->now_ms = now_ms;
-  if (run != NULL && run->home == home)
+  if (run != NULL && run->entry == entry)
     want_stop (runner, run, "stopped by its entry");
 }
 
 void
-runner_grant (Runner *runner, guint64 home, gint64 until_ms)
+runner_grant (Runner *runner, guint64 entry, gint64 until_ms)
 {
-  gint64 *until = g_hash_table_lookup (runner->homes, &home);
+  gint64 *until = g_hash_table_lookup (runner->entries, &entry);
 
   if (until != NULL)
     *until = MAX (*until, until_ms);
   else
-    g_hash_table_insert (runner->homes, g_memdup2 (&home, sizeof home),
+    g_hash_table_insert (runner->entries, g_memdup2 (&entry, sizeof entry),
                          g_memdup2 (&until_ms, sizeof until_ms));
 }
 
-/* A home that was killed, frozen or cut off no longer answers for its runs, and their
+/* A entry that was killed, frozen or cut off no longer answers for its runs, and their
  * jobs may be started anew elsewhere: what it does not lease any more is stopped. */
 static void
 stop_unleased (Runner *runner)
@@ -256,13 +256,13 @@
     {
       if (run->stop_reason != NULL)
         want_stop (runner, run, run->stop_reason);
-      else if (runner->now_ms > granted_until (runner, run->home))
-        want_stop (runner, run, "home's lease lapsed");
+      else if (runner->now_ms > granted_until (runner, run->entry))
+        want_stop (runner, run, "entry's lease lapsed");
     }
 }
 
 static gboolean
-home_is_over (gpointer key, gpointer value, gpointer ctx)
+entry_is_over (gpointer key, gpointer value, gpointer ctx)
 {
   const Runner *runner = ctx;
 
@@ -277,7 +277,7 @@
   while ((past = TAILQ_FIRST (&runner->past)) != NULL
          && runner->now_ms - past->ended_ms > PAST_RUNS_MS)
     past_free (runner, past);
-  g_hash_table_foreach_remove (runner->homes, home_is_over, runner);
+  g_hash_table_foreach_remove (runner->entries, entry_is_over, runner);
 }
 
 /* The server has not answered for longer than its lease: it has killed everything, or is
@@ -377,31 +377,31 @@
 }
 
 Demand
-runner_used_by_others (const Runner *runner, guint64 home)
+runner_used_by_others (const Runner *runner, guint64 entry)
 {
   Demand used = runner->used;
   Run *run;
 
   TAILQ_FOREACH (run, &runner->runs, link)
-    if (run->home == home)
+    if (run->entry == entry)
       demand_subtract (&used, &run->demand);
   return used;
 }
 
 gboolean
-runner_has_work (const Runner *runner, guint64 home)
+runner_has_work (const Runner *runner, guint64 entry)
 {
   Run *run;
 
   TAILQ_FOREACH (run, &runner->runs, link)
-    if (run->home == home)
+    if (run->entry == entry)
       return TRUE;
   return FALSE;
 }
 
 void
 runner_each_run (const Runner *runner,
-                 guint64 home,
+                 guint64 entry,
                  void (*each) (const RunReport *report, gpointer ctx),
                  gpointer ctx)
 {
@@ -412,10 +412,10 @@
     {
       RunReport report = { run->key, REPORT_STARTED, "" };
 
-      if (run->home == home)
+      if (run->entry == entry)
         each (&report, ctx);
     }
   TAILQ_FOREACH (past, &runner->past, link)
-    if (past->home == home)
+    if (past->entry == entry)
       each (&past->report, ctx);
 }
--- a/src/runner.h
+++ b/src/runner.h
@@ -26,10 +26,10 @@
   guint run_ms;       /* of a run that is done */
 } RunReport;
 
-/* A start that a home asks for. */
+/* A start that an entry asks for. */
 typedef struct
 {
-  guint64 home; /* incarnation of the process that asks */
+  guint64 entry; /* incarnation of the process that asks */
   RunKey key;
   const char *payload;
   Demand demand;
@@ -53,16 +53,16 @@
 
 typedef struct
 {
-  void (*report) (guint64 home, const RunReport *report, gpointer ctx);
+  void (*report) (guint64 entry, const RunReport *report, gpointer ctx);
   /* Because of its server a run will take about @remaining_ms more; started anew
    * elsewhere it would take @elsewhere_ms. */
-  void (*straggles) (guint64 home,
+  void (*straggles) (guint64 entry,
                      const RunKey *key,
                      guint remaining_ms,
                      guint elsewhere_ms,
                      gpointer ctx);
-  /* @home asked for a start and there was no room. */
-  void (*no_room) (guint64 home, guint waiting, gpointer ctx);
+  /* @entry asked for a start and there was no room. */
+  void (*no_room) (guint64 entry, guint waiting, gpointer ctx);
   /* Readiness, capacity or use have changed. */
   void (*changed) (gpointer ctx);
 } RunnerOps;
@@ -89,10 +89,10 @@
 
 /** runner_start - start it now or report REPORT_NOT_STARTED. */
 void runner_start (Runner *runner, const RunRequest *request, gint64 now_ms);
-void runner_stop (Runner *runner, guint64 home, const RunKey *key, gint64 now_ms);
+void runner_stop (Runner *runner, guint64 entry, const RunKey *key, gint64 now_ms);
 
-/** runner_grant - what @home started may go on until then (own clock). */
-void runner_grant (Runner *runner, guint64 home, gint64 until_ms);
+/** runner_grant - what @entry started may go on until then (own clock). */
+void runner_grant (Runner *runner, guint64 entry, gint64 until_ms);
 
 /** runner_tick - call it every RUNNER_TICK_MS. */
 void runner_tick (Runner *runner, gint64 now_ms);
@@ -110,14 +110,14 @@
 
 const Demand *runner_used (const Runner *runner);
 
-/** runner_used_by_others - room taken by runs that @home did not order. */
-Demand runner_used_by_others (const Runner *runner, guint64 home);
+/** runner_used_by_others - room taken by runs that @entry did not order. */
+Demand runner_used_by_others (const Runner *runner, guint64 entry);
 
-/** runner_has_work - whether runs of @home are there. */
-gboolean runner_has_work (const Runner *runner, guint64 home);
+/** runner_has_work - whether runs of @entry are there. */
+gboolean runner_has_work (const Runner *runner, guint64 entry);
 
-/** runner_each_run - every run of @home and each that ended a short while ago. */
+/** runner_each_run - every run of @entry and each that ended a short while ago. */
 void runner_each_run (const Runner *runner,
-                      guint64 home,
+                      guint64 entry,
                       void (*each) (const RunReport *report, gpointer ctx),
                       gpointer ctx);
--- a/src/runner_calls.c
+++ b/src/runner_calls.c
@@ -111,7 +111,7 @@
   run->progress_ms = runner->now_ms;
   event_emit ("task-started", run->key.job, "task=%u run=%u server=%s", run->key.index,
               run->key.run, runner->instance);
-  runner->ops->report (run->home, &report, runner->ctx);
+  runner->ops->report (run->entry, &report, runner->ctx);
 }
 
 /* A server that takes no starts looks free, and each one sent there costs its job the
--- a/src/runner_parts.h
+++ b/src/runner_parts.h
@@ -24,7 +24,7 @@
 {
   TAILQ_ENTRY (Run) link;
   RunKey key;
-  guint64 home;
+  guint64 entry;
   char *payload;
   Demand demand;
   RunState state;
@@ -41,12 +41,12 @@
   gint64 stop_sent_ms;
 } Run;
 
-/* A run that ended a short while ago, kept for a home whose link broke meanwhile. */
+/* A run that ended a short while ago, kept for an entry whose link broke meanwhile. */
 typedef struct PastRun
 {
   TAILQ_ENTRY (PastRun) link;
   RunReport report;
-  guint64 home;
+  guint64 entry;
   gint64 ended_ms;
 } PastRun;
 
@@ -66,7 +66,7 @@
   TAILQ_HEAD (, PastRun) past;
   guint n_runs;
   Demand used;
-  GHashTable *homes; /* incarnation -> gint64 until when its runs may go on */
+  GHashTable *entries; /* incarnation -> gint64 until when its runs may go on */
   char *instance;
   char **past_instances;
   guint life; /* counts the lives seen, so that answers of earlier ones are told apart */
--- a/src/runner_progress.c
+++ b/src/runner_progress.c
@@ -77,7 +77,7 @@
               run->key.index, run->key.run, run->percent,
               runner->now_ms - run->started_ms, run->expected_ms, left_ms, elsewhere_ms,
               slowness);
-  runner->ops->straggles (run->home, &run->key, (guint)left_ms, (guint)elsewhere_ms,
+  runner->ops->straggles (run->entry, &run->key, (guint)left_ms, (guint)elsewhere_ms,
                           runner->ctx);
 }
 
--- a/src/settings.h
+++ b/src/settings.h
@@ -31,7 +31,7 @@
   guint announcement_ms;
   guint drain_grace_ms;
   guint drain_limit_ms;
-  guint home_lease_ms;
+  guint entry_lease_ms;
   guint server_lease_ms;
 
   char **entries;
--- a/tests/lease_world.c
+++ b/tests/lease_world.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 #define STEP_MS 5
-#define HOME_LEASE_MS 450
+#define ENTRY_LEASE_MS 450
 #define SERVER_LEASE_MS 700
 #define HEARTBEAT_MS 120
 #define SILENT_MS 500
@@ -215,7 +215,7 @@
 
   for (gsize i = 0; i < n; i++)
     {
-      RunRequest request = { .home = wire->entry->incarnation,
+      RunRequest request = { .entry = wire->entry->incarnation,
                              .key = keys[i],
                              .payload = "p",
                              .demand = spec->demand,
@@ -254,7 +254,7 @@
 }
 
 static Wire *
-wire_to_home (Node *agent, guint64 home)
+wire_to_entry (Node *agent, guint64 incarnation)
 {
   LeaseWorld *world = agent->world;
 
@@ -262,7 +262,7 @@
     {
       Wire *wire = wire_of (world, &world->entries[i], agent);
 
-      if (world->entries[i].incarnation == home && wire->life != 0)
+      if (world->entries[i].incarnation == incarnation && wire->life != 0)
         return wire;
     }
   return NULL;
@@ -280,9 +280,9 @@
 }
 
 static void
-on_report (guint64 home, const RunReport *told, gpointer ctx)
+on_report (guint64 incarnation, const RunReport *told, gpointer ctx)
 {
-  Wire *wire = wire_to_home (ctx, home);
+  Wire *wire = wire_to_entry (ctx, incarnation);
   TaskReport report = task_report (told);
 
   if (wire != NULL)
@@ -290,13 +290,13 @@
 }
 
 static void
-on_straggles (guint64 home,
+on_straggles (guint64 incarnation,
               const RunKey *key,
               guint remaining_ms,
               guint elsewhere_ms,
               gpointer ctx)
 {
-  Wire *wire = wire_to_home (ctx, home);
+  Wire *wire = wire_to_entry (ctx, incarnation);
   TaskReport report = { .key = *key,
                         .event = TASK_STRAGGLES,
                         .reason = "",
@@ -323,7 +323,7 @@
 }
 
 static void
-on_no_room (guint64 home, guint waiting, gpointer ctx)
+on_no_room (guint64 incarnation, guint waiting, gpointer ctx)
 {
 }
 
@@ -472,7 +472,7 @@
   wire->sent_by_entry = world->now;
   message->sender_ms = clock_of (wire->entry);
   message->granted_until
-      = peer_clock_least (&wire->agent_clock, clock_of (wire->entry), 0) + HOME_LEASE_MS;
+      = peer_clock_least (&wire->agent_clock, clock_of (wire->entry), 0) + ENTRY_LEASE_MS;
   dispatcher_server_granted (wire->record, message->granted_until);
   post (wire, message, TRUE);
 }
--- a/tests/test-runner.c
+++ b/tests/test-runner.c
@@ -5,8 +5,8 @@
 
 #include <string.h>
 
-#define HOME 11
-#define OTHER_HOME 12
+#define ENTRY 11
+#define OTHER_ENTRY 12
 #define LEASE_MS 700
 #define CALLS_MAX 64
 #define REPORTS_MAX 64
@@ -31,7 +31,7 @@
 
 typedef struct
 {
-  guint64 home;
+  guint64 entry;
   RunKey key;
   ReportKind kind;
   char reason[64];
@@ -88,21 +88,21 @@
 static const ServerCalls calls = { on_start, on_stop, on_hold };
 
 static void
-on_report (guint64 home, const RunReport *told, gpointer ctx)
+on_report (guint64 entry, const RunReport *told, gpointer ctx)
 {
   Scene *scene = ctx;
   Report *report;
 
   g_assert_cmpuint (scene->n_reports, <, REPORTS_MAX);
   report = &scene->reports[scene->n_reports++];
-  report->home = home;
+  report->entry = entry;
   report->key = told->key;
   report->kind = told->kind;
   g_strlcpy (report->reason, told->reason, sizeof report->reason);
 }
 
 static void
-on_straggles (guint64 home,
+on_straggles (guint64 entry,
               const RunKey *key,
               guint remaining_ms,
               guint elsewhere_ms,
@@ -120,7 +120,7 @@
 }
 
 static void
-on_no_room (guint64 home, guint waiting, gpointer ctx)
+on_no_room (guint64 entry, guint waiting, gpointer ctx)
 {
 }
 
@@ -208,7 +208,7 @@
   scene->runner = runner_new (&init, &ops, scene);
 }
 
-/* A server that answers and runs nothing, and a home with a long lease. */
+/* A server that answers and runs nothing, and an entry with a long lease. */
 static void
 scene_ready (Scene *scene)
 {
@@ -216,7 +216,7 @@
   tell_facts (scene, "one", 1, FALSE);
   answer (scene, open_settle (scene), CALL_DONE);
   g_assert_true (runner_ready (scene->runner));
-  runner_grant (scene->runner, HOME, scene->now + 60000);
+  runner_grant (scene->runner, ENTRY, scene->now + 60000);
   runner_tick (scene->runner, scene->now);
 }
 
@@ -240,9 +240,9 @@
 }
 
 static void
-ask_start (Scene *scene, guint64 home, const char *job, guint cpu)
+ask_start (Scene *scene, guint64 entry, const char *job, guint cpu)
 {
-  RunRequest request = { .home = home,
+  RunRequest request = { .entry = entry,
                          .key = key_of (job, 0, 1),
                          .payload = "p",
                          .demand = { cpu, 10, 0 },
@@ -280,7 +280,7 @@
 static void
 start_running (Scene *scene, const char *job, guint cpu)
 {
-  ask_start (scene, HOME, job, cpu);
+  ask_start (scene, ENTRY, job, cpu);
   answer (scene, open_call (scene, CALLED_START), CALL_DONE);
   g_assert_cmpint (last_report (scene)->kind, ==, REPORT_STARTED);
 }
@@ -308,15 +308,15 @@
 
   scene_ready (scene);
   start_running (scene, "j", 3000);
-  ask_start (scene, HOME, "k", 2000);
+  ask_start (scene, ENTRY, "k", 2000);
   g_assert_cmpstr (last_report (scene)->reason, ==, "no room");
-  runner_stop (scene->runner, HOME, &key, scene->now);
+  runner_stop (scene->runner, ENTRY, &key, scene->now);
   answer (scene, open_call (scene, CALLED_STOP), CALL_DONE);
-  ask_start (scene, HOME, "k", 2000);
+  ask_start (scene, ENTRY, "k", 2000);
   g_assert_cmpstr (last_report (scene)->reason, ==, "no room");
   list_end (scene, open_watch (scene), "j", RUN_END_STOPPED);
   g_assert_cmpint (last_report (scene)->kind, ==, REPORT_LOST);
-  ask_start (scene, HOME, "k", 2000);
+  ask_start (scene, ENTRY, "k", 2000);
   g_assert_nonnull (open_call (scene, CALLED_START));
 }
 
@@ -331,7 +331,7 @@
   guint64 token;
 
   scene_ready (scene);
-  ask_start (scene, HOME, "j", 1000);
+  ask_start (scene, ENTRY, "j", 1000);
   token = open_call (scene, CALLED_START)->call.token;
   answer (scene, open_call (scene, CALLED_START), CALL_UNANSWERED);
   g_assert_cmpuint (scene->n_reports, ==, 0);
@@ -352,7 +352,7 @@
     {
       char job[2] = { (char)('a' + i), '\0' };
 
-      ask_start (scene, HOME, job, 1000);
+      ask_start (scene, ENTRY, job, 1000);
       answer (scene, open_call (scene, CALLED_START), CALL_UNANSWERED);
       answer (scene, open_settle (scene), CALL_DONE);
     }
@@ -363,7 +363,7 @@
 unanswered_start_that_runs (Scene *scene)
 {
   scene_ready (scene);
-  ask_start (scene, HOME, "j", 1000);
+  ask_start (scene, ENTRY, "j", 1000);
   answer (scene, open_call (scene, CALLED_START), CALL_UNANSWERED);
   list_running (scene, open_settle (scene), "j", 1);
   g_assert_cmpint (last_report (scene)->kind, ==, REPORT_STARTED);
@@ -376,7 +376,7 @@
 settling_is_asked_again (Scene *scene)
 {
   scene_ready (scene);
-  ask_start (scene, HOME, "j", 1000);
+  ask_start (scene, ENTRY, "j", 1000);
   answer (scene, open_call (scene, CALLED_START), CALL_UNANSWERED);
   answer (scene, open_settle (scene), CALL_UNANSWERED);
   g_assert_cmpuint (scene->n_reports, ==, 0);
@@ -393,7 +393,7 @@
   Call *first;
 
   scene_ready (scene);
-  ask_start (scene, HOME, "j", 1000);
+  ask_start (scene, ENTRY, "j", 1000);
   first = open_call (scene, CALLED_START);
   answer (scene, first, CALL_FENCED);
   g_assert_cmpuint (open_call (scene, CALLED_START)->call.token, >, first->call.token);
@@ -406,7 +406,7 @@
 end_overtakes_the_answer (Scene *scene)
 {
   scene_ready (scene);
-  ask_start (scene, HOME, "j", 1000);
+  ask_start (scene, ENTRY, "j", 1000);
   list_end (scene, open_watch (scene), "j", RUN_END_DONE);
   g_assert_cmpint (last_report (scene)->kind, ==, REPORT_DONE);
   answer (scene, open_call (scene, CALLED_START), CALL_DONE);
@@ -419,13 +419,13 @@
  * the first run goes on.
  * Cause: nobody stopped what no entry answers for any more. */
 static void
-lapsed_home_is_stopped (Scene *scene)
+lapsed_entry_is_stopped (Scene *scene)
 {
   guint stops = 0;
 
   scene_ready (scene);
-  runner_grant (scene->runner, OTHER_HOME, scene->now + 300);
-  ask_start (scene, OTHER_HOME, "j", 1000);
+  runner_grant (scene->runner, OTHER_ENTRY, scene->now + 300);
+  ask_start (scene, OTHER_ENTRY, "j", 1000);
   answer (scene, open_call (scene, CALLED_START), CALL_DONE);
   pass (scene, 250);
   g_assert_null (open_call (scene, CALLED_STOP));
@@ -445,7 +445,7 @@
 static void
 old_orders_are_refused (Scene *scene)
 {
-  RunRequest request = { .home = HOME,
+  RunRequest request = { .entry = ENTRY,
                          .key = key_of ("j", 0, 1),
                          .payload = "p",
                          .demand = { 1000, 10, 0 },
@@ -455,10 +455,10 @@
   request.valid_until_ms = scene->now - 1;
   runner_start (scene->runner, &request, scene->now);
   g_assert_cmpstr (last_report (scene)->reason, ==, "order too old");
-  request.home = OTHER_HOME;
+  request.entry = OTHER_ENTRY;
   request.valid_until_ms = scene->now + 100;
   runner_start (scene->runner, &request, scene->now);
-  g_assert_cmpstr (last_report (scene)->reason, ==, "home's lease has lapsed");
+  g_assert_cmpstr (last_report (scene)->reason, ==, "entry's lease has lapsed");
   g_assert_null (open_call (scene, CALLED_START));
 }
 
@@ -554,7 +554,7 @@
 {
   scene_ready (scene);
   tell_facts (scene, "one", 2, TRUE);
-  ask_start (scene, HOME, "j", 1000);
+  ask_start (scene, ENTRY, "j", 1000);
   g_assert_cmpstr (last_report (scene)->reason, ==, "backend server is draining");
 }
 
@@ -566,18 +566,18 @@
 {
   scene_ready (scene);
   start_running (scene, "j", 1000);
-  ask_start (scene, HOME, "j", 1000);
+  ask_start (scene, ENTRY, "j", 1000);
   g_assert_cmpuint (scene->n_reports, ==, 1);
-  runner_grant (scene->runner, OTHER_HOME, scene->now + 1000);
-  g_assert_cmpuint (runner_used_by_others (scene->runner, OTHER_HOME).cpu_milli, ==,
+  runner_grant (scene->runner, OTHER_ENTRY, scene->now + 1000);
+  g_assert_cmpuint (runner_used_by_others (scene->runner, OTHER_ENTRY).cpu_milli, ==,
                     1000);
-  g_assert_cmpuint (runner_used_by_others (scene->runner, HOME).cpu_milli, ==, 0);
+  g_assert_cmpuint (runner_used_by_others (scene->runner, ENTRY).cpu_milli, ==, 0);
 }
 
 static void
 other_run_of_a_task_is_refused (Scene *scene)
 {
-  RunRequest request = { .home = HOME,
+  RunRequest request = { .entry = ENTRY,
                          .key = key_of ("j", 0, 2),
                          .payload = "p",
                          .demand = { 1000, 10, 0 },
@@ -638,7 +638,7 @@
   { "settling-is-asked-again", settling_is_asked_again },
   { "fenced-start-is-sent-again", fenced_start_is_sent_again },
   { "end-overtakes-the-answer", end_overtakes_the_answer },
-  { "lapsed-home-is-stopped", lapsed_home_is_stopped },
+  { "lapsed-entry-is-stopped", lapsed_entry_is_stopped },
   { "old-orders-are-refused", old_orders_are_refused },
   { "strangers-end-first", strangers_end_first },
   { "token-goes-above-a-higher-one", token_goes_above_a_higher_one },
