--- a/tests/lease_server.c
+++ b/tests/lease_server.c
@@ -248,9 +248,10 @@
 {
   CallReply reply = { .end = end, .now_ms = now_ms };
   RunningRun *running = g_new0 (RunningRun, server->tasks->len + 1);
-  EndedRun *ended
-      = g_memdup2 (server->ended->data, (server->ended->len + 1) * sizeof *ended);
+  EndedRun *ended = g_new0 (EndedRun, server->ended->len + 1);
 
+  for (guint i = 0; i < server->ended->len; i++)
+    ended[i] = g_array_index (server->ended, EndedRun, i);
   order->answered = TRUE;
   if (end != CALL_UNANSWERED)
     reply.server_ms = server_ms (server);
