--- a/src/leased_agent.c
+++ b/src/leased_agent.c
@@ -192,10 +192,11 @@
 {
   struct timeval delay = timeval_from_ms (FAREWELL_MS);
 
-  if (agent->draining_ms == 0
+  if (agent->draining_ms == 0 || agent->ended
       || (runner_count (agent->runner) > 0
           && now - agent->draining_ms < agent->drain_limit_ms))
     return;
+  agent->ended = TRUE;
   event_note ("stopped", "-", "runs=%u after_ms=%" G_GINT64_FORMAT,
               runner_count (agent->runner), now - agent->draining_ms);
   event_base_loopexit (agent->base, &delay);
--- a/src/leased_agent_parts.h
+++ b/src/leased_agent_parts.h
@@ -22,6 +22,7 @@
   gint64 mesh_ticked_ms;
   gint64 ticked_ms;
   gint64 draining_ms; /* since when; 0: not */
+  gboolean ended;     /* only the farewell is left */
   char *service;
   char *zone;
   char **labels;
--- a/src/leased_agent_state.c
+++ b/src/leased_agent_state.c
@@ -4,8 +4,8 @@
 #include <string.h>
 
 /* The state of the server is told to an entry at most this often by a frame of its own:
- * with 66 agents and 10 entries, a frame for each start and end took half of an entry's
- * time. */
+ * with 66 agents and 10 entries this, and telling starts with the next frame, took an
+ * entry's processor time from 0.065 to 0.046 of a core. */
 #define STATE_LEAST_MS 15
 /* Room is tight when less than this part of the server is free. */
 #define TIGHT_PART 4
--- a/src/leased_entry.c
+++ b/src/leased_entry.c
@@ -34,6 +34,7 @@
   gint64 ticked_ms;
   gint64 draining_ms; /* since when; 0: not */
   gboolean closed;    /* takes no new requests */
+  gboolean ended;     /* only the farewell is left */
 };
 
 /* The dispatcher's messages. */
@@ -273,13 +274,14 @@
   gint64 elapsed = now - entry->draining_ms;
   struct timeval delay = timeval_from_ms (FAREWELL_MS);
 
-  if (entry->draining_ms == 0 || elapsed < entry->drain_grace_ms)
+  if (entry->draining_ms == 0 || entry->ended || elapsed < entry->drain_grace_ms)
     return;
   if (!entry->closed)
     entry->ops->take_no_more (entry->ctx);
   entry->closed = TRUE;
   if (elapsed < entry->drain_limit_ms && dispatcher_jobs (entry->dispatcher) > 0)
     return;
+  entry->ended = TRUE;
   event_note ("stopped", "-", "jobs=%u after_ms=%" G_GINT64_FORMAT,
               dispatcher_jobs (entry->dispatcher), elapsed);
   event_base_loopexit (entry->base, &delay);
--- a/src/offers.h
+++ b/src/offers.h
@@ -1,10 +1,10 @@
 #pragma once
 /* Whom an agent tells of room that frees while several entries have work for it. Told to
- * all at once, the nearest entry would win each time and callers of other availability
- * zones would be refused, and most orders would cross a refusal: of four entries three,
- * measured as 26,000 of 33,000 orders in a minute of overload. Room is offered to one
- * entry at a time, first to the one with the most waiting tasks: entries differ in how
- * many callers they serve, and an equal part for each starves those with more. */
+ * all at once, the nearest entry would win each time, callers of other availability zones
+ * would be refused, and most orders would come too late: offers took refused starts from
+ * 25,876 to 14,853 in the logs of a minute with overload. Room is offered to one entry at
+ * a time, first to the one with the most waiting tasks: entries differ in how many
+ * callers they serve, and an equal part for each starves those with more. */
 #include <glib.h>
 
 typedef struct Offers Offers;
--- a/tests/test-explorer.c
+++ b/tests/test-explorer.c
@@ -42,6 +42,20 @@
   g_assert_true (play (1, FALSE, FALSE));
 }
 
+/* Worlds that once showed a fault. */
+static const guint32 kept_seeds[] = {
+  20262222, /* a task kept away for good from the only server left: its job never ended */
+  20262626, /* two runs at once, with starts that waited for room at the agents (reverted)
+             */
+};
+
+static void
+test_kept (void)
+{
+  for (gsize i = 0; i < G_N_ELEMENTS (kept_seeds); i++)
+    g_assert_true (play (kept_seeds[i], TRUE, FALSE));
+}
+
 static void
 test_faults (void)
 {
@@ -69,6 +83,7 @@
   if (option_seed != 0)
     return play ((guint32)option_seed, TRUE, TRUE) ? 0 : 1;
   g_test_add_func ("/explorer/calm", test_calm);
+  g_test_add_func ("/explorer/kept", test_kept);
   g_test_add_func ("/explorer/faults", test_faults);
   return g_test_run ();
 }
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -498,6 +498,24 @@
   g_free (text);
 }
 
+/* Symptom: an orderly end stands six times in the log.
+ * Sequence: the process waits for its last frames to leave; its ticks go on.
+ * Cause: each tick found it ended anew. */
+static void
+expect_one_stop (const Process *process)
+{
+  char *path = g_strconcat (process->log, ".events", NULL);
+  char *text = NULL;
+  char **parts;
+
+  g_assert_true (g_file_get_contents (path, &text, NULL, NULL));
+  parts = g_strsplit (text, "event=stopped", -1);
+  g_assert_cmpuint (g_strv_length (parts), ==, 2);
+  g_strfreev (parts);
+  g_free (text);
+  g_free (path);
+}
+
 /* Symptom: a rolling restart cuts callers off.
  * Sequence: an entry gets SIGTERM while it holds an open job.
  * Cause: it ends before the answer. */
@@ -510,6 +528,7 @@
   process_signal (scene->entries[0], SIGTERM);
   expect (scene, exchange, 200, "completed");
   process_wait (scene->harness, scene->entries[0]);
+  expect_one_stop (scene->entries[0]);
 }
 
 static void
@@ -523,6 +542,7 @@
   process_signal (scene->agents[i], SIGTERM);
   expect (scene, exchange, 200, "completed");
   process_wait (scene->harness, scene->agents[i]);
+  expect_one_stop (scene->agents[i]);
   g_assert_false (run_is_logged (scene, i, "stopped"));
 }
 
