Home: a grant and the end of its job in one frame start nothing

Cause of the tasks that started twice in /mixed beside load: the link to a holder broke while outcomes were on their way; over the new link the holder granted the job again and heard its outcomes in the same turn, so one frame brought the grant and the word that the job had ended. The home took the end first, forgot the job, and the grant looked new. Ruled out: stale rosters and lost fences (no settlement concerned the job).

--- a/src/entry_links.c
+++ b/src/entry_links.c
@@ -55,19 +55,6 @@
                   frame->config->body);
 }
 
-static void
-take_home_traffic (Entry *entry, const Member *member, const Gw__Frame *frame)
-{
-  for (gsize i = 0; i < frame->n_cancels; i++)
-    home_cancel (entry->home, frame->cancels[i]);
-  for (gsize i = 0; i < frame->n_acks; i++)
-    home_ack (entry->home, frame->acks[i]);
-  for (gsize i = 0; i < frame->n_grants; i++)
-    home_grant (entry->home, member->incarnation, frame->grants[i]);
-  for (gsize i = 0; i < frame->n_announcements; i++)
-    backends_announce (entry->backends, frame->announcements[i]);
-}
-
 static void
 take_member_frame (Entry *entry, Member *member, Link *link, const Gw__Frame *frame)
 {
@@ -85,7 +72,9 @@
   take_roster_acks (entry, member, frame);
   for (gsize i = 0; i < frame->n_group_loads; i++)
     holder_group_load (entry->holder, frame->group_loads[i]);
-  take_home_traffic (entry, member, frame);
+  home_take_frame (entry->home, member->incarnation, frame);
+  for (gsize i = 0; i < frame->n_announcements; i++)
+    backends_announce (entry->backends, frame->announcements[i]);
   for (gsize i = 0; i < frame->n_outcomes; i++)
     if (!holder_outcome (entry->holder, frame->outcomes[i]))
       dismiss_stale (entry, link, frame->outcomes[i]);
--- a/src/home.h
+++ b/src/home.h
@@ -43,6 +43,9 @@
 gboolean home_outcome (Home *home, Backend *backend, const Gw__Outcome *outcome);
 gboolean home_fence_reply (Home *home, Backend *backend, const Gw__FenceReply *reply);
 
+/** home_take_frame - all that a holder asks in one frame. */
+void home_take_frame (Home *home, guint64 holder, const Gw__Frame *frame);
+
 void home_backend_reached (Home *home, Backend *backend);
 void home_backend_gone (Home *home, Backend *backend);
 
--- a/src/home_grants.c
+++ b/src/home_grants.c
@@ -211,6 +211,20 @@
   home_dispatch (group);
 }
 
+/* Grants first: a holder that hears the last outcome just after it has granted a job over
+ * a new link sends both in one frame. The end, taken first, would forget the job, and the
+ * grant would start it all over again. No grant of a job follows its end. */
+void
+home_take_frame (Home *home, guint64 holder, const Gw__Frame *frame)
+{
+  for (gsize i = 0; i < frame->n_grants; i++)
+    home_grant (home, holder, frame->grants[i]);
+  for (gsize i = 0; i < frame->n_cancels; i++)
+    home_cancel (home, frame->cancels[i]);
+  for (gsize i = 0; i < frame->n_acks; i++)
+    home_ack (home, frame->acks[i]);
+}
+
 void
 home_holder_up (Home *home, guint64 holder)
 {
--- a/tests/harness_http.c
+++ b/tests/harness_http.c
@@ -225,6 +225,38 @@
   return counts;
 }
 
+/* What all living processes know of a task that ran twice: without it such a failure
+ * could not be traced. */
+static void
+tell_story (Harness *harness, GPtrArray *processes, const char *path)
+{
+  for (guint i = 0; i < processes->len; i++)
+    {
+      const Process *process = g_ptr_array_index (processes, i);
+      Exchange *exchange;
+
+      if (process->pid == 0 || process->http == NULL)
+        continue;
+      exchange = harness_get (harness, process->http, path);
+      g_printerr ("== %s %s\n%s\n", process->name, path, exchange->body);
+      exchange_free (exchange);
+    }
+}
+
+static void
+tell_both_starts (Harness *harness, const char *task)
+{
+  char *job = g_strndup (task, strcspn (task, "/"));
+  char *path = g_strdup_printf ("/timeline?job=%s", job);
+
+  tell_story (harness, harness->entries, path);
+  tell_story (harness, harness->agents, path);
+  tell_story (harness, harness->entries, "/timeline");
+  tell_story (harness, harness->backends, "/starts");
+  g_free (path);
+  g_free (job);
+}
+
 guint
 harness_assert_once (Harness *harness)
 {
@@ -237,7 +269,10 @@
   g_hash_table_iter_init (&iter, counts);
   while (g_hash_table_iter_next (&iter, (gpointer *)&id, &n))
     if (GPOINTER_TO_UINT (n) != 1)
-      g_error ("task %s was started %u times", id, GPOINTER_TO_UINT (n));
+      {
+        tell_both_starts (harness, id);
+        g_error ("task %s was started %u times", id, GPOINTER_TO_UINT (n));
+      }
   g_hash_table_unref (counts);
   return ids;
 }
--- a/tests/home_scene.c
+++ b/tests/home_scene.c
@@ -261,8 +261,8 @@
   g_free (scene);
 }
 
-void
-scene_grant (Scene *scene, guint n)
+static Gw__Grant *
+grant_message (guint n)
 {
   Gw__Grant *grant = g_new (Gw__Grant, 1);
   JobKey key = { HOLDER, 1 };
@@ -283,10 +283,35 @@
       grant->tasks[i]->index = i;
       grant->n_tasks++;
     }
+  return grant;
+}
+
+void
+scene_grant (Scene *scene, guint n)
+{
+  Gw__Grant *grant = grant_message (n);
+
   home_grant (scene->home, HOLDER, grant);
   gw__grant__free_unpacked (grant, NULL);
 }
 
+void
+scene_grant_and_finish (Scene *scene, guint n)
+{
+  JobKey key = { HOLDER, 1 };
+  Gw__Grant *grant = grant_message (n);
+  Gw__Ack *ack = message_ack (&key, NULL, 0);
+  Gw__Frame frame = GW__FRAME__INIT;
+
+  frame.n_grants = 1;
+  frame.grants = &grant;
+  frame.n_acks = 1;
+  frame.acks = &ack;
+  home_take_frame (scene->home, HOLDER, &frame);
+  gw__grant__free_unpacked (grant, NULL);
+  gw__ack__free_unpacked (ack, NULL);
+}
+
 /* The owner's word on a task, as if it had just arrived. */
 void
 scene_owner_says (Scene *scene,
--- a/tests/home_scene.h
+++ b/tests/home_scene.h
@@ -42,6 +42,9 @@
 /** scene_grant - the holder grants a job of @n tasks, as grant 1. */
 void scene_grant (Scene *scene, guint n);
 
+/** scene_grant_and_finish - one frame that grants it again and says that it has ended. */
+void scene_grant_and_finish (Scene *scene, guint n);
+
 /** scene_owner_says - the owner's word on a task, as if it had just arrived. */
 void scene_owner_says (Scene *scene,
                        guint32 index,
--- a/tests/test-home.c
+++ b/tests/test-home.c
@@ -28,6 +28,27 @@
   return scene->outcomes->len == 1;
 }
 
+/* Symptom: tasks of a job that was answered start a second time, on other owners.
+ * Sequence: the link to the holder breaks while outcomes are on their way; over the new
+ *   one the holder grants the job again and hears the outcomes in the same turn, so that
+ *   the job ends there; one frame brings the grant and the word that the job has ended.
+ * Cause: the end taken first, which forgets the job; the grant then looks new. */
+static void
+test_granted_and_finished (void)
+{
+  Scene *scene = scene_new ();
+
+  scene_grant (scene, 1);
+  scene_wait (scene, one_started);
+  scene_owner_says (scene, 0, g_array_index (scene->started, guint32, 0),
+                    GW__OUTCOME__KIND__ANSWERED, GW__OUTCOME__REASON__NONE);
+  g_assert_cmpuint (scene->outcomes->len, ==, 1);
+  scene_grant_and_finish (scene, 1);
+  g_assert_cmpuint (scene_backend (scene)->placed, ==, 0);
+  scene_assert_nothing_left (scene);
+  scene_free (scene);
+}
+
 /* Symptom: a slot is counted as taken for good; the queue never empties.
  * Sequence: a start is sent, the link breaks and the start is lost; the holder, which
  *   also lost this home, settles and grants the task to another, which starts it at the
@@ -241,6 +262,7 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/home/granted-and-finished", test_granted_and_finished);
   g_test_add_func ("/home/started-by-another", test_started_by_another);
   g_test_add_func ("/home/started-by-us", test_started_by_us);
   g_test_add_func ("/home/refused-while-held", test_refused_while_held);
