Runner: ends are looked for while answers are lost

Cause: a call that waits for ends may lose its answer with its connection. It was waited for until its timeout of 1.3 s, and the look that would have found the ends came only when no start had renewed the lease for 100 ms: a loaded server's ends went unseen, and its room unused, for up to that long. A look is now due by the age of the lists; a waiting call that another answer shows to be lost is replaced; while answers get lost two calls wait.

Tests, red before: /runner/ends-are-looked-for-under-starts, /runner/lost-watch-is-replaced.

--- a/src/runner.c
+++ b/src/runner.c
@@ -310,6 +310,17 @@
     runner->ops->changed (runner->ctx);
 }
 
+/* Starts renew the lease too, but tell nothing of what runs. When only the lease made a
+ * look due, and the answer that would have told of ends was lost, a loaded server's ends
+ * were not seen for up to 1.3 s. */
+static gboolean
+look_is_due (const Runner *runner)
+{
+  gint64 last_ms = MIN (runner->lease_sent_ms, runner->listed_ms);
+
+  return runner->n_runs > 0 && runner->now_ms - last_ms >= LOOK_MS;
+}
+
 void
 runner_tick (Runner *runner, gint64 now_ms)
 {
@@ -322,8 +333,9 @@
   stop_unleased (runner);
   if (runner->state == LIFE_CLEARING || runner_must_settle (runner))
     runner_send_settle (runner);
-  if (runner->n_runs > 0 && now_ms - runner->lease_sent_ms >= LOOK_MS)
+  if (look_is_due (runner))
     runner_send_renewal (runner);
+  watches_check (&runner->watches, now_ms);
   runner_send_watch (runner);
 }
 
--- a/src/runner_calls.c
+++ b/src/runner_calls.c
@@ -12,10 +12,8 @@
 #define TIMEOUT_FACTOR 6
 #define CALL_TIME_RATE 0.2
 #define STOP_TIMEOUT_MS 100
-/* How long the server may wait for an end before it answers, and the answer's own time.
- */
-#define WATCH_WAIT_MS 1000
-#define WATCH_TIMEOUT_MS 1300
+/* An answer's own time, beyond how long the server may wait for an end. */
+#define WATCH_ANSWER_MS 100
 #define STARTS_MAX 4
 
 /* What an answer must be matched with: the runner's state may have moved on. */
@@ -25,7 +23,7 @@
   guint life;
   guint64 token;
   gint64 sent_ms;
-  gboolean watch;
+  guint64 watch; /* its number; 0: it does not wait for an end */
   gboolean settle;
 } Cookie;
 
@@ -82,7 +80,9 @@
     return FALSE;
   runner->now_ms = reply->now_ms;
   runner->unanswered = reply->end == CALL_UNANSWERED ? runner->unanswered + 1 : 0;
-  if (reply->end != CALL_UNANSWERED && !cookie->watch)
+  if (reply->end == CALL_UNANSWERED)
+    watches_lost (&runner->watches, runner->now_ms);
+  if (reply->end != CALL_UNANSWERED && cookie->watch == 0)
     runner->call_ms
         += CALL_TIME_RATE * (reply->now_ms - cookie->sent_ms - runner->call_ms);
   if (reply->server_ms > 0)
@@ -232,10 +232,12 @@
     }
 }
 
-static void
+/* Return: whether any of them was news. */
+static gboolean
 take_ends (Runner *runner, const CallReply *reply)
 {
   guint64 seen = runner->ends_seen;
+  gboolean news;
 
   for (gsize i = 0; i < reply->n_ended; i++)
     {
@@ -249,7 +251,9 @@
       if (run != NULL)
         end_as_listed (runner, run, ended->how);
     }
+  news = seen > runner->ends_seen;
   runner->ends_seen = seen;
+  return news;
 }
 
 static gboolean
@@ -310,8 +314,8 @@
   Runner *runner = ctx;
   Cookie *cookie = data;
 
-  if (cookie->life == runner->life && cookie->watch)
-    runner->watching = FALSE;
+  if (cookie->life == runner->life && cookie->watch != 0)
+    watches_ended (&runner->watches, cookie->watch);
   if (cookie->life == runner->life && cookie->settle)
     runner->settling = FALSE;
   if (!take_reply (runner, reply, cookie))
@@ -322,34 +326,46 @@
         runner_send_settle (runner);
       goto out;
     }
-  take_ends (runner, reply);
+  runner->listed_ms = runner->now_ms;
+  if (take_ends (runner, reply))
+    watches_saw_end (&runner->watches, runner->now_ms);
   runner_take_progress (runner, reply);
   if (cookie->settle && runner->state == LIFE_CLEARING && cookie->token == runner->token)
     clear_strangers (runner, reply);
   else if (cookie->settle)
     settle_runs (runner, reply, cookie->token);
-  if (cookie->watch)
-    runner_send_watch (runner);
+  watches_check (&runner->watches, runner->now_ms);
+  runner_send_watch (runner);
 
 out:
   g_free (cookie);
 }
 
+static void
+send_watch (Runner *runner, guint64 number)
+{
+  guint wait_ms = watches_wait_ms (&runner->watches, runner->now_ms);
+  Cookie *cookie = cookie_new (runner);
+  ServerCall call
+      = server_call (runner, wait_ms + WATCH_ANSWER_MS, on_hold_reply, cookie);
+
+  cookie->watch = number;
+  if (runner->n_runs > 0)
+    add_lease (runner, &call);
+  runner->init.calls->hold (&call, runner->ends_seen, wait_ms, runner->init.server);
+}
+
 void
 runner_send_watch (Runner *runner)
 {
-  Cookie *cookie;
-  ServerCall call;
+  guint64 number;
 
-  if (runner->watching || runner->state == LIFE_UNKNOWN)
+  if (runner->state == LIFE_UNKNOWN)
     return;
-  runner->watching = TRUE;
-  cookie = cookie_new (runner);
-  cookie->watch = TRUE;
-  call = server_call (runner, WATCH_TIMEOUT_MS, on_hold_reply, cookie);
-  if (runner->n_runs > 0)
-    add_lease (runner, &call);
-  runner->init.calls->hold (&call, runner->ends_seen, WATCH_WAIT_MS, runner->init.server);
+  while ((number = watches_next (&runner->watches, runner_server_is_silent (runner),
+                                 runner->now_ms))
+         != 0)
+    send_watch (runner, number);
 }
 
 void
@@ -359,6 +375,7 @@
       = server_call (runner, LONG_TIMEOUT_MS, on_hold_reply, cookie_new (runner));
 
   add_lease (runner, &call);
+  runner->listed_ms = runner->now_ms;
   runner->init.calls->hold (&call, runner->ends_seen, 0, runner->init.server);
 }
 
--- a/src/runner_life.c
+++ b/src/runner_life.c
@@ -36,7 +36,7 @@
   runner_lose_all (runner, reason);
   remember_instance (runner, g_steal_pointer (&runner->instance));
   runner->life++;
-  runner->watching = FALSE;
+  watches_forget (&runner->watches);
   runner->settling = FALSE;
   runner_set_state (runner, LIFE_UNKNOWN);
 }
--- a/src/runner_parts.h
+++ b/src/runner_parts.h
@@ -4,6 +4,7 @@
  * in, runner_progress.c judges it by what they tell. */
 #include "lease.h"
 #include "runner.h"
+#include "watches.h"
 
 #include <sys/queue.h>
 
@@ -77,6 +78,7 @@
   PeerClock clock;
   gint64 leased_until; /* server's clock: the longest lease that it may have been given */
   gint64 lease_sent_ms;
+  gint64 listed_ms; /* when its lists were last asked for or told */
   guint unanswered; /* calls since the last answer */
   double call_ms;   /* what an answer usually takes */
   gint64 now_ms;    /* of the call that is being handled */
@@ -84,7 +86,7 @@
   Quality quality;
   gboolean server_draining;
   gboolean draining;
-  gboolean watching;
+  Watches watches;
   gboolean settling;
 };
 
--- a/tests/test-runner.c
+++ b/tests/test-runner.c
@@ -629,6 +629,79 @@
   void (*play) (Scene *scene);
 } Case;
 
+/* Symptom: a server that answers looks idle for a second while its runs have ended; half
+ * of the room of a backend server that loses answers goes unused. Sequence: the answer of
+ * the call that waits for ends is lost; runs end; starts go on. Cause: starts renew the
+ * lease, so that no look for its sake is due, and only the waiting call would tell the
+ * ends. */
+static void
+ends_are_looked_for_under_starts (Scene *scene)
+{
+  guint looks = 0;
+
+  scene_ready (scene);
+  for (guint i = 0; i < 4; i++)
+    {
+      char *job = g_strdup_printf ("j%u", i);
+
+      start_running (scene, job, 100);
+      pass (scene, RUNNER_TICK_MS);
+      g_free (job);
+    }
+  for (guint i = 0; i < scene->n_calls; i++)
+    looks += scene->calls[i].what == CALLED_HOLD && scene->calls[i].wait_ms == 0
+             && !scene->calls[i].answered;
+  g_assert_cmpuint (looks, >, 0);
+}
+
+static guint
+open_watches (const Scene *scene)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < scene->n_calls; i++)
+    n += scene->calls[i].what == CALLED_HOLD && !scene->calls[i].answered
+         && scene->calls[i].wait_ms > 0;
+  return n;
+}
+
+/* Symptom: each end on a backend server is told up to 100 ms late, for a second.
+ * Sequence: the answer of the waiting call is lost with its connection; a look finds an
+ * end that this call should have told. Cause: the call is waited for until its timeout.
+ */
+static void
+lost_watch_is_replaced (Scene *scene)
+{
+  scene_ready (scene);
+  g_assert_cmpuint (open_watches (scene), ==, 1);
+  start_running (scene, "j", 1000);
+  start_running (scene, "k", 1000);
+  pass (scene, 2 * RUNNER_TICK_MS);
+  list_end (scene, open_settle (scene), "j", RUN_END_DONE);
+  pass (scene, RUNNER_TICK_MS);
+  g_assert_cmpuint (open_watches (scene), >=, 2);
+  g_assert_cmpuint (open_watch (scene)->ends_seen, ==, 1);
+  list_end (scene, open_watch (scene), "k", RUN_END_DONE);
+  g_assert_cmpint (last_report (scene)->kind, ==, REPORT_DONE);
+}
+
+/* The answers of a look and of the waiting call often come together: that is no loss. */
+static void
+watch_that_answers_is_kept (Scene *scene)
+{
+  Call *look;
+
+  scene_ready (scene);
+  start_running (scene, "j", 1000);
+  pass (scene, 2 * RUNNER_TICK_MS);
+  look = open_settle (scene);
+  list_end (scene, look, "j", RUN_END_DONE);
+  scene->ends--;
+  list_end (scene, open_watch (scene), "j", RUN_END_DONE);
+  pass (scene, RUNNER_TICK_MS);
+  g_assert_cmpuint (open_watches (scene), ==, 1);
+}
+
 static const Case cases[] = {
   { "runs-and-reports", runs_and_reports },
   { "room-is-kept-until-the-end", room_is_kept_until_the_end },
@@ -650,6 +723,9 @@
   { "other-run-of-a-task-is-refused", other_run_of_a_task_is_refused },
   { "hung-run-is-told", hung_run_is_told },
   { "long-run-is-no-straggler", long_run_is_no_straggler },
+  { "ends-are-looked-for-under-starts", ends_are_looked_for_under_starts },
+  { "lost-watch-is-replaced", lost_watch_is_replaced },
+  { "watch-that-answers-is-kept", watch_that_answers_is_kept },
 };
 
 static void
