Soak: the platform's programs under faults from outside, in series and overlapping

Real processes behind relays: links cut both ways, one way, silenced, delayed, reset; entries and agents frozen, killed, terminated, hung up; back ends mute, late, hung, restarted; the store down, hanging, forgetful; configurations meanwhile. Checked: no two runs of a task at once, no server over capacity, a complete job's tasks all ended, a job refused as not run never ran, every request answered, service as before afterwards.

--- a/src/leased_entry.c
+++ b/src/leased_entry.c
@@ -22,6 +22,7 @@
   guint64 incarnation;
   Gw__Hello hello;
   char *listen_frames;
+  char *advertised; /* where others reach it; empty: as listened */
   guint drain_grace_ms;
   guint drain_limit_ms;
   Listener *frames;
@@ -363,6 +364,7 @@
   entry->ctx = ctx;
   entry->incarnation = incarnation_new ();
   entry->listen_frames = g_strdup (settings->listen_frames);
+  entry->advertised = g_strdup (settings->advertise_frames);
   entry->drain_grace_ms = settings->drain_grace_ms;
   entry->drain_limit_ms = settings->drain_limit_ms;
   fill_hello (entry, settings);
@@ -389,6 +391,7 @@
   g_free (entry->hello.zone);
   g_free (entry->hello.frame_address);
   g_free (entry->listen_frames);
+  g_free (entry->advertised);
   g_free (entry);
 }
 
@@ -410,7 +413,8 @@
   if (entry->frames == NULL)
     return FALSE;
   g_free (entry->hello.frame_address);
-  entry->hello.frame_address = g_strdup (listen_address (entry->frames));
+  entry->hello.frame_address = g_strdup (
+      entry->advertised[0] != '\0' ? entry->advertised : listen_address (entry->frames));
   event_add (entry->tick, &interval);
   event_note ("started", "-", "incarnation=%" G_GINT64_MODIFIER "x frames=%s version=%s",
               entry->incarnation, listen_address (entry->frames), GODWITSPAR_VERSION);
@@ -458,6 +462,12 @@
       link_send_config (peer->link, catalog->version, "", catalog->source);
 }
 
+const char *
+leased_entry_listen_address (const LeasedEntry *entry)
+{
+  return listen_address (entry->frames);
+}
+
 const char *
 leased_entry_frame_address (const LeasedEntry *entry)
 {
--- a/src/leased_entry.h
+++ b/src/leased_entry.h
@@ -28,6 +28,9 @@
 void leased_entry_free (LeasedEntry *entry);
 gboolean leased_entry_start (LeasedEntry *entry, GError **error);
 
+/** leased_entry_listen_address - where it listens for frames, once it has started. */
+const char *leased_entry_listen_address (const LeasedEntry *entry);
+
 /** leased_entry_frame_address - where others reach it, once it has started. */
 const char *leased_entry_frame_address (const LeasedEntry *entry);
 
--- /dev/null
+++ b/tests/platform_scene.c
@@ -0,0 +1,282 @@
+#include "platform_scene.h"
+
+#include <json-glib/json-glib.h>
+#include <string.h>
+
+/* The operator. */
+
+static char *
+config_text (guint version, const char *prefix)
+{
+  return g_strdup_printf (
+      "{\"version\":%u,\"routes\":[{\"name\":\"r-1\",\"host\":\"" PLATFORM_HOST
+      "\",\"prefix\":\"%s\",\"kind\":\"unsafe\",\"timeout_ms\":1500,"
+      "\"target_latency_ms\":400,\"priority\":1,\"service\":\"exchange\","
+      "\"max_attempts\":2,\"stretch\":4}],\"services\":[{\"name\":\"exchange\"}],"
+      "\"limits\":{\"max_body_bytes\":20000,\"idle_timeout_ms\":15000}}",
+      version, prefix);
+}
+
+void
+platform_put_config (PlatformScene *scene, const char *prefix)
+{
+  char *text = config_text (++scene->version, prefix);
+  char *value = g_base64_encode ((const guchar *)text, strlen (text));
+  char *body
+      = g_strdup_printf ("{\"expected\":[],\"puts\":[{\"table\":\"op\",\"part\":\"\","
+                         "\"key\":\"config\",\"value\":\"%s\"}],\"remove\":[]}",
+                         value);
+
+  exchange_free (harness_post (scene->harness, scene->store->http, "/rows-tx", body));
+  g_free (body);
+  g_free (value);
+  g_free (text);
+}
+
+/* Processes. */
+
+Process *
+platform_start_entry (PlatformScene *scene, guint i, const char *peers)
+{
+  char *name = g_strdup_printf ("entry-%u", i);
+  char *settings = g_strdup_printf (
+      "name = \"%s\"\nzone = \"z\"\nlisten.http = \"127.0.0.1:0\"\n"
+      "listen.frames = \"127.0.0.1:0\"\nlisten.ready = \"127.0.0.1:0\"\n"
+      "listen.advertise_frames = \"%s\"\n"
+      "links.heartbeat_ms = 120\nlinks.timeout_ms = 500\ntable.address = \"%s\"\n"
+      "entries.peers = [%s]\ndrain.grace_ms = 300\ndrain.limit_ms = 4000\n",
+      name, scene->relays[i] != NULL ? relay_address (scene->relays[i]) : "",
+      scene->store->http, peers);
+  Process *process
+      = harness_spawn_daemon (scene->harness, PLATFORM_ENTRY_EXE, name, settings);
+
+  if (scene->relays[i] != NULL)
+    relay_set_target (scene->relays[i], process->frames);
+  g_free (settings);
+  g_free (name);
+  return process;
+}
+
+void
+platform_introduce (PlatformScene *scene, guint i)
+{
+  char *path = g_strdup_printf ("/agent?address=%s", scene->agents[i]->http);
+
+  exchange_free (harness_post (scene->harness, scene->servers[i]->http, path, ""));
+  g_free (path);
+}
+
+static const char *
+entry_address (const PlatformScene *scene, guint i)
+{
+  return scene->relays[i] != NULL ? relay_address (scene->relays[i])
+                                  : scene->entries[i]->frames;
+}
+
+Process *
+platform_start_agent (PlatformScene *scene, guint i)
+{
+  char *name = g_strdup_printf ("agent-%u", i);
+  char *settings = g_strdup_printf (
+      "name = \"%s\"\nzone = \"z\"\nlisten.http = \"127.0.0.1:0\"\n"
+      "links.heartbeat_ms = 120\nlinks.timeout_ms = 500\ntable.address = \"%s\"\n"
+      "entries.peers = [\"%s\"]\nbackend.address = \"%s\"\n",
+      name, scene->store->http, entry_address (scene, 0), scene->servers[i]->http);
+  Process *process
+      = harness_spawn_daemon (scene->harness, PLATFORM_AGENT_EXE, name, settings);
+
+  g_free (settings);
+  g_free (name);
+  return process;
+}
+
+void
+platform_restart_entry (PlatformScene *scene, guint i)
+{
+  process_restart (scene->harness, scene->entries[i]);
+  if (scene->relays[i] != NULL)
+    relay_set_target (scene->relays[i], scene->entries[i]->frames);
+}
+
+void
+platform_restart_agent (PlatformScene *scene, guint i)
+{
+  process_restart (scene->harness, scene->agents[i]);
+  platform_introduce (scene, i);
+}
+
+/* Callers. */
+
+char *
+platform_job (const char *spec, guint tasks)
+{
+  return g_strdup_printf (
+      "{\"spec\":\"%s\",\"best_effort\":true,\"steps\":[{\"count\":%u,"
+      "\"cpu\":1000,\"mem_mb\":64,\"estimate_ms\":100}]}",
+      spec, tasks);
+}
+
+Exchange *
+platform_call (PlatformScene *scene, guint entry, guint number, const char *body)
+{
+  const char *headers[] = { "Host", PLATFORM_HOST, "X-Deadline-Ms", "8000", NULL };
+  char *path = g_strdup_printf (PLATFORM_PREFIX "%016x", number);
+  Exchange *exchange = harness_call_with (scene->harness, scene->entries[entry]->http,
+                                          EVHTTP_REQ_POST, path, headers, body);
+
+  g_free (path);
+  return exchange;
+}
+
+Exchange *
+platform_start_job (PlatformScene *scene, guint entry, const char *spec, guint tasks)
+{
+  char *body = platform_job (spec, tasks);
+  Exchange *exchange = platform_call (scene, entry, ++scene->jobs, body);
+
+  g_free (body);
+  return exchange;
+}
+
+gboolean
+platform_is_ready (gpointer ctx)
+{
+  PlatformScene *scene = ctx;
+  Exchange *exchange = platform_start_job (scene, scene->jobs % scene->n_entries, "1",
+                                           scene->n_servers * 4);
+  gboolean ready;
+
+  harness_wait_exchange (scene->harness, exchange);
+  ready = exchange->status == 200;
+  exchange_free (exchange);
+  return ready;
+}
+
+void
+platform_scene_open (PlatformScene *scene, const PlatformInit *init)
+{
+  const char *store[] = { STORE_EXE, NULL };
+  const char *server[] = { SERVER_EXE, "4000", NULL };
+
+  memset (scene, 0, sizeof *scene);
+  scene->harness = harness_new_bare ();
+  scene->n_entries = init->entries;
+  scene->n_servers = init->servers;
+  scene->store = harness_spawn (scene->harness, "store", store);
+  if (init->configured)
+    platform_put_config (scene, PLATFORM_PREFIX);
+  for (guint i = 0; i < init->entries; i++)
+    {
+      if (init->relayed)
+        scene->relays[i] = relay_new (scene->harness->base);
+      scene->entries[i] = platform_start_entry (scene, i, "");
+    }
+  for (guint i = 0; i < init->servers; i++)
+    {
+      char *name = g_strdup_printf ("server-%u", i);
+
+      scene->servers[i] = harness_spawn (scene->harness, name, server);
+      scene->agents[i] = platform_start_agent (scene, i);
+      platform_introduce (scene, i);
+      g_free (name);
+    }
+  if (init->configured)
+    harness_wait (scene->harness, platform_is_ready, scene,
+                  "all servers serve all entries");
+}
+
+void
+platform_scene_close (PlatformScene *scene)
+{
+  for (guint i = 0; i < scene->n_entries; i++)
+    {
+      process_free (scene->entries[i]);
+      g_clear_pointer (&scene->relays[i], relay_free);
+    }
+  for (guint i = 0; i < scene->n_servers; i++)
+    {
+      process_free (scene->agents[i]);
+      process_free (scene->servers[i]);
+    }
+  process_free (scene->store);
+  harness_free (scene->harness);
+}
+
+/* What the back ends ran. */
+
+typedef struct
+{
+  gint64 at_ms;
+  gboolean starts;
+  char *task;
+  char *how;
+} Moment;
+
+static void
+moment_clear (gpointer data)
+{
+  Moment *moment = data;
+
+  g_free (moment->task);
+  g_free (moment->how);
+}
+
+static int
+compare_moments (gconstpointer a, gconstpointer b)
+{
+  const Moment *left = a;
+  const Moment *right = b;
+
+  if (left->at_ms != right->at_ms)
+    return left->at_ms < right->at_ms ? -1 : 1;
+  return left->starts - right->starts;
+}
+
+static void
+add_moments (PlatformScene *scene, guint i, GArray *moments)
+{
+  Exchange *exchange = harness_get (scene->harness, scene->servers[i]->http, "/runs");
+  char **lines = g_strsplit (exchange->body, "\n", -1);
+
+  for (char **line = lines; *line != NULL && **line != '\0'; line++)
+    {
+      char **words = g_strsplit (*line, " ", 4);
+      Moment moment
+          = { g_ascii_strtoll (words[1], NULL, 10), strcmp (words[0], "start") == 0,
+              g_strdup (words[2]), g_strdup (words[0]) };
+
+      g_assert_cmpstr (words[0], !=, "OVER-CAPACITY");
+      g_array_append_val (moments, moment);
+      g_strfreev (words);
+    }
+  g_strfreev (lines);
+  exchange_free (exchange);
+}
+
+guint
+platform_check_runs (PlatformScene *scene, PlatformMomentFunc each, gpointer ctx)
+{
+  GArray *moments = g_array_new (FALSE, TRUE, sizeof (Moment));
+  GHashTable *running = g_hash_table_new (g_str_hash, g_str_equal);
+  guint starts = 0;
+
+  g_array_set_clear_func (moments, moment_clear);
+  for (guint i = 0; i < scene->n_servers; i++)
+    add_moments (scene, i, moments);
+  g_array_sort (moments, compare_moments);
+  for (guint i = 0; i < moments->len; i++)
+    {
+      const Moment *moment = &g_array_index (moments, Moment, i);
+
+      starts += moment->starts;
+      if (each != NULL)
+        each (moment->starts, moment->task, moment->how, ctx);
+      if (!moment->starts)
+        g_hash_table_remove (running, moment->task);
+      else if (!g_hash_table_add (running, moment->task))
+        g_error ("two runs of %s at once", moment->task);
+    }
+  g_hash_table_unref (running);
+  g_array_unref (moments);
+  return starts;
+}
--- /dev/null
+++ b/tests/platform_scene.h
@@ -0,0 +1,76 @@
+#pragma once
+/* The programs for the users' platform, as real processes among stand-ins that speak its
+ * published protocols: a store, back ends and the operator. */
+#include "harness.h"
+
+#define PLATFORM_HOST "claims.example"
+#define PLATFORM_PREFIX "/claims/"
+#define PLATFORM_MOST 8
+/* A job that is sent again after its entry was lost comes this much later. */
+#define PLATFORM_RESEND_MS 1300
+
+typedef struct
+{
+  Harness *harness;
+  guint n_entries;
+  guint n_servers;
+  Process *store;
+  Process *entries[PLATFORM_MOST];
+  Process *agents[PLATFORM_MOST];
+  Process *servers[PLATFORM_MOST];
+  Relay *relays[PLATFORM_MOST]; /* before the frames of each entry, if asked for */
+  guint jobs;
+  guint version;
+} PlatformScene;
+
+typedef struct
+{
+  guint entries;
+  guint servers;
+  gboolean relayed;
+  gboolean configured;
+} PlatformInit;
+
+void platform_scene_open (PlatformScene *scene, const PlatformInit *init);
+void platform_scene_close (PlatformScene *scene);
+
+/** platform_put_config - the operator writes the next version, with one queue. */
+void platform_put_config (PlatformScene *scene, const char *prefix);
+
+/** platform_start_entry - @peers: quoted addresses of others, separated by commas. */
+Process *platform_start_entry (PlatformScene *scene, guint i, const char *peers);
+Process *platform_start_agent (PlatformScene *scene, guint i);
+
+/** platform_introduce - tell a back end where its agent listens. */
+void platform_introduce (PlatformScene *scene, guint i);
+
+/** platform_restart_entry - start an entry again that has ended. */
+void platform_restart_entry (PlatformScene *scene, guint i);
+void platform_restart_agent (PlatformScene *scene, guint i);
+
+/** platform_job - the body of a job. Free with g_free. */
+char *platform_job (const char *spec, guint tasks);
+
+/** platform_call - send that body as job @number to an entry. */
+Exchange *
+platform_call (PlatformScene *scene, guint entry, guint number, const char *body);
+
+/** platform_start_job - send a new job to an entry. */
+Exchange *
+platform_start_job (PlatformScene *scene, guint entry, const char *spec, guint tasks);
+
+/** platform_is_ready - a condition: a job of many tasks is served now. */
+gboolean platform_is_ready (gpointer scene);
+
+typedef void (*PlatformMomentFunc) (gboolean starts,
+                                    const char *task,
+                                    const char *how,
+                                    gpointer ctx);
+
+/**
+ * platform_check_runs - no task ran twice at once, no server over its capacity.
+ * @each: is told of every start and end in the order of time; may be NULL.
+ *
+ * Return: how many runs began.
+ */
+guint platform_check_runs (PlatformScene *scene, PlatformMomentFunc each, gpointer ctx);
--- a/tests/relay.c
+++ b/tests/relay.c
@@ -14,8 +14,19 @@
   RelayMode mode;
   gboolean cutting;
   gsize bytes_left;
+  LIST_HEAD (, Held) held;
 } Pair;
 
+/* Bytes under way in RELAY_DELAY. */
+typedef struct Held
+{
+  LIST_ENTRY (Held) link_entry;
+  Pair *pair;
+  guint to;
+  struct evbuffer *bytes;
+  struct event *timer;
+} Held;
+
 struct Relay
 {
   struct event_base *base;
@@ -25,9 +36,20 @@
   LIST_HEAD (, Pair) pairs;
 };
 
+static void
+held_free (Held *held)
+{
+  LIST_REMOVE (held, link_entry);
+  event_free (held->timer);
+  evbuffer_free (held->bytes);
+  g_free (held);
+}
+
 static void
 pair_free (Pair *pair)
 {
+  while (!LIST_EMPTY (&pair->held))
+    held_free (LIST_FIRST (&pair->held));
   LIST_REMOVE (pair, link_entry);
   bufferevent_free (pair->sides[0]);
   bufferevent_free (pair->sides[1]);
@@ -53,6 +75,31 @@
     }
 }
 
+static void
+on_delayed (evutil_socket_t fd, short what, void *ctx)
+{
+  Held *held = ctx;
+
+  evbuffer_add_buffer (bufferevent_get_output (held->pair->sides[held->to]), held->bytes);
+  held_free (held);
+}
+
+/* What comes later waits as long, and so stays in order. */
+static void
+delay (Pair *pair, guint to, struct evbuffer *from)
+{
+  struct timeval wait = { 0, RELAY_DELAY_MS * 1000 };
+  Held *held = g_new0 (Held, 1);
+
+  held->pair = pair;
+  held->to = to;
+  held->bytes = evbuffer_new ();
+  evbuffer_add_buffer (held->bytes, from);
+  held->timer = evtimer_new (pair->relay->base, on_delayed, held);
+  event_add (held->timer, &wait);
+  LIST_INSERT_HEAD (&pair->held, held, link_entry);
+}
+
 static void
 on_read (struct bufferevent *bev, void *ctx)
 {
@@ -87,6 +134,9 @@
     case RELAY_REPEAT:
       repeat_frames (from, to);
       break;
+    case RELAY_DELAY:
+      delay (pair, bev == pair->sides[0], from);
+      break;
     }
 }
 
@@ -113,6 +163,7 @@
   pair->mode = relay->new_mode;
   pair->sides[0] = bufferevent_socket_new (relay->base, fd, BEV_OPT_CLOSE_ON_FREE);
   pair->sides[1] = bufferevent_socket_new (relay->base, -1, BEV_OPT_CLOSE_ON_FREE);
+  LIST_INIT (&pair->held);
   LIST_INSERT_HEAD (&relay->pairs, pair, link_entry);
   for (int i = 0; i < 2; i++)
     bufferevent_setcb (pair->sides[i], on_read, NULL, on_event, pair);
--- a/tests/relay.h
+++ b/tests/relay.h
@@ -5,12 +5,15 @@
 
 typedef struct Relay Relay;
 
+#define RELAY_DELAY_MS 300
+
 typedef enum
 {
   RELAY_PASS,
   RELAY_VANISH, /* forwards nothing, closes nothing: a peer gone without a FIN */
   RELAY_DEAF,   /* the target is heard no more, while it still hears */
   RELAY_REPEAT, /* sends every whole frame twice */
+  RELAY_DELAY,  /* forwards all of it RELAY_DELAY_MS later */
 } RelayMode;
 
 Relay *relay_new (struct event_base *base);
--- /dev/null
+++ b/tests/test-soak.c
@@ -0,0 +1,569 @@
+/* A randomized soak of the programs for the users' platform: real processes, callers that
+ * keep their connections, and faults from outside that come in series and overlap. What
+ * callers and back ends see is checked against the promises.
+ *
+ * Without options the kept seeds are played. By hand: --seed=N, --seeds=N, --seconds=N,
+ * --entries=N, --servers=N. */
+#include "clock.h"
+#include "platform_scene.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define KEPT_SECONDS 6
+#define STEP_MS 10
+/* A job about this often; tasks of up to RUN_MOST_MS. */
+#define JOB_EVERY_MS 40
+#define TASKS_MOST 8
+#define RUN_MOST_MS 400
+#define TRIES_MOST 3
+#define FAULT_EVERY_MS 250
+#define FAULT_LEAST_MS 100
+#define FAULT_MOST_MS 2000
+/* At least this part of the jobs must complete, whatever happens. */
+#define SERVED_PART 0.3
+
+static int option_seed = -1;
+static int option_seeds = 1;
+static int option_seconds = KEPT_SECONDS;
+static int option_entries = 3;
+static int option_servers = 4;
+
+/* Each seed that ever failed, with its cause; and two that play often. */
+static const guint32 kept_seeds[] = { 1, 2 };
+
+typedef enum
+{
+  ON_ENTRY,
+  ON_AGENT,
+  ON_LINK,
+  ON_SERVER,
+  ON_STORE,
+  ON_OPERATOR,
+  PLACES,
+} Place;
+
+typedef struct Soak Soak;
+
+typedef struct
+{
+  const char *name;
+  Place place;
+  void (*begin) (Soak *soak, guint target);
+  void (*end) (Soak *soak, guint target);
+} Fault;
+
+/* One fault at a time on one target; on different ones they overlap. */
+typedef struct
+{
+  const Fault *fault; /* NULL: none */
+  gint64 until_ms;
+} Struck;
+
+typedef struct
+{
+  guint number;
+  guint tasks;
+  char *body;
+  guint tries;
+  guint not_run;      /* tries that were told so */
+  Exchange *exchange; /* under way */
+  gint64 again_ms;    /* when it is sent again */
+  int status;         /* of the last try */
+  gboolean completed;
+} Request;
+
+struct Soak
+{
+  PlatformScene scene;
+  GRand *random;
+  Struck struck[PLACES][PLATFORM_MOST];
+  gboolean down[PLATFORM_MOST]; /* entries that take no calls now */
+  GPtrArray *requests;
+  GHashTable *starts; /* job -> number of starts */
+  GHashTable *done;   /* task -> itself */
+};
+
+/* Faults. */
+
+static Process *
+process_at (Soak *soak, Place place, guint target)
+{
+  return place == ON_ENTRY ? soak->scene.entries[target] : soak->scene.agents[target];
+}
+
+static void
+nothing (Soak *soak, guint target)
+{
+}
+
+static void
+freeze_entry (Soak *soak, guint target)
+{
+  process_signal (process_at (soak, ON_ENTRY, target), SIGSTOP);
+}
+
+static void
+thaw_entry (Soak *soak, guint target)
+{
+  process_signal (process_at (soak, ON_ENTRY, target), SIGCONT);
+}
+
+static void
+freeze_agent (Soak *soak, guint target)
+{
+  process_signal (process_at (soak, ON_AGENT, target), SIGSTOP);
+}
+
+static void
+thaw_agent (Soak *soak, guint target)
+{
+  process_signal (process_at (soak, ON_AGENT, target), SIGCONT);
+}
+
+static void
+kill_entry (Soak *soak, guint target)
+{
+  soak->down[target] = TRUE;
+  process_kill (soak->scene.harness, process_at (soak, ON_ENTRY, target));
+}
+
+static void
+kill_agent (Soak *soak, guint target)
+{
+  process_kill (soak->scene.harness, process_at (soak, ON_AGENT, target));
+}
+
+static void
+terminate_entry (Soak *soak, guint target)
+{
+  soak->down[target] = TRUE;
+  process_signal (process_at (soak, ON_ENTRY, target), SIGTERM);
+}
+
+static void
+terminate_agent (Soak *soak, guint target)
+{
+  process_signal (process_at (soak, ON_AGENT, target), SIGTERM);
+}
+
+static void
+return_entry (Soak *soak, guint target)
+{
+  if (process_at (soak, ON_ENTRY, target)->pid > 0)
+    g_assert_cmpint (
+        process_wait (soak->scene.harness, process_at (soak, ON_ENTRY, target)), ==, 0);
+  platform_restart_entry (&soak->scene, target);
+  soak->down[target] = FALSE;
+}
+
+static void
+return_agent (Soak *soak, guint target)
+{
+  if (process_at (soak, ON_AGENT, target)->pid > 0)
+    g_assert_cmpint (
+        process_wait (soak->scene.harness, process_at (soak, ON_AGENT, target)), ==, 0);
+  platform_restart_agent (&soak->scene, target);
+}
+
+static void
+hang_up_entry (Soak *soak, guint target)
+{
+  process_signal (process_at (soak, ON_ENTRY, target), SIGHUP);
+}
+
+static void
+hang_up_agent (Soak *soak, guint target)
+{
+  process_signal (process_at (soak, ON_AGENT, target), SIGHUP);
+}
+
+static void
+cut_link (Soak *soak, guint target)
+{
+  relay_set_mode (soak->scene.relays[target], RELAY_VANISH, TRUE);
+}
+
+static void
+cut_link_one_way (Soak *soak, guint target)
+{
+  relay_set_mode (soak->scene.relays[target], RELAY_DEAF, TRUE);
+}
+
+static void
+silence_link (Soak *soak, guint target)
+{
+  relay_set_mode (soak->scene.relays[target], RELAY_VANISH, FALSE);
+}
+
+static void
+delay_link (Soak *soak, guint target)
+{
+  relay_set_mode (soak->scene.relays[target], RELAY_DELAY, TRUE);
+}
+
+static void
+reset_link (Soak *soak, guint target)
+{
+  relay_cut (soak->scene.relays[target], (gsize)g_rand_int_range (soak->random, 0, 200));
+}
+
+/* What was lost in a stream cannot be made good: its connections end with the fault. */
+static void
+mend_link (Soak *soak, guint target)
+{
+  relay_set_mode (soak->scene.relays[target], RELAY_PASS, TRUE);
+  relay_cut (soak->scene.relays[target], 0);
+}
+
+#define SERVER_FAULT(NAME, MODE)                                                         \
+  static void NAME (Soak *soak, guint target)                                            \
+  {                                                                                      \
+    harness_fault (soak->scene.harness, soak->scene.servers[target], MODE);              \
+  }
+SERVER_FAULT (mute_server, "mute")
+SERVER_FAULT (late_server, "late")
+SERVER_FAULT (hang_server, "hang")
+SERVER_FAULT (restart_server, "restart")
+SERVER_FAULT (mend_server, "ok")
+
+#define STORE_FAULT(NAME, MODE)                                                          \
+  static void NAME (Soak *soak, guint target)                                            \
+  {                                                                                      \
+    harness_fault (soak->scene.harness, soak->scene.store, MODE);                        \
+  }
+STORE_FAULT (stop_store, "down")
+STORE_FAULT (hang_store, "hang")
+STORE_FAULT (forget_store, "forget")
+STORE_FAULT (mend_store, "ok")
+
+static void
+change_config (Soak *soak, guint target)
+{
+  if (soak->struck[ON_STORE][0].fault == NULL)
+    platform_put_config (&soak->scene, PLATFORM_PREFIX);
+}
+
+static const Fault faults[] = {
+  { "freeze-entry", ON_ENTRY, freeze_entry, thaw_entry },
+  { "kill-entry", ON_ENTRY, kill_entry, return_entry },
+  { "terminate-entry", ON_ENTRY, terminate_entry, return_entry },
+  { "hang-up-entry", ON_ENTRY, hang_up_entry, nothing },
+  { "freeze-agent", ON_AGENT, freeze_agent, thaw_agent },
+  { "kill-agent", ON_AGENT, kill_agent, return_agent },
+  { "terminate-agent", ON_AGENT, terminate_agent, return_agent },
+  { "hang-up-agent", ON_AGENT, hang_up_agent, nothing },
+  { "cut-link", ON_LINK, cut_link, mend_link },
+  { "cut-link-one-way", ON_LINK, cut_link_one_way, mend_link },
+  { "silence-link", ON_LINK, silence_link, mend_link },
+  { "delay-link", ON_LINK, delay_link, mend_link },
+  { "reset-link", ON_LINK, reset_link, nothing },
+  { "mute-server", ON_SERVER, mute_server, mend_server },
+  { "late-server", ON_SERVER, late_server, mend_server },
+  { "hang-server", ON_SERVER, hang_server, mend_server },
+  { "restart-server", ON_SERVER, restart_server, nothing },
+  { "stop-store", ON_STORE, stop_store, mend_store },
+  { "hang-store", ON_STORE, hang_store, mend_store },
+  { "forget-store", ON_STORE, forget_store, mend_store },
+  { "change-config", ON_OPERATOR, change_config, nothing },
+};
+
+static guint
+targets_at (const Soak *soak, Place place)
+{
+  switch (place)
+    {
+    case ON_ENTRY:
+    case ON_LINK:
+      return soak->scene.n_entries;
+    case ON_AGENT:
+    case ON_SERVER:
+      return soak->scene.n_servers;
+    default:
+      return 1;
+    }
+}
+
+static void
+strike (Soak *soak)
+{
+  const Fault *fault = &faults[g_rand_int_range (soak->random, 0, G_N_ELEMENTS (faults))];
+  guint target = (guint)g_rand_int_range (soak->random, 0,
+                                          (gint32)targets_at (soak, fault->place));
+  gint64 length = g_rand_int_range (soak->random, FAULT_LEAST_MS, FAULT_MOST_MS);
+  Struck *struck = &soak->struck[fault->place][target];
+
+  if (struck->fault != NULL)
+    return;
+  g_test_message ("%s %u for %" G_GINT64_FORMAT " ms", fault->name, target, length);
+  struck->fault = fault;
+  struck->until_ms = clock_now_ms () + length;
+  fault->begin (soak, target);
+}
+
+static void
+mend (Soak *soak, gboolean all)
+{
+  for (guint place = 0; place < PLACES; place++)
+    for (guint target = 0; target < PLATFORM_MOST; target++)
+      {
+        Struck *struck = &soak->struck[place][target];
+
+        if (struck->fault == NULL || (!all && clock_now_ms () < struck->until_ms))
+          continue;
+        struck->fault->end (soak, target);
+        struck->fault = NULL;
+      }
+}
+
+/* Callers. */
+
+static void
+send_request (Soak *soak, Request *request)
+{
+  guint entry = (guint)g_rand_int_range (soak->random, 0, (gint32)soak->scene.n_entries);
+
+  if (soak->down[entry])
+    {
+      request->again_ms = clock_now_ms () + PLATFORM_RESEND_MS;
+      return;
+    }
+  request->again_ms = 0;
+  request->tries++;
+  request->exchange = platform_call (&soak->scene, entry, request->number, request->body);
+}
+
+static void
+new_request (Soak *soak)
+{
+  Request *request = g_new0 (Request, 1);
+  char *spec = g_strdup_printf ("%d", g_rand_int_range (soak->random, 5, RUN_MOST_MS));
+
+  request->number = ++soak->scene.jobs;
+  request->tasks = (guint)g_rand_int_range (soak->random, 1, TASKS_MOST + 1);
+  request->body = platform_job (spec, request->tasks);
+  g_ptr_array_add (soak->requests, request);
+  send_request (soak, request);
+  g_free (spec);
+}
+
+/* An answer that says nothing of the job, or none: its caller asks again elsewhere. */
+static void
+take_answer (Request *request)
+{
+  Exchange *exchange = g_steal_pointer (&request->exchange);
+  gboolean answered = exchange->end == HTTP_ANSWERED;
+
+  request->status = answered ? exchange->status : 0;
+  if (request->status == 200)
+    {
+      request->completed = strstr (exchange->body, "completed") != NULL;
+      g_assert_true (request->completed || strstr (exchange->body, "failed") != NULL);
+    }
+  else if (request->status == 503 || request->status == 429)
+    {
+      request->not_run++;
+      g_assert_cmpint (exchange->retry_after_s, >=, 0);
+    }
+  else if (request->tries < TRIES_MOST)
+    {
+      request->again_ms = clock_now_ms () + PLATFORM_RESEND_MS;
+    }
+  exchange_free (exchange);
+}
+
+/* Return: whether some are still to be answered. */
+static gboolean
+follow_requests (Soak *soak)
+{
+  gboolean open = FALSE;
+
+  for (guint i = 0; i < soak->requests->len; i++)
+    {
+      Request *request = g_ptr_array_index (soak->requests, i);
+
+      if (request->exchange != NULL && request->exchange->done)
+        take_answer (request);
+      if (request->again_ms > 0 && clock_now_ms () >= request->again_ms)
+        send_request (soak, request);
+      open |= request->exchange != NULL || request->again_ms > 0;
+    }
+  return open;
+}
+
+static gboolean
+all_are_answered (gpointer ctx)
+{
+  return !follow_requests (ctx);
+}
+
+/* Checks. */
+
+static void
+note_moment (gboolean starts, const char *task, const char *how, gpointer ctx)
+{
+  Soak *soak = ctx;
+  char *job = g_strndup (task, strcspn (task, "."));
+
+  if (starts)
+    g_hash_table_add (soak->starts, job);
+  else
+    g_free (job);
+  if (strcmp (how, "done") == 0)
+    g_hash_table_add (soak->done, g_strdup (task));
+}
+
+static void
+check_request (Soak *soak, const Request *request)
+{
+  char *job = g_strdup_printf ("%016x", request->number);
+
+  if (request->tries > 0 && request->not_run == request->tries
+      && g_hash_table_contains (soak->starts, job))
+    g_error ("job %s was refused as not run, and ran", job);
+  for (guint i = 0; request->completed && i < request->tasks; i++)
+    {
+      char *task = g_strdup_printf ("%s.0.0.%u", job, i);
+
+      if (!g_hash_table_contains (soak->done, task))
+        g_error ("job %s is complete, and %s never ended", job, task);
+      g_free (task);
+    }
+  g_free (job);
+}
+
+static void
+check_all (Soak *soak)
+{
+  guint completed = 0;
+  guint starts = platform_check_runs (&soak->scene, note_moment, soak);
+
+  for (guint i = 0; i < soak->requests->len; i++)
+    {
+      const Request *request = g_ptr_array_index (soak->requests, i);
+
+      check_request (soak, request);
+      completed += request->completed;
+    }
+  g_test_message ("%u of %u jobs completed, %u runs", completed, soak->requests->len,
+                  starts);
+  g_assert_cmpuint (completed, >, (guint)(SERVED_PART * soak->requests->len));
+}
+
+static void
+request_free (gpointer data)
+{
+  Request *request = data;
+
+  if (request->exchange != NULL)
+    exchange_free (request->exchange);
+  g_free (request->body);
+  g_free (request);
+}
+
+static gboolean
+is_calm (gpointer ctx)
+{
+  PlatformScene *scene = ctx;
+  guint ready = 0;
+
+  for (guint i = 0; i < scene->n_entries; i++)
+    ready += platform_is_ready (scene);
+  return ready == scene->n_entries;
+}
+
+static void
+play (Soak *soak, guint seconds)
+{
+  gint64 end = clock_now_ms () + seconds * 1000;
+  gint64 job_ms = 0;
+  gint64 fault_ms = 0;
+
+  while (clock_now_ms () < end)
+    {
+      if (clock_now_ms () >= job_ms)
+        {
+          new_request (soak);
+          job_ms = clock_now_ms () + g_rand_int_range (soak->random, 1, 2 * JOB_EVERY_MS);
+        }
+      if (clock_now_ms () >= fault_ms)
+        {
+          strike (soak);
+          fault_ms
+              = clock_now_ms () + g_rand_int_range (soak->random, 1, 2 * FAULT_EVERY_MS);
+        }
+      mend (soak, FALSE);
+      follow_requests (soak);
+      harness_run_ms (soak->scene.harness, STEP_MS);
+    }
+}
+
+static void
+soak_seed (guint32 seed, guint seconds)
+{
+  PlatformInit init = { .entries = (guint)option_entries,
+                        .servers = (guint)option_servers,
+                        .relayed = TRUE,
+                        .configured = TRUE };
+  Soak soak = { .random = g_rand_new_with_seed (seed) };
+
+  g_test_message ("seed %u", seed);
+  platform_scene_open (&soak.scene, &init);
+  soak.requests = g_ptr_array_new_with_free_func (request_free);
+  soak.starts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  soak.done = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  play (&soak, seconds);
+  mend (&soak, TRUE);
+  harness_wait (soak.scene.harness, all_are_answered, &soak, "answers");
+  harness_wait (soak.scene.harness, is_calm, &soak.scene, "service as before");
+  check_all (&soak);
+  g_ptr_array_unref (soak.requests);
+  g_hash_table_unref (soak.starts);
+  g_hash_table_unref (soak.done);
+  platform_scene_close (&soak.scene);
+  g_rand_free (soak.random);
+}
+
+static void
+test_kept (gconstpointer data)
+{
+  soak_seed (*(const guint32 *)data, KEPT_SECONDS);
+}
+
+static void
+test_fresh (void)
+{
+  for (int i = 0; i < option_seeds; i++)
+    soak_seed ((guint32)(option_seed + i), (guint)option_seconds);
+}
+
+int
+main (int argc, char **argv)
+{
+  const GOptionEntry entries[]
+      = { { "seed", 0, 0, G_OPTION_ARG_INT, &option_seed, "first seed", "N" },
+          { "seeds", 0, 0, G_OPTION_ARG_INT, &option_seeds, "how many seeds", "N" },
+          { "seconds", 0, 0, G_OPTION_ARG_INT, &option_seconds, "of each seed", "N" },
+          { "entries", 0, 0, G_OPTION_ARG_INT, &option_entries, "entries", "N" },
+          { "servers", 0, 0, G_OPTION_ARG_INT, &option_servers, "back ends", "N" },
+          { NULL } };
+  GOptionContext *context = g_option_context_new (NULL);
+
+  g_option_context_add_main_entries (context, entries, NULL);
+  g_option_context_set_ignore_unknown_options (context, TRUE);
+  if (!g_option_context_parse (context, &argc, &argv, NULL)
+      || option_entries > PLATFORM_MOST || option_servers > PLATFORM_MOST)
+    return EXIT_FAILURE;
+  g_option_context_free (context);
+  g_test_init (&argc, &argv, NULL);
+  if (option_seed >= 0)
+    g_test_add_func ("/soak/fresh", test_fresh);
+  for (gsize i = 0; option_seed < 0 && i < G_N_ELEMENTS (kept_seeds); i++)
+    {
+      char *path = g_strdup_printf ("/soak/seed-%u", kept_seeds[i]);
+
+      g_test_add_data_func (path, &kept_seeds[i], test_kept);
+      g_free (path);
+    }
+  return g_test_run ();
+}
