Explain: a request's story from collected event lines

godwitspar explain ID FILE... puts the lines of a request in order, with what the processes it met came to believe meanwhile, names what is missing (lines left out, processes without a line, runs whose end is not told) and the outcome. Tests take a refusal, a hung server and a lost agent during a store outage from real processes and find the cause's lines by the id.

Stand-in of the back end brought to the published protocol: a late order meant for an earlier life is dropped, and a run not above one that is over is refused as old.

--- a/src/cli_main.c
+++ b/src/cli_main.c
@@ -1,9 +1,11 @@
 /* godwitspar: a thin main over the operator's shell. */
+#include "explain.h"
 #include "shell.h"
 
 #include <fcntl.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <unistd.h>
 
 #define DEFAULT_ENTRY "127.0.0.1:8080"
@@ -43,7 +45,8 @@
 
   g_option_context_set_summary (
       context,
-      "Carries out operators' commands; without one, reads them from standard input.");
+      "Carries out operators' commands; without one, reads them from standard input.\n"
+      "explain ID FILE... tells a request's story from collected event lines.");
   g_option_context_set_description (context, command_help ());
   g_option_context_add_main_entries (context, entries, NULL);
   ok = g_option_context_parse (context, &argc, &argv, error);
@@ -67,6 +70,37 @@
   return result;
 }
 
+/* Needs no entry: the logs have been collected. */
+static ShellResult
+explain (char **words)
+{
+  Explain *explain = NULL;
+  GError *error = NULL;
+  ShellResult result = SHELL_OK;
+  char *story;
+
+  if (words[1] == NULL || words[2] == NULL)
+    {
+      fputs ("godwitspar: explain ID FILE...: the files are collected event lines\n",
+             stderr);
+      return SHELL_USAGE;
+    }
+  explain = explain_new (words[1]);
+  for (char **path = words + 2; *path != NULL; path++)
+    {
+      if (explain_add_file (explain, *path, &error))
+        continue;
+      fprintf (stderr, "godwitspar: %s\n", error->message);
+      g_clear_error (&error);
+      result = SHELL_USAGE;
+    }
+  story = explain_tell (explain);
+  fputs (story, stdout);
+  g_free (story);
+  explain_free (explain);
+  return result;
+}
+
 static ShellResult
 run (Shell *shell, const Options *options)
 {
@@ -104,6 +138,12 @@
       puts ("godwitspar " GODWITSPAR_VERSION);
       return SHELL_OK;
     }
+  if (options.words != NULL && strcmp (options.words[0], "explain") == 0)
+    {
+      result = explain (options.words);
+      g_strfreev (options.words);
+      return result;
+    }
   init.entry = options.entry != NULL      ? options.entry
                : from_environment != NULL ? from_environment
                                           : DEFAULT_ENTRY;
--- /dev/null
+++ b/src/explain.c
@@ -0,0 +1,347 @@
+#include "explain.h"
+
+#include <string.h>
+
+/* What processes believed this long before the request's first line may have decided it:
+ * a server without trust gets it back after 3.2 s at the most. */
+#define BEFORE_MS 3500
+#define AFTER_MS 500
+/* Columns of the printed story. */
+#define PROCESS_WIDTH 24
+#define EVENT_WIDTH 20
+
+typedef struct
+{
+  gint64 time_ms;
+  guint number; /* in the order of reading */
+  char *process;
+  char *event;
+  char *job;
+  char *rest;
+} Line;
+
+struct Explain
+{
+  char *job;
+  GPtrArray *lines; /* the request's own */
+  GPtrArray *beliefs;
+};
+
+static void
+line_free (gpointer data)
+{
+  Line *line = data;
+
+  g_free (line->process);
+  g_free (line->event);
+  g_free (line->job);
+  g_free (line->rest);
+  g_free (line);
+}
+
+Explain *
+explain_new (const char *job)
+{
+  Explain *explain = g_new0 (Explain, 1);
+
+  explain->job = g_strdup (job);
+  explain->lines = g_ptr_array_new_with_free_func (line_free);
+  explain->beliefs = g_ptr_array_new_with_free_func (line_free);
+  return explain;
+}
+
+void
+explain_free (Explain *explain)
+{
+  g_ptr_array_unref (explain->lines);
+  g_ptr_array_unref (explain->beliefs);
+  g_free (explain->job);
+  g_free (explain);
+}
+
+/* The value of @key, which runs to the next space, or in quotes. Free with g_free. */
+static char *
+value_of (const char *text, const char *key)
+{
+  char *mark = g_strconcat (key, "=", NULL);
+  const char *found = text;
+  char *value = NULL;
+
+  while ((found = strstr (found, mark)) != NULL && found != text && found[-1] != ' ')
+    found++;
+  if (found != NULL)
+    {
+      found += strlen (mark);
+      value = *found == '"' ? g_strndup (found + 1, strcspn (found + 1, "\""))
+                            : g_strndup (found, strcspn (found, " \n"));
+    }
+  g_free (mark);
+  return value;
+}
+
+static gboolean
+has_value (const char *text, const char *key, const char *expected)
+{
+  char *value = value_of (text, key);
+  gboolean equal = g_strcmp0 (value, expected) == 0;
+
+  g_free (value);
+  return equal;
+}
+
+/* Return: NULL if it is no event line. */
+static Line *
+line_parse (const char *text)
+{
+  char *time_ms = value_of (text, "time_ms");
+  char *process = value_of (text, "process");
+  char *event = value_of (text, "event");
+  char *job = value_of (text, "job");
+  const char *rest = strstr (text, " job=");
+  Line *line = NULL;
+
+  if (time_ms != NULL && process != NULL && event != NULL && job != NULL && rest != NULL)
+    {
+      line = g_new0 (Line, 1);
+      line->time_ms = g_ascii_strtoll (time_ms, NULL, 10);
+      line->process = g_steal_pointer (&process);
+      line->event = g_steal_pointer (&event);
+      line->job = g_steal_pointer (&job);
+      rest += strlen (" job=") + strlen (line->job);
+      line->rest = g_strstrip (g_strdup (rest));
+    }
+  g_free (time_ms);
+  g_free (process);
+  g_free (event);
+  g_free (job);
+  return line;
+}
+
+static void
+add_line (Explain *explain, const char *text)
+{
+  Line *line = line_parse (text);
+
+  if (line == NULL)
+    return;
+  line->number = explain->lines->len + explain->beliefs->len;
+  if (strcmp (line->job, explain->job) == 0)
+    g_ptr_array_add (explain->lines, line);
+  else if (strcmp (line->job, "-") == 0)
+    g_ptr_array_add (explain->beliefs, line);
+  else
+    line_free (line);
+}
+
+void
+explain_add (Explain *explain, const char *text)
+{
+  char **lines = g_strsplit (text, "\n", -1);
+
+  for (char **line = lines; *line != NULL; line++)
+    add_line (explain, *line);
+  g_strfreev (lines);
+}
+
+gboolean
+explain_add_file (Explain *explain, const char *path, GError **error)
+{
+  char *text = NULL;
+
+  if (!g_file_get_contents (path, &text, NULL, error))
+    return FALSE;
+  explain_add (explain, text);
+  g_free (text);
+  return TRUE;
+}
+
+static int
+compare_lines (gconstpointer a, gconstpointer b)
+{
+  const Line *left = *(Line *const *)a;
+  const Line *right = *(Line *const *)b;
+
+  if (left->time_ms != right->time_ms)
+    return left->time_ms < right->time_ms ? -1 : 1;
+  return left->number < right->number ? -1 : 1;
+}
+
+/* The processes that the request met: those that wrote of it, and agents it was placed
+ * on.
+ */
+static GHashTable *
+processes_met (const Explain *explain)
+{
+  GHashTable *met = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+
+  for (guint i = 0; i < explain->lines->len; i++)
+    {
+      const Line *line = g_ptr_array_index (explain->lines, i);
+      char *agent = value_of (line->rest, "agent");
+
+      g_hash_table_add (met, g_strdup (line->process));
+      if (agent != NULL)
+        g_hash_table_add (met, agent);
+    }
+  return met;
+}
+
+/* A change of belief matters if it was in a process that the request met, about one that
+ * it met or about none in particular. */
+static gboolean
+concerns (const Line *line, GHashTable *met)
+{
+  char *agent = value_of (line->rest, "agent");
+  char *peer = value_of (line->rest, "peer");
+  gboolean known = (agent == NULL || g_hash_table_contains (met, agent))
+                   && (peer == NULL || g_hash_table_contains (met, peer));
+
+  g_free (agent);
+  g_free (peer);
+  return known && g_hash_table_contains (met, line->process);
+}
+
+static GPtrArray *
+story_of (Explain *explain, GHashTable *met)
+{
+  GPtrArray *story = g_ptr_array_new ();
+  const Line *first;
+  const Line *last;
+
+  g_ptr_array_sort (explain->lines, compare_lines);
+  first = g_ptr_array_index (explain->lines, 0);
+  last = g_ptr_array_index (explain->lines, explain->lines->len - 1);
+  for (guint i = 0; i < explain->lines->len; i++)
+    g_ptr_array_add (story, g_ptr_array_index (explain->lines, i));
+  for (guint i = 0; i < explain->beliefs->len; i++)
+    {
+      Line *line = g_ptr_array_index (explain->beliefs, i);
+
+      if (line->time_ms >= first->time_ms - BEFORE_MS
+          && line->time_ms <= last->time_ms + AFTER_MS && concerns (line, met))
+        g_ptr_array_add (story, line);
+    }
+  g_ptr_array_sort (story, compare_lines);
+  return story;
+}
+
+static void
+tell_line (GString *out, const Line *line, gint64 begin_ms)
+{
+  g_string_append_printf (out, "%+9.3f s  %-*s %-*s %s%s\n",
+                          (double)(line->time_ms - begin_ms) / 1000, PROCESS_WIDTH,
+                          line->process, EVENT_WIDTH, line->event,
+                          strcmp (line->job, "-") == 0 ? "" : "* ", line->rest);
+}
+
+/* Missing lines are told as missing: a story with a gap proves nothing about the gap. */
+static void
+tell_gaps (GString *out, const GPtrArray *story, GHashTable *met)
+{
+  GHashTableIter iter;
+  const char *process;
+
+  g_hash_table_iter_init (&iter, met);
+  while (g_hash_table_iter_next (&iter, (gpointer *)&process, NULL))
+    {
+      guint own = 0;
+
+      for (guint i = 0; i < story->len; i++)
+        {
+          const Line *line = g_ptr_array_index (story, i);
+
+          if (strcmp (line->process, process) != 0)
+            continue;
+          own += strcmp (line->job, "-") != 0;
+          if (strcmp (line->event, "lines-dropped") == 0)
+            g_string_append_printf (out, "missing: %s left out lines (%s)\n", process,
+                                    line->rest);
+        }
+      if (own == 0)
+        g_string_append_printf (out, "missing: no line of %s about the request\n",
+                                process);
+    }
+}
+
+/* Whether a later line tells how the run that @placed names went. */
+static gboolean
+is_reported (const GPtrArray *lines, const char *task, const char *run)
+{
+  for (guint i = 0; i < lines->len; i++)
+    {
+      const Line *line = g_ptr_array_index (lines, i);
+
+      if (strcmp (line->event, "task-report") == 0 && has_value (line->rest, "task", task)
+          && has_value (line->rest, "run", run))
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static void
+tell_open_runs (GString *out, const GPtrArray *lines)
+{
+  for (guint i = 0; i < lines->len; i++)
+    {
+      const Line *line = g_ptr_array_index (lines, i);
+      char *task = value_of (line->rest, "task");
+      char *run = value_of (line->rest, "run");
+
+      if (strcmp (line->event, "task-started") == 0 && task != NULL && run != NULL
+          && !is_reported (lines, task, run))
+        g_string_append_printf (
+            out, "open: task %s run %s started at %s, its end is not told\n", task, run,
+            line->process);
+      g_free (task);
+      g_free (run);
+    }
+}
+
+static void
+tell_end (GString *out, const GPtrArray *lines)
+{
+  static const char *const ends[] = { "request-refused", "job-ended", "job-cancelled" };
+
+  for (gsize e = 0; e < G_N_ELEMENTS (ends); e++)
+    for (guint i = 0; i < lines->len; i++)
+      {
+        const Line *line = g_ptr_array_index (lines, i);
+
+        if (strcmp (line->event, ends[e]) != 0)
+          continue;
+        g_string_append_printf (out, "outcome: %s: %s\n", line->event, line->rest);
+        return;
+      }
+  g_string_append (out,
+                   "outcome: none is told; the entry ended, or its lines are missing\n");
+}
+
+char *
+explain_tell (Explain *explain)
+{
+  GString *out = g_string_new (NULL);
+  GHashTable *met;
+  GPtrArray *story;
+  const Line *first;
+
+  if (explain->lines->len == 0)
+    {
+      g_string_printf (
+          out,
+          "no line about %s: it came to none of these processes, or was left "
+          "out by the budget of lines\n",
+          explain->job);
+      return g_string_free (out, FALSE);
+    }
+  met = processes_met (explain);
+  story = story_of (explain, met);
+  first = g_ptr_array_index (explain->lines, 0);
+  for (guint i = 0; i < story->len; i++)
+    tell_line (out, g_ptr_array_index (story, i), first->time_ms);
+  tell_gaps (out, story, met);
+  tell_open_runs (out, explain->lines);
+  tell_end (out, explain->lines);
+  g_ptr_array_unref (story);
+  g_hash_table_unref (met);
+  return g_string_free (out, FALSE);
+}
--- a/standins/server.c
+++ b/standins/server.c
@@ -59,6 +59,7 @@
 
 typedef struct
 {
+  guint life; /* that it was meant for */
   char *path;
   JsonNode *body;
   gint64 due;
@@ -83,6 +84,7 @@
   GPtrArray *ended;
   GPtrArray *waiters;
   GPtrArray *late;
+  GHashTable *over; /* task -> highest number of a run that is over in this life */
   GString *log;
   gint64 beat_ms;
 } Server;
@@ -149,6 +151,7 @@
   server->draining = FALSE;
   g_ptr_array_set_size (server->tasks, 0);
   g_ptr_array_set_size (server->ended, 0);
+  g_hash_table_remove_all (server->over);
 }
 
 static GString *
@@ -203,6 +206,24 @@
   g_free (body);
 }
 
+/* The highest number under which a run of the task was stopped or ended in this life. */
+static gint64
+last_run (Server *server, const char *name)
+{
+  gint64 *run = g_hash_table_lookup (server->over, name);
+
+  return run != NULL ? *run : 0;
+}
+
+static void
+note_over (Server *server, const char *name, gint64 run)
+{
+  gint64 highest = MAX (run, last_run (server, name));
+
+  g_hash_table_replace (server->over, g_strdup (name),
+                        g_memdup2 (&highest, sizeof highest));
+}
+
 static void
 end_task (Server *server, guint i, const char *how)
 {
@@ -214,6 +235,7 @@
   end->run = task->run;
   end->how = how;
   note (server, how, task->name, task->run);
+  note_over (server, task->name, task->run);
   g_ptr_array_add (server->ended, end);
   g_ptr_array_remove_index (server->tasks, i);
 }
@@ -238,6 +260,8 @@
     return NULL;
   if (server->lease <= server_ms (server))
     return "late";
+  if (json_object_get_int_member (body, "run_id") <= last_run (server, name))
+    return "old";
   task = g_new0 (Task, 1);
   task->name = g_strdup (name);
   task->run = json_object_get_int_member (body, "run_id");
@@ -268,6 +292,8 @@
     return start_task (server, body);
   if (strcmp (path, "/run-stop") == 0)
     {
+      note_over (server, json_object_get_string_member (body, "task"),
+                 json_object_get_int_member (body, "run_id"));
       i = find_task (server, json_object_get_string_member (body, "task"));
       if (i >= 0)
         ((Task *)g_ptr_array_index (server->tasks, i))->stops_at
@@ -321,19 +347,20 @@
     {
       reply_short (server, request, 400, NULL);
     }
+  else if (expected != NULL && strcmp (expected, server->instance) != 0)
+    {
+      reply_short (server, request, 421, NULL);
+    }
   else if (server->mode == MODE_LATE && strcmp (path, "/hold") != 0)
     {
       LateOrder *order = g_new0 (LateOrder, 1);
 
+      order->life = server->life;
       order->path = g_strdup (path);
       order->body = json_node_ref (root);
       order->due = clock_now_ms () + LATE_MS;
       g_ptr_array_add (server->late, order);
     }
-  else if (expected != NULL && strcmp (expected, server->instance) != 0)
-    {
-      reply_short (server, request, 421, NULL);
-    }
   else if ((reason = carry_out (server, path, body)) != NULL)
     {
       reply_short (server, request, 409, reason);
@@ -431,7 +458,8 @@
 
       if (clock_now_ms () < order->due)
         continue;
-      carry_out (server, order->path, json_node_get_object (order->body));
+      if (order->life == server->life)
+        carry_out (server, order->path, json_node_get_object (order->body));
       g_ptr_array_remove_index (server->late, i - 1);
     }
 }
@@ -523,6 +551,7 @@
   server.ended = g_ptr_array_new_with_free_func (end_free);
   server.waiters = g_ptr_array_new_with_free_func (g_free);
   server.late = g_ptr_array_new_with_free_func (late_free);
+  server.over = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   server.log = g_string_new (NULL);
   begin_life (&server);
   evhttp_set_gencb (http, on_request, &server);
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -1,9 +1,13 @@
 /* The programs for the users' platform among stand-ins: one sequence a case. */
 #include "cases.h"
+#include "explain.h"
 #include "platform_scene.h"
 
 #include <string.h>
 
+/* Event lines leave a process every 100 ms. */
+#define EVENTS_FLUSHED_MS 250
+
 static const PlatformInit configured = { .entries = 2, .servers = 2, .configured = TRUE };
 static const PlatformInit unconfigured = { .entries = 2, .servers = 2 };
 
@@ -322,6 +326,88 @@
   g_free (body);
 }
 
+/* Explanations. */
+
+static void
+add_events (Explain *explain, const Process *process)
+{
+  char *path = g_strconcat (process->log, ".events", NULL);
+
+  g_assert_true (explain_add_file (explain, path, NULL));
+  g_free (path);
+}
+
+/* The last job's story names each of these, as an on-call engineer would look for them.
+ */
+static void
+expect_story (PlatformScene *scene, const char *const *parts)
+{
+  char *job = g_strdup_printf ("%016x", scene->jobs);
+  Explain *explain = explain_new (job);
+  char *story;
+
+  harness_run_ms (scene->harness, EVENTS_FLUSHED_MS);
+  for (guint i = 0; i < scene->n_entries; i++)
+    add_events (explain, scene->entries[i]);
+  for (guint i = 0; i < scene->n_servers; i++)
+    add_events (explain, scene->agents[i]);
+  story = explain_tell (explain);
+  for (; *parts != NULL; parts++)
+    if (strstr (story, *parts) == NULL)
+      g_error ("no \"%s\" in the story of %s:\n%s", *parts, job, story);
+  g_free (story);
+  explain_free (explain);
+  g_free (job);
+}
+
+static void
+refusal_is_explained (PlatformScene *scene)
+{
+  static const char *const parts[] = { "job-queued",
+                                       "waiting=",
+                                       "outcome: request-refused",
+                                       "status=503",
+                                       "more urgent work takes all room",
+                                       NULL };
+  Exchange *longs = platform_start_job (scene, 0, "1500", 8);
+
+  harness_wait (scene->harness, last_job_started, scene, "a start");
+  expect (scene, platform_start_job (scene, 0, "1500", 40), 503, NULL);
+  expect_story (scene, parts);
+  expect (scene, longs, 200, "completed");
+}
+
+static void
+hung_server_is_explained (PlatformScene *scene)
+{
+  static const char *const parts[]
+      = { "job-placed",   "task-straggles",     "server-trust",  "straggler-restarted",
+          "outcome=lost", "outcome: job-ended", "end=completed", NULL };
+  Exchange *exchange;
+
+  expect_completed (scene, 0, "100", 8);
+  harness_fault (scene->harness, scene->servers[0], "hang");
+  exchange = platform_start_job (scene, 0, "200", 4);
+  expect (scene, exchange, 200, "completed");
+  harness_fault (scene->harness, scene->servers[0], "ok");
+  expect_story (scene, parts);
+}
+
+static void
+lost_agent_is_explained (PlatformScene *scene)
+{
+  static const char *const parts[]
+      = { "job-placed", "server-unlinked", "server-given-up", "end=completed", NULL };
+  Exchange *exchange = platform_start_job (scene, 0, "400", 8);
+
+  harness_wait (scene->harness, last_job_started, scene, "a start");
+  harness_fault (scene->harness, scene->store, "down");
+  process_kill (scene->harness, scene->agents[0]);
+  platform_restart_agent (scene, 0);
+  expect (scene, exchange, 200, "completed");
+  expect_story (scene, parts);
+}
+
 typedef struct
 {
   const char *name;
@@ -346,6 +432,9 @@
   { "terminated-agent-finishes-first", terminated_agent_finishes_first },
   { "hangup-ends-nothing", hangup_ends_nothing },
   { "abandoned-job-is-stopped", abandoned_job_is_stopped },
+  { "refusal-is-explained", refusal_is_explained },
+  { "hung-server-is-explained", hung_server_is_explained },
+  { "lost-agent-is-explained", lost_agent_is_explained },
 };
 
 static void
