Home: what a holder has given up never starts at owners that come later

Cause, found by reading the path of the doubled starts: a home that was stopped past its holders' patience does not see that it was given up. Woken, it linked to its holder again, sent it a roster with an agent that had come meanwhile, and once that was acknowledged started there what the holder had settled with the earlier owners and granted elsewhere.

--- a/proto/godwitspar.pb-c.c
+++ b/proto/godwitspar.pb-c.c
@@ -2863,7 +2863,7 @@
   (ProtobufCMessageInit) gw__config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__frame__field_descriptors[27] =
+static const ProtobufCFieldDescriptor gw__frame__field_descriptors[28] =
 {
   {
     "sequence",
@@ -3189,6 +3189,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "given_up",
+    33,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Frame, given_up),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__frame__field_indices_by_name[] = {
   11,   /* field[11] = acks */
@@ -3201,6 +3213,7 @@
   15,   /* field[15] = entries */
   14,   /* field[14] = fence_replies */
   13,   /* field[13] = fences */
+  27,   /* field[27] = given_up */
   8,   /* field[8] = grants */
   18,   /* field[18] = group_loads */
   5,   /* field[5] = hello */
@@ -3219,12 +3232,13 @@
   9,   /* field[9] = starts */
   21,   /* field[21] = time */
 };
-static const ProtobufCIntRange gw__frame__number_ranges[3 + 1] =
+static const ProtobufCIntRange gw__frame__number_ranges[4 + 1] =
 {
   { 1, 0 },
   { 6, 4 },
   { 27, 22 },
-  { 0, 27 }
+  { 33, 27 },
+  { 0, 28 }
 };
 const ProtobufCMessageDescriptor gw__frame__descriptor =
 {
@@ -3234,10 +3248,10 @@
   "Gw__Frame",
   "gw",
   sizeof(Gw__Frame),
-  27,
+  28,
   gw__frame__field_descriptors,
   gw__frame__field_indices_by_name,
-  3,  gw__frame__number_ranges,
+  4,  gw__frame__number_ranges,
   (ProtobufCMessageInit) gw__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/godwitspar.pb-c.h
+++ b/proto/godwitspar.pb-c.h
@@ -477,10 +477,14 @@
    */
   protobuf_c_boolean inventory;
   Gw__ServerState *server_state;
+  /*
+   * rises each time the sender gives up a process like the receiver
+   */
+  uint64_t given_up;
 };
 #define GW__FRAME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__frame__descriptor) \
-    , 0, 0, 0, 0, 0, NULL, NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0, NULL }
+    , 0, 0, 0, 0, 0, NULL, NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0, NULL, 0 }
 
 
 /*
--- a/src/entry_links.c
+++ b/src/entry_links.c
@@ -188,8 +188,10 @@
 on_prepare (Link *link, Gw__Frame *frame, gpointer ctx)
 {
   Entry *entry = ctx;
+  const Member *member = members_of_link (entry->members, link);
   const Backend *backend;
 
+  frame->given_up = member != NULL ? member->given_up : 0;
   frame->config_version = config_version (entry->config);
   frame->config_confirmed = config_confirmed (entry->config);
   frame->leaving = members_leaving (entry->members);
--- a/src/entry_ops.c
+++ b/src/entry_ops.c
@@ -360,6 +360,23 @@
                         config_body (entry->config));
 }
 
+static void
+forget_roster_acks (Entry *entry, guint64 incarnation)
+{
+  char *prefix = entry_ack_key (incarnation, "");
+  GHashTableIter iter;
+  const char *key;
+
+  g_hash_table_iter_init (&iter, entry->roster_acks);
+  while (g_hash_table_iter_next (&iter, (gpointer *)&key, NULL))
+    if (g_str_has_prefix (key, prefix))
+      g_hash_table_iter_remove (&iter);
+  g_free (prefix);
+}
+
+/* A holder that gave this home up has forgotten its rosters, and would ask no slot owner
+ * what it started since: nothing of it is placed before it has acknowledged one on this
+ * link. */
 static void
 members_up (Member *member, gpointer ctx)
 {
@@ -367,6 +384,7 @@
   GHashTableIter iter;
   BackendGroup *group;
 
+  forget_roster_acks (entry, member->incarnation);
   home_holder_up (entry->home, member->incarnation);
   g_hash_table_iter_init (&iter, backends_groups (entry->backends));
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&group))
@@ -377,18 +395,16 @@
   holder_home_up (entry->holder, member->incarnation);
 }
 
+/* This process was stopped, or not heard, and noticed nothing: what it holds of the
+ * member's has been settled and granted elsewhere, and must not start at slot owners that
+ * the settlement did not know. */
 static void
-forget_roster_acks (Entry *entry, guint64 incarnation)
+members_given_up (Member *member, gpointer ctx)
 {
-  char *prefix = entry_ack_key (incarnation, "");
-  GHashTableIter iter;
-  const char *key;
+  Entry *entry = ctx;
 
-  g_hash_table_iter_init (&iter, entry->roster_acks);
-  while (g_hash_table_iter_next (&iter, (gpointer *)&key, NULL))
-    if (g_str_has_prefix (key, prefix))
-      g_hash_table_iter_remove (&iter);
-  g_free (prefix);
+  home_holder_lost (entry->home, member->incarnation);
+  forget_roster_acks (entry, member->incarnation);
 }
 
 static void
@@ -425,4 +441,5 @@
   tell_agents_entries (entry);
 }
 
-const MembersOps entry_members_ops = { members_up, members_lost, members_changed };
+const MembersOps entry_members_ops
+    = { members_up, members_lost, members_given_up, members_changed };
--- a/src/members.c
+++ b/src/members.c
@@ -83,6 +83,7 @@
   member->state = MEMBER_DOWN;
   if (!news)
     return;
+  member->given_up = ++members->given_up;
   log_notice ("entry %s is lost%s", member->name, proved_dead ? ", proved dead" : "");
   timeline_add ("entry-lost", NULL, -1, member->name);
   members->ops->lost (member, member->incarnation, members->ctx);
@@ -103,6 +104,8 @@
   member->proved_dead = FALSE;
   member->draining = FALSE;
   member->config_version = 0;
+  member->given_up = 0;
+  member->given_up_by = 0;
 }
 
 static void
@@ -392,6 +395,12 @@
 members_heard (Members *members, Member *member, const Gw__Frame *frame)
 {
   member->heard_ms = clock_now_ms ();
+  if (frame->given_up > member->given_up_by)
+    {
+      member->given_up_by = frame->given_up;
+      log_notice ("entry %s had given this one up", member->name);
+      members->ops->given_up (member, members->ctx);
+    }
   member->config_version = MAX (member->config_version, frame->config_version);
   set_draining (members, member, frame->leaving);
   for (gsize i = 0; i < frame->n_entries; i++)
--- a/src/members.h
+++ b/src/members.h
@@ -36,6 +36,8 @@
   gint64 heard_ms;  /* last frame on any link */
   gint64 lost_ms;   /* since when suspect or down */
   gint64 dialed_ms;
+  guint64 given_up;    /* when it was last given up here, by Members.given_up; 0: never */
+  guint64 given_up_by; /* the same at the member, as last reported */
   guint64 config_version; /* as last reported */
   guint64 pushed_version; /* of the configuration last sent to it unasked */
   gint64 row_version;     /* of its row in the table */
@@ -49,6 +51,8 @@
   void (*up) (Member *member, gpointer ctx);
   /* The member's incarnation is given up. */
   void (*lost) (Member *member, guint64 incarnation, gpointer ctx);
+  /* The member had given this process up, and has gone on without it. */
+  void (*given_up) (Member *member, gpointer ctx);
   /* The ranking may have changed. */
   void (*changed) (gpointer ctx);
 } MembersOps;
--- a/src/members_parts.h
+++ b/src/members_parts.h
@@ -17,6 +17,7 @@
   struct event *poll;
   gboolean polling;
   gboolean leaving;
+  guint64 given_up; /* counts members given up */
   gint64 row_written_ms;
   TAILQ_HEAD (, Member) list;
 };
--- a/tests/test-once.c
+++ b/tests/test-once.c
@@ -325,6 +325,35 @@
   harness_free (loss.harness);
 }
 
+/* Symptom: a task starts twice although its home's loss was settled.
+ * Sequence: the home is stopped with tasks queued; its holder gives it up, asks all
+ * owners of the home's roster, and grants what none of them has to another home;
+ * meanwhile one more agent comes; the home wakes, links to its holder again, sends it a
+ * roster with the new agent and, once that is acknowledged, starts its old tasks there.
+ * Cause: the home did not see that it had been given up, since only its own clock stood
+ *   still, and the new owner was never asked. */
+static void
+test_new_owner_after_settlement (void)
+{
+  HarnessInit init = { .entries = ENTRIES, .backends = 2, .slots = 1 };
+  Harness *harness = harness_new (&init);
+  Jobs *jobs = jobs_new (harness);
+  guint home = home_index ();
+  JobCounts counts;
+
+  jobs_submit (jobs, harness_entry (harness, (home + 1) % ENTRIES), 4, 10, 300, NULL);
+  jobs_wait_starts (harness, 2);
+  process_signal (harness_entry (harness, home), SIGSTOP);
+  harness_add_agent (harness, "agent-late", "backend.slots = 20\n");
+  harness_run_ms (harness, 4500);
+  process_signal (harness_entry (harness, home), SIGCONT);
+  jobs_wait (jobs);
+  counts = jobs_check (jobs);
+  g_assert_cmpuint (counts.broken, ==, 0);
+  jobs_free (jobs);
+  harness_free (harness);
+}
+
 #define MANY_ENTRIES 6
 
 /* Symptom: with more than four entries a lost home's tasks wait for good.
@@ -358,6 +387,7 @@
   g_test_init (&argc, &argv, NULL);
   ADD_CASES ("/once", fault_cases, test_fault);
   g_test_add_func ("/once/owner-then-home", test_owner_then_home);
+  g_test_add_func ("/once/new-owner-after-settlement", test_new_owner_after_settlement);
   g_test_add_func ("/once/many-entries", test_many_entries);
   return g_test_run ();
 }
