--- a/tests/harness.c
+++ b/tests/harness.c
@@ -99,6 +99,24 @@
   prctl (PR_SET_PDEATHSIG, SIGKILL);
 }
 
+/* What an earlier life of the process wrote stays beside the new log: a failure that
+ * shows once is traced from there. */
+static void
+keep_log (const char *path)
+{
+  char *kept = NULL;
+
+  if (!g_file_test (path, G_FILE_TEST_EXISTS))
+    return;
+  for (guint life = 1; kept == NULL || g_file_test (kept, G_FILE_TEST_EXISTS); life++)
+    {
+      g_free (kept);
+      kept = g_strdup_printf ("%s.%u", path, life);
+    }
+  g_rename (path, kept);
+  g_free (kept);
+}
+
 static void
 process_spawn (Harness *harness, Process *process)
 {
@@ -110,7 +128,8 @@
   g_clear_pointer (&process->http, g_free);
   g_clear_pointer (&process->frames, g_free);
   g_clear_pointer (&process->ready_address, g_free);
-  g_unlink (process->log);
+  keep_log (process->log);
+  keep_log (events);
   g_subprocess_launcher_set_child_setup (launcher, die_with_parent, NULL, NULL);
   g_subprocess_launcher_set_stderr_file_path (launcher, process->log);
   g_subprocess_launcher_set_stdout_file_path (launcher, events);
--- a/tests/test-soak.c
+++ b/tests/test-soak.c
@@ -45,12 +45,13 @@
 
 typedef struct Soak Soak;
 
-typedef struct
+typedef struct Fault
 {
   const char *name;
   Place place;
-  void (*begin) (Soak *soak, guint target);
-  void (*end) (Soak *soak, guint target);
+  void (*begin) (Soak *soak, const struct Fault *fault, guint target);
+  void (*end) (Soak *soak, const struct Fault *fault, guint target);
+  const char *mode; /* of a stand-in */
 } Fault;
 
 /* One fault at a time on one target; on different ones they overlap. */
@@ -87,184 +88,150 @@
 /* Faults. */
 
 static Process *
-process_at (Soak *soak, Place place, guint target)
+process_at (Soak *soak, const Fault *fault, guint target)
 {
-  return place == ON_ENTRY ? soak->scene.entries[target] : soak->scene.agents[target];
+  return fault->place == ON_ENTRY ? soak->scene.entries[target]
+                                  : soak->scene.agents[target];
 }
 
 static void
-nothing (Soak *soak, guint target)
+nothing (Soak *soak, const Fault *fault, guint target)
 {
 }
 
 static void
-freeze_entry (Soak *soak, guint target)
+freeze (Soak *soak, const Fault *fault, guint target)
 {
-  process_signal (process_at (soak, ON_ENTRY, target), SIGSTOP);
+  process_signal (process_at (soak, fault, target), SIGSTOP);
 }
 
 static void
-thaw_entry (Soak *soak, guint target)
+thaw (Soak *soak, const Fault *fault, guint target)
 {
-  process_signal (process_at (soak, ON_ENTRY, target), SIGCONT);
+  process_signal (process_at (soak, fault, target), SIGCONT);
 }
 
 static void
-freeze_agent (Soak *soak, guint target)
+hang_up (Soak *soak, const Fault *fault, guint target)
 {
-  process_signal (process_at (soak, ON_AGENT, target), SIGSTOP);
+  process_signal (process_at (soak, fault, target), SIGHUP);
 }
 
 static void
-thaw_agent (Soak *soak, guint target)
+kill_it (Soak *soak, const Fault *fault, guint target)
 {
-  process_signal (process_at (soak, ON_AGENT, target), SIGCONT);
+  soak->down[target] |= fault->place == ON_ENTRY;
+  process_kill (soak->scene.harness, process_at (soak, fault, target));
 }
 
 static void
-kill_entry (Soak *soak, guint target)
+terminate (Soak *soak, const Fault *fault, guint target)
 {
-  soak->down[target] = TRUE;
-  process_kill (soak->scene.harness, process_at (soak, ON_ENTRY, target));
+  soak->down[target] |= fault->place == ON_ENTRY;
+  process_signal (process_at (soak, fault, target), SIGTERM);
 }
 
+/* A process that was told to end has done so in an orderly way by then. */
 static void
-kill_agent (Soak *soak, guint target)
+come_back (Soak *soak, const Fault *fault, guint target)
 {
-  process_kill (soak->scene.harness, process_at (soak, ON_AGENT, target));
-}
+  Process *process = process_at (soak, fault, target);
 
-static void
-terminate_entry (Soak *soak, guint target)
-{
-  soak->down[target] = TRUE;
-  process_signal (process_at (soak, ON_ENTRY, target), SIGTERM);
-}
-
-static void
-terminate_agent (Soak *soak, guint target)
-{
-  process_signal (process_at (soak, ON_AGENT, target), SIGTERM);
-}
-
-static void
-return_entry (Soak *soak, guint target)
-{
-  if (process_at (soak, ON_ENTRY, target)->pid > 0)
-    g_assert_cmpint (
-        process_wait (soak->scene.harness, process_at (soak, ON_ENTRY, target)), ==, 0);
+  if (process->pid > 0)
+    g_assert_cmpint (process_wait (soak->scene.harness, process), ==, 0);
+  if (fault->place == ON_AGENT)
+    {
+      platform_restart_agent (&soak->scene, target);
+      return;
+    }
   platform_restart_entry (&soak->scene, target);
   soak->down[target] = FALSE;
 }
 
 static void
-return_agent (Soak *soak, guint target)
+cut_link (Soak *soak, const Fault *fault, guint target)
 {
-  if (process_at (soak, ON_AGENT, target)->pid > 0)
-    g_assert_cmpint (
-        process_wait (soak->scene.harness, process_at (soak, ON_AGENT, target)), ==, 0);
-  platform_restart_agent (&soak->scene, target);
+  relay_set_mode (soak->scene.relays[target], RELAY_VANISH, TRUE);
 }
 
 static void
-hang_up_entry (Soak *soak, guint target)
+cut_link_one_way (Soak *soak, const Fault *fault, guint target)
 {
-  process_signal (process_at (soak, ON_ENTRY, target), SIGHUP);
+  relay_set_mode (soak->scene.relays[target], RELAY_DEAF, TRUE);
 }
 
 static void
-hang_up_agent (Soak *soak, guint target)
+silence_link (Soak *soak, const Fault *fault, guint target)
 {
-  process_signal (process_at (soak, ON_AGENT, target), SIGHUP);
+  relay_set_mode (soak->scene.relays[target], RELAY_VANISH, FALSE);
 }
 
 static void
-cut_link (Soak *soak, guint target)
+delay_link (Soak *soak, const Fault *fault, guint target)
 {
-  relay_set_mode (soak->scene.relays[target], RELAY_VANISH, TRUE);
+  relay_set_mode (soak->scene.relays[target], RELAY_DELAY, TRUE);
 }
 
 static void
-cut_link_one_way (Soak *soak, guint target)
+reset_link (Soak *soak, const Fault *fault, guint target)
 {
-  relay_set_mode (soak->scene.relays[target], RELAY_DEAF, TRUE);
+  relay_cut (soak->scene.relays[target], (gsize)g_rand_int_range (soak->random, 0, 200));
 }
 
+/* What was lost in a stream cannot be made good: its connections end with the fault. */
 static void
-silence_link (Soak *soak, guint target)
+mend_link (Soak *soak, const Fault *fault, guint target)
 {
-  relay_set_mode (soak->scene.relays[target], RELAY_VANISH, FALSE);
+  relay_set_mode (soak->scene.relays[target], RELAY_PASS, TRUE);
+  relay_cut (soak->scene.relays[target], 0);
 }
 
-static void
-delay_link (Soak *soak, guint target)
+static const Process *
+standin_at (const Soak *soak, const Fault *fault, guint target)
 {
-  relay_set_mode (soak->scene.relays[target], RELAY_DELAY, TRUE);
+  return fault->place == ON_STORE ? soak->scene.store : soak->scene.servers[target];
 }
 
 static void
-reset_link (Soak *soak, guint target)
+switch_standin (Soak *soak, const Fault *fault, guint target)
 {
-  relay_cut (soak->scene.relays[target], (gsize)g_rand_int_range (soak->random, 0, 200));
+  harness_fault (soak->scene.harness, standin_at (soak, fault, target), fault->mode);
 }
 
-/* What was lost in a stream cannot be made good: its connections end with the fault. */
 static void
-mend_link (Soak *soak, guint target)
+mend_standin (Soak *soak, const Fault *fault, guint target)
 {
-  relay_set_mode (soak->scene.relays[target], RELAY_PASS, TRUE);
-  relay_cut (soak->scene.relays[target], 0);
+  harness_fault (soak->scene.harness, standin_at (soak, fault, target), "ok");
 }
 
-#define SERVER_FAULT(NAME, MODE)                                                         \
-  static void NAME (Soak *soak, guint target)                                            \
-  {                                                                                      \
-    harness_fault (soak->scene.harness, soak->scene.servers[target], MODE);              \
-  }
-SERVER_FAULT (mute_server, "mute")
-SERVER_FAULT (late_server, "late")
-SERVER_FAULT (hang_server, "hang")
-SERVER_FAULT (restart_server, "restart")
-SERVER_FAULT (mend_server, "ok")
-
-#define STORE_FAULT(NAME, MODE)                                                          \
-  static void NAME (Soak *soak, guint target)                                            \
-  {                                                                                      \
-    harness_fault (soak->scene.harness, soak->scene.store, MODE);                        \
-  }
-STORE_FAULT (stop_store, "down")
-STORE_FAULT (hang_store, "hang")
-STORE_FAULT (forget_store, "forget")
-STORE_FAULT (mend_store, "ok")
-
 static void
-change_config (Soak *soak, guint target)
+change_config (Soak *soak, const Fault *fault, guint target)
 {
   if (soak->struck[ON_STORE][0].fault == NULL)
     platform_put_config (&soak->scene, PLATFORM_PREFIX);
 }
 
 static const Fault faults[] = {
-  { "freeze-entry", ON_ENTRY, freeze_entry, thaw_entry },
-  { "kill-entry", ON_ENTRY, kill_entry, return_entry },
-  { "terminate-entry", ON_ENTRY, terminate_entry, return_entry },
-  { "hang-up-entry", ON_ENTRY, hang_up_entry, nothing },
-  { "freeze-agent", ON_AGENT, freeze_agent, thaw_agent },
-  { "kill-agent", ON_AGENT, kill_agent, return_agent },
-  { "terminate-agent", ON_AGENT, terminate_agent, return_agent },
-  { "hang-up-agent", ON_AGENT, hang_up_agent, nothing },
+  { "freeze-entry", ON_ENTRY, freeze, thaw },
+  { "kill-entry", ON_ENTRY, kill_it, come_back },
+  { "terminate-entry", ON_ENTRY, terminate, come_back },
+  { "hang-up-entry", ON_ENTRY, hang_up, nothing },
+  { "freeze-agent", ON_AGENT, freeze, thaw },
+  { "kill-agent", ON_AGENT, kill_it, come_back },
+  { "terminate-agent", ON_AGENT, terminate, come_back },
+  { "hang-up-agent", ON_AGENT, hang_up, nothing },
   { "cut-link", ON_LINK, cut_link, mend_link },
   { "cut-link-one-way", ON_LINK, cut_link_one_way, mend_link },
   { "silence-link", ON_LINK, silence_link, mend_link },
   { "delay-link", ON_LINK, delay_link, mend_link },
   { "reset-link", ON_LINK, reset_link, nothing },
-  { "mute-server", ON_SERVER, mute_server, mend_server },
-  { "late-server", ON_SERVER, late_server, mend_server },
-  { "hang-server", ON_SERVER, hang_server, mend_server },
-  { "restart-server", ON_SERVER, restart_server, nothing },
-  { "stop-store", ON_STORE, stop_store, mend_store },
-  { "hang-store", ON_STORE, hang_store, mend_store },
-  { "forget-store", ON_STORE, forget_store, mend_store },
+  { "mute-server", ON_SERVER, switch_standin, mend_standin, "mute" },
+  { "late-server", ON_SERVER, switch_standin, mend_standin, "late" },
+  { "hang-server", ON_SERVER, switch_standin, mend_standin, "hang" },
+  { "restart-server", ON_SERVER, switch_standin, nothing, "restart" },
+  { "stop-store", ON_STORE, switch_standin, mend_standin, "down" },
+  { "hang-store", ON_STORE, switch_standin, mend_standin, "hang" },
+  { "forget-store", ON_STORE, switch_standin, mend_standin, "forget" },
   { "change-config", ON_OPERATOR, change_config, nothing },
 };
 
@@ -298,7 +265,7 @@
   g_test_message ("%s %u for %" G_GINT64_FORMAT " ms", fault->name, target, length);
   struck->fault = fault;
   struck->until_ms = clock_now_ms () + length;
-  fault->begin (soak, target);
+  fault->begin (soak, fault, target);
 }
 
 static void
@@ -311,7 +278,7 @@
 
         if (struck->fault == NULL || (!all && clock_now_ms () < struck->until_ms))
           continue;
-        struck->fault->end (soak, target);
+        struck->fault->end (soak, struck->fault, target);
         struck->fault = NULL;
       }
 }
