--- a/src/dispatcher_place.c
+++ b/src/dispatcher_place.c
@@ -18,13 +18,17 @@
 #define STALLED_MS 30000
 /* A straggler is started anew only if that is expected to gain this much. */
 #define STRAGGLER_GAIN_MS 40
-/* Room is asked for again before the agent forgets it, or when what waits has become this
- * much more urgent. */
+/* Room is asked for again before the agent forgets the wish (80 ms), and sooner when the
+ * rank of what waits has fallen to this part of what was told; then at most so often,
+ * since each wish is a frame. */
 #define WANT_AGAIN_MS 60
 #define WANT_SOONEST_MS 10
 #define WANT_BETTER 0.7
+/* An offer is not taken for a job whose rank is this many times what was told: between 1
+ * / WANT_BETTER and this a difference is not worth a round trip. */
 #define WANT_WORSE 1.4
-/* Asked of so many servers for each task that waits: whichever has room first. */
+/* Asked of so many servers for each task that waits: whichever has room first. Replayed
+ * overloads earn the same with four, or with all servers asked, at more frames. */
 #define WANTS_A_TASK 2
 /* Beyond this share of distrusted servers the fault is taken to be in the tasks. */
 #define DISTRUSTED_SHARE 0.34
@@ -177,7 +181,7 @@
 static Wish
 wish_of (const Dispatcher *dispatcher)
 {
-  Wish wish = { dispatcher->n_waiting, RANK_NO_CHANCE };
+  Wish wish = { 0, RANK_NO_CHANCE };
 
   for (guint i = 0; i < dispatcher->ordered->len; i++)
     {
@@ -185,6 +189,7 @@
 
       if (job->waiting == 0)
         continue;
+      wish.tasks = dispatcher->n_waiting;
       wish.rank = job->rank;
       wish.need = job->spec.demand;
       break;
