--- a/tests/load_replay.h
+++ b/tests/load_replay.h
@@ -11,12 +11,12 @@
 {
   const char *name; /* NULL ends a list */
   guint priority;
-  double per_s; /* jobs, all entries together */
   guint tasks;
+  guint most_tasks;
   guint run_ms;
   guint cpu_milli;
+  double per_s;   /* jobs, all entries together */
   double benefit; /* of a job of mean size */
-  guint most_tasks;
 } LoadQueue;
 
 typedef struct
--- a/tests/relay.c
+++ b/tests/relay.c
@@ -1,4 +1,5 @@
 #include "relay.h"
+#include "clock.h"
 #include "listen.h"
 
 #include <arpa/inet.h>
@@ -88,7 +89,7 @@
 static void
 delay (Pair *pair, guint to, struct evbuffer *from)
 {
-  struct timeval wait = { 0, RELAY_DELAY_MS * 1000 };
+  struct timeval wait = timeval_from_ms (RELAY_DELAY_MS);
   Held *held = g_new0 (Held, 1);
 
   held->pair = pair;
--- a/tests/test-load.c
+++ b/tests/test-load.c
@@ -7,9 +7,9 @@
 
 /* Wide urgent jobs, long jobs and many narrow ones, as large as a third of a server. */
 static const LoadQueue mix[] = {
-  { "urgent", 0, 34.4, 8, 60, 1600, 0.0291, 32 },
-  { "long", 2, 6.25, 4, 900, 1600, 0.16, 16 },
-  { "narrow", 1, 100, 2, 200, 1600, 0.01, 8 },
+  { "urgent", 0, 8, 32, 60, 1600, 34.4, 0.0291 },
+  { "long", 2, 4, 16, 900, 1600, 6.25, 0.16 },
+  { "narrow", 1, 2, 8, 200, 1600, 100, 0.01 },
   { NULL },
 };
 
--- a/tests/test-runner.c
+++ b/tests/test-runner.c
@@ -723,7 +723,8 @@
       answer (scene, call, CALL_NO_ROOM);
       ask_start (scene, ENTRY, "k", 100);
     }
-  g_assert_cmpuint (open_call (scene, CALLED_START)->call.timeout_ms, >, 2 * quick_ms);
+  g_assert_cmpuint (open_call (scene, CALLED_START)->call.timeout_ms, >,
+                    quick_ms + quick_ms);
 }
 
 static const Case cases[] = {
--- a/tests/test-soak.c
+++ b/tests/test-soak.c
@@ -442,7 +442,7 @@
 static void
 play (Soak *soak, guint seconds)
 {
-  gint64 end = clock_now_ms () + seconds * 1000;
+  gint64 end = clock_now_ms () + (gint64)seconds * 1000;
   gint64 job_ms = 0;
   gint64 fault_ms = 0;
 
