Dispatcher: a refusal tells what decided it

One line, job-crowded-out, has the work ahead, the rate, the wait that follows and the time left; the test that explains a refusal looks for it.

--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -70,8 +70,7 @@
 
 typedef struct
 {
-  /* Ask a server's agent to start runs of one job. @wish: what waits here, this job's
-   * rank. */
+  /* Ask a server's agent to start runs of one job. @wish: what still waits here. */
   void (*order) (LeasedServer *server,
                  const LeasedSpec *spec,
                  const RunKey *runs,
--- a/src/dispatcher_order.c
+++ b/src/dispatcher_order.c
@@ -4,6 +4,7 @@
  * Answers load beyond the capacity: more arrives than the servers get done, in wide
  * urgent jobs, long jobs and many narrow ones, at several entries at once. */
 #include "dispatcher_parts.h"
+#include "events.h"
 
 /* Priorities beyond this count alike. */
 #define PRIORITY_STEPS 8
@@ -173,9 +174,25 @@
   return job->spec.arrived_ms + part * objective;
 }
 
-/* Under overload each job waits for those before it and for better ones that are still to
- * come. One that is not expected to begin in time would be refused in the end anyway: it
- * is refused at once, while its caller can still go elsewhere. */
+static void
+refuse_crowded_out (LeasedJob *job, double ahead, double rate, double wait_ms)
+{
+  gint64 now_ms = job->dispatcher->now_ms;
+
+  event_note ("job-crowded-out", job->spec.id,
+              "work_ahead=%.0f rate=%.0f wait_ms=%.0f task_ms=%.0f "
+              "objective_left_ms=%" G_GINT64_FORMAT " age_ms=%" G_GINT64_FORMAT,
+              ahead, rate, wait_ms, job->task_ms, job->objective_ms - now_ms,
+              now_ms - job->spec.arrived_ms);
+  job_answer (job, LEASED_REFUSED, "more urgent work takes all room",
+              (guint)MIN (wait_ms, RETRY_AFTER_MOST_MS));
+  job_release_if_over (job);
+}
+
+/* Under overload each job waits for those before it. One that is not expected to end in
+ * time would be refused in the end anyway: it is refused at once, while its caller can
+ * still go elsewhere. The work before it gets this entry's part of the servers; its own
+ * tasks then are first in order everywhere, and get room wherever it frees. */
 void
 dispatcher_refuse_crowded_out (Dispatcher *dispatcher)
 {
@@ -190,17 +207,14 @@
   for (guint i = 0; i < jobs->len; i++)
     {
       LeasedJob *job = g_ptr_array_index (jobs, i);
-      double wait_ms;
-
-      wait_ms = ahead / rate + waiting_work (job) / capacity;
-      ahead += waiting_work (job);
-      if (!nothing_ordered (job)
-          || dispatcher->now_ms + wait_ms + job->task_ms <= latest_end (job))
-        continue;
-      ahead -= waiting_work (job);
-      job_answer (job, LEASED_REFUSED, "more urgent work takes all room",
-                  (guint)MIN (wait_ms, RETRY_AFTER_MOST_MS));
-      job_release_if_over (job);
+      double work = waiting_work (job);
+      double wait_ms = ahead / rate + work / capacity;
+
+      if (nothing_ordered (job)
+          && dispatcher->now_ms + wait_ms + job->task_ms > latest_end (job))
+        refuse_crowded_out (job, ahead, rate, wait_ms);
+      else
+        ahead += work;
     }
   g_ptr_array_unref (jobs);
 }
--- a/src/dispatcher_parts.h
+++ b/src/dispatcher_parts.h
@@ -120,7 +120,11 @@
 
 /** dispatcher_wait_ms - until what waits here has been done, about. */
 guint dispatcher_wait_ms (const Dispatcher *dispatcher);
+
+/** dispatcher_refuse_hopeless - end what could not be of use even if it began now. */
 void dispatcher_refuse_hopeless (Dispatcher *dispatcher);
+
+/** dispatcher_refuse_crowded_out - end what the work before it leaves too little time. */
 void dispatcher_refuse_crowded_out (Dispatcher *dispatcher);
 
 /* dispatcher_place.c */
--- a/src/offers.h
+++ b/src/offers.h
@@ -12,7 +12,8 @@
 Offers *offers_new (void);
 void offers_free (Offers *offers);
 
-/* What waits at an entry. */
+/* What would start here for an entry if there was room: a request for resources that is
+ * bound to a task only once room is offered. */
 typedef struct
 {
   guint tasks;
