--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -118,9 +118,26 @@
   test-dispatcher /dispatcher/nothing-is-ordered-before-the-inventory
 mutant old-orders-start src/runner.c 'if (runner->now_ms > request->valid_until_ms)' 'if (FALSE)' \
   test-runner /runner/old-orders-are-refused
-mutant closing-ignored src/dispatcher_place.c \
+mutant closing-ignored src/dispatcher_order.c \
   '|| g_hash_table_contains (dispatcher->closing, job->spec.id)' '' \
   test-dispatcher /dispatcher/resubmission-waits-for-stops
+mutant end-before-grant src/home_grants.c \
+  'for (gsize i = 0; i < frame->n_grants; i++)' \
+  'for (gsize i = 0; i < frame->n_acks; i++)
+    home_ack (home, frame->acks[i]);
+  for (gsize i = 0; i < frame->n_grants; i++)' test-home /home/granted-and-finished
+mutant given-up-unnoticed src/members.c 'if (frame->given_up > member->given_up_by)' \
+  'if (FALSE)' test-once /once/new-owner-after-settlement
+mutant look-by-lease src/runner.c 'MIN (runner->lease_sent_ms, runner->listed_ms)' \
+  'runner->lease_sent_ms' test-runner /runner/ends-are-looked-for-under-starts
+mutant lost-watch-waits src/watches.c 'if (place->number == 0 || place->overdue_ms == 0' \
+  'if (TRUE' test-runner /runner/lost-watch-is-replaced
+mutant crowded-out-waits src/dispatcher_order.c 'if (nothing_ordered (job)
+          &&' 'if (FALSE &&' test-load /load/overload
+mutant room-to-anyone src/offers.c 'best == NULL || goes_before (&wanting->wish, &best->wish)' \
+  'best == NULL' test-offers /offers/best-rank-first
+mutant late-order-first src/dispatcher_order.c 'return rank / LATE_PART;' \
+  'return rank + RANK_NO_CHANCE / 2;' test-dispatcher /dispatcher/nearly-done-goes-before-fresh
 
 echo "mutants: $failures not noticed"
 [ "$failures" -eq 0 ]
