Counters and lines that tell copies of a configuration from reads that are cut

Cause: bytes_sent and table_errors rise together when a large configuration comes; nothing said how much of what was sent was configuration, how much of that was of use, or whether reads of the store broke or were ended by their own limit. Ruled out: nothing yet; this is for that. No decision changes.

--- a/src/counters.h
+++ b/src/counters.h
@@ -47,11 +47,16 @@
   X (LINKS_OPENED, "links_opened", "connections to own processes opened")                \
   X (LINKS_SILENT, "links_silent", "connections closed for silence")                     \
   X (LINKS_BROKEN, "links_broken", "connections closed for breaking the protocol")       \
+  X (LINK_BACKLOG, "link_backlog_bytes", "most bytes that waited on one connection")     \
   X (TABLE_READS, "table_reads", "reads of the platform's table")                        \
   X (TABLE_WRITES, "table_writes", "writes to the platform's table")                     \
   X (TABLE_ERRORS, "table_errors", "requests to the table that failed")                  \
+  X (TABLE_TIMEOUTS, "table_timeouts",                                                   \
+     "requests to the table ended by their time limit")                                  \
   X (CONFIG_ADOPTED, "config_adopted", "configuration versions adopted")                 \
-  X (CONFIG_STALE, "config_stale", "older configuration versions ignored")               \
+  X (CONFIG_STALE, "config_stale", "configurations received that were no newer")         \
+  X (CONFIG_FRAMES, "config_frames", "frames sent that carry a configuration")           \
+  X (CONFIG_BYTES, "config_bytes", "bytes of frames sent that carry a configuration")    \
   X (CONFIG_UNCONFIRMED, "config_unconfirmed",                                           \
      "submissions refused, version unconfirmed")                                         \
   X (EVENTS_WRITTEN, "events_written", "event lines written")                            \
@@ -81,6 +86,14 @@
   counter_values[counter] += n;
 }
 
+/** counter_raise - for a counter of the most seen so far. */
+static inline void
+counter_raise (Counter counter, guint64 value)
+{
+  if (value > counter_values[counter])
+    counter_values[counter] = value;
+}
+
 /** counters_page - all counters as "name value" lines; free with g_free. */
 char *counters_page (void);
 
--- a/src/http.c
+++ b/src/http.c
@@ -31,6 +31,7 @@
   HttpDone done;
   gpointer ctx;
   struct event *timer;
+  gsize received;
   gboolean sent;
   gboolean finished;
 } HttpJob;
@@ -113,6 +114,15 @@
     conn->job->sent = TRUE;
 }
 
+static void
+on_input (struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *ctx)
+{
+  HttpConn *conn = ctx;
+
+  if (conn->job != NULL)
+    conn->job->received += info->n_added;
+}
+
 static void
 set_peer_gone_timeout (HttpConn *conn)
 {
@@ -144,6 +154,7 @@
   evhttp_connection_set_timeout (conn->evcon, 3600);
   bev = evhttp_connection_get_bufferevent (conn->evcon);
   evbuffer_add_cb (bufferevent_get_output (bev), on_output, conn);
+  evbuffer_add_cb (bufferevent_get_input (bev), on_input, conn);
   TAILQ_INSERT_TAIL (&pool->conns, conn, link);
   pool->open++;
   return conn;
@@ -196,7 +207,8 @@
 {
   HttpJob *job = ctx;
   HttpConn *conn = job->conn;
-  HttpAnswer answer = { job->sent ? HTTP_BROKEN : HTTP_NOT_SENT };
+  HttpAnswer answer
+      = { .end = job->sent ? HTTP_BROKEN : HTTP_NOT_SENT, .received = job->received };
   gboolean whole = request != NULL && evhttp_request_get_response_code (request) != 0;
 
   if (whole)
@@ -298,7 +310,9 @@
 on_timeout (evutil_socket_t fd, short what, void *ctx)
 {
   HttpJob *job = ctx;
-  HttpAnswer answer = { job->sent ? HTTP_BROKEN : HTTP_NOT_SENT, TRUE };
+  HttpAnswer answer = { .end = job->sent ? HTTP_BROKEN : HTTP_NOT_SENT,
+                        .timed_out = TRUE,
+                        .received = job->received };
   HttpConn *conn = job->conn;
   HttpPool *pool = job->pool;
 
--- a/src/http.h
+++ b/src/http.h
@@ -18,6 +18,7 @@
 {
   HttpEnd end;
   gboolean timed_out; /* ended by the call's own timeout */
+  gsize received;     /* bytes of the answer that had come, with its head */
   int status;
   const char *retry_after; /* header, or NULL */
   const void *body;
--- a/src/leased_entry.c
+++ b/src/leased_entry.c
@@ -1,6 +1,7 @@
 #define LOG_MODULE "entry"
 #include "leased_entry.h"
 #include "clock.h"
+#include "counters.h"
 #include "events.h"
 #include "histograms.h"
 #include "jobid.h"
@@ -131,7 +132,10 @@
   Catalog *catalog;
 
   if (entry->catalog != NULL && config->version <= entry->catalog->version)
-    return;
+    {
+      counter_add (COUNTER_CONFIG_STALE, 1);
+      return;
+    }
   catalog = entry->ops->read_catalog (config->body, &error);
   if (catalog == NULL)
     {
@@ -437,10 +441,12 @@
 {
   if (entry->catalog != NULL && catalog->version <= entry->catalog->version)
     return;
+  counter_add (COUNTER_CONFIG_ADOPTED, 1);
   event_note ("config-adopted", "-",
-              "version=%" G_GUINT64_FORMAT " before=%" G_GUINT64_FORMAT " queues=%u",
+              "version=%" G_GUINT64_FORMAT " before=%" G_GUINT64_FORMAT
+              " queues=%u bytes=%zu",
               catalog->version, entry->catalog != NULL ? entry->catalog->version : 0,
-              catalog->queues->len);
+              catalog->queues->len, strlen (catalog->source));
   catalog_ref (catalog);
   catalog_unref (entry->catalog);
   entry->catalog = catalog;
--- a/src/link_send.c
+++ b/src/link_send.c
@@ -43,6 +43,11 @@
 {
   counter_add (COUNTER_FRAMES_SENT, 1);
   counter_add (COUNTER_BYTES_SENT, size);
+  if (frame->config != NULL)
+    {
+      counter_add (COUNTER_CONFIG_FRAMES, 1);
+      counter_add (COUNTER_CONFIG_BYTES, size);
+    }
   if (frame->n_starts > 0)
     counter_add (COUNTER_FRAMES_START, 1);
   else if (frame->n_outcomes > 0)
@@ -74,6 +79,7 @@
   gw__frame__pack (frame, space.iov_base);
   space.iov_len = size;
   evbuffer_commit_space (output, &space, 1);
+  counter_raise (COUNTER_LINK_BACKLOG, evbuffer_get_length (output));
 }
 
 static void
