Tests: a large configuration reaches an entry behind a slow line, and a slow store is read

Cause: two, shown apart now. A peer that has an older version is sent the whole configuration with each of its frames, also while a copy is under way; and reads of the store are ended by a limit from the call to the last byte. Ruled out: processor time (the test's machines have plenty), the store (confirmed at once there). The relay between two processes can now carry a limited number of bytes a second.

--- a/tests/harness.c
+++ b/tests/harness.c
@@ -87,6 +87,7 @@
       process->http = find_word_after (line, "http ");
       process->frames = find_word_after (line, "frames ");
       process->ready_address = find_word_after (line, "ready ");
+      process->metrics = find_word_after (line, "metrics ");
     }
   g_free (text);
   return end != NULL;
@@ -128,6 +129,7 @@
   g_clear_pointer (&process->http, g_free);
   g_clear_pointer (&process->frames, g_free);
   g_clear_pointer (&process->ready_address, g_free);
+  g_clear_pointer (&process->metrics, g_free);
   keep_log (process->log);
   keep_log (events);
   g_subprocess_launcher_set_child_setup (launcher, die_with_parent, NULL, NULL);
@@ -221,6 +223,7 @@
   g_free (process->http);
   g_free (process->frames);
   g_free (process->ready_address);
+  g_free (process->metrics);
   g_free (process->settings);
   g_free (process->log);
   g_strfreev (process->argv);
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -17,6 +17,7 @@
   char *http;
   char *frames;
   char *ready_address; /* of an entry of leased jobs */
+  char *metrics;       /* of the same, NULL if it serves none */
   char *settings;      /* path of its file, NULL if it has none */
   char *log;           /* path */
   char **argv;
--- a/tests/platform_scene.c
+++ b/tests/platform_scene.c
@@ -5,22 +5,45 @@
 
 /* The operator. */
 
-static char *
-config_text (guint version, const char *prefix)
+static void
+append_route (GString *text, const char *name, const char *prefix)
 {
-  return g_strdup_printf (
-      "{\"version\":%u,\"routes\":[{\"name\":\"r-1\",\"host\":\"" PLATFORM_HOST
+  g_string_append_printf (
+      text,
+      "{\"name\":\"%s\",\"host\":\"" PLATFORM_HOST
       "\",\"prefix\":\"%s\",\"kind\":\"unsafe\",\"timeout_ms\":1500,"
       "\"target_latency_ms\":400,\"priority\":1,\"service\":\"exchange\","
-      "\"max_attempts\":2,\"stretch\":4}],\"services\":[{\"name\":\"exchange\"}],"
-      "\"limits\":{\"max_body_bytes\":20000,\"idle_timeout_ms\":15000}}",
-      version, prefix);
+      "\"max_attempts\":2,\"stretch\":4}",
+      name, prefix);
+}
+
+static char *
+config_text (guint version, const char *prefix, guint routes)
+{
+  GString *text = g_string_new (NULL);
+
+  g_string_append_printf (text, "{\"version\":%u,\"routes\":[", version);
+  append_route (text, "r-1", prefix);
+  for (guint i = 0; i < routes; i++)
+    {
+      char *name = g_strdup_printf ("more-%u", i);
+      char *path = g_strdup_printf ("/more/%u/", i);
+
+      g_string_append_c (text, ',');
+      append_route (text, name, path);
+      g_free (name);
+      g_free (path);
+    }
+  g_string_append (text,
+                   "],\"services\":[{\"name\":\"exchange\"}],"
+                   "\"limits\":{\"max_body_bytes\":20000,\"idle_timeout_ms\":15000}}");
+  return g_string_free (text, FALSE);
 }
 
 void
-platform_put_config (PlatformScene *scene, const char *prefix)
+platform_put_routes (PlatformScene *scene, const char *prefix, guint routes)
 {
-  char *text = config_text (++scene->version, prefix);
+  char *text = config_text (++scene->version, prefix, routes);
   char *value = g_base64_encode ((const guchar *)text, strlen (text));
   char *body
       = g_strdup_printf ("{\"expected\":[],\"puts\":[{\"table\":\"op\",\"part\":\"\","
@@ -33,8 +56,30 @@
   g_free (text);
 }
 
+void
+platform_put_config (PlatformScene *scene, const char *prefix)
+{
+  platform_put_routes (scene, prefix, 0);
+}
+
 /* Processes. */
 
+static const char *
+store_address (const PlatformScene *scene, guint entry)
+{
+  return scene->store_relay != NULL && entry == scene->n_entries - 1
+             ? relay_address (scene->store_relay)
+             : scene->store->http;
+}
+
+/* The others dial the last entry, not it them, so that all that it is sent comes over its
+ * line. */
+static gboolean
+is_only_dialling (const PlatformScene *scene, guint entry)
+{
+  return scene->line != NULL && entry < scene->n_entries - 1;
+}
+
 Process *
 platform_start_entry (PlatformScene *scene, guint i, const char *peers)
 {
@@ -42,15 +87,16 @@
   char *settings = g_strdup_printf (
       "name = \"%s\"\nzone = \"z\"\nlisten.http = \"127.0.0.1:0\"\n"
       "listen.frames = \"127.0.0.1:0\"\nlisten.ready = \"127.0.0.1:0\"\n"
+      "listen.metrics = \"127.0.0.1:0\"\n"
       "listen.advertise_frames = \"%s\"\n"
       "links.heartbeat_ms = 120\nlinks.timeout_ms = 500\ntable.address = \"%s\"\n"
       "entries.peers = [%s]\ndrain.grace_ms = 300\ndrain.limit_ms = 4000\n",
       name, scene->relays[i] != NULL ? relay_address (scene->relays[i]) : "",
-      scene->store->http, peers);
+      store_address (scene, i), peers);
   Process *process
       = harness_spawn_daemon (scene->harness, PLATFORM_ENTRY_EXE, name, settings);
 
-  if (scene->relays[i] != NULL)
+  if (scene->relays[i] != NULL && !is_only_dialling (scene, i))
     relay_set_target (scene->relays[i], process->frames);
   g_free (settings);
   g_free (name);
@@ -152,6 +198,34 @@
   return ready;
 }
 
+static void
+add_line (PlatformScene *scene, guint bytes_per_s)
+{
+  Relay *relay = scene->relays[scene->n_entries - 1];
+
+  scene->line = relay_line_new (scene->harness->base, bytes_per_s);
+  scene->store_relay = relay_new (scene->harness->base);
+  relay_set_target (scene->store_relay, scene->store->http);
+  relay_set_line (scene->store_relay, RELAY_TO_DIALLER, scene->line);
+  if (relay != NULL)
+    relay_set_line (relay, RELAY_TO_TARGET, scene->line);
+}
+
+/* Behind a line: the last entry and those that have started, in quotes. */
+static char *
+peers_of (const PlatformScene *scene, guint entry)
+{
+  GString *peers = g_string_new (NULL);
+
+  if (scene->line == NULL || scene->relays[entry] == NULL)
+    return g_string_free (peers, FALSE);
+  g_string_append_printf (peers, "\"%s\"",
+                          relay_address (scene->relays[scene->n_entries - 1]));
+  for (guint i = 0; i < entry && entry < scene->n_entries - 1; i++)
+    g_string_append_printf (peers, ",\"%s\"", scene->entries[i]->frames);
+  return g_string_free (peers, FALSE);
+}
+
 void
 platform_scene_open (PlatformScene *scene, const PlatformInit *init)
 {
@@ -165,11 +239,16 @@
   scene->store = harness_spawn (scene->harness, "store", store);
   if (init->configured)
     platform_put_config (scene, PLATFORM_PREFIX);
+  for (guint i = 0; init->relayed && i < init->entries; i++)
+    scene->relays[i] = relay_new (scene->harness->base);
+  if (init->line_bytes_per_s > 0)
+    add_line (scene, init->line_bytes_per_s);
   for (guint i = 0; i < init->entries; i++)
     {
-      if (init->relayed)
-        scene->relays[i] = relay_new (scene->harness->base);
-      scene->entries[i] = platform_start_entry (scene, i, "");
+      char *peers = peers_of (scene, i);
+
+      scene->entries[i] = platform_start_entry (scene, i, peers);
+      g_free (peers);
     }
   for (guint i = 0; i < init->servers; i++)
     {
@@ -199,6 +278,8 @@
       process_free (scene->servers[i]);
     }
   process_free (scene->store);
+  g_clear_pointer (&scene->store_relay, relay_free);
+  g_clear_pointer (&scene->line, relay_line_free);
   harness_free (scene->harness);
 }
 
--- a/tests/platform_scene.h
+++ b/tests/platform_scene.h
@@ -19,6 +19,8 @@
   Process *agents[PLATFORM_MOST];
   Process *servers[PLATFORM_MOST];
   Relay *relays[PLATFORM_MOST]; /* before the frames of each entry, if asked for */
+  Relay *store_relay;           /* between the store and the last entry, if asked for */
+  RelayLine *line;              /* of the last entry, towards it; NULL: no limit */
   guint jobs;
   guint version;
 } PlatformScene;
@@ -29,6 +31,7 @@
   guint servers;
   gboolean relayed;
   gboolean configured;
+  guint line_bytes_per_s; /* the last entry's link, store and peers together; 0: none */
 } PlatformInit;
 
 void platform_scene_open (PlatformScene *scene, const PlatformInit *init);
@@ -37,6 +40,9 @@
 /** platform_put_config - the operator writes the next version, with one queue. */
 void platform_put_config (PlatformScene *scene, const char *prefix);
 
+/** platform_put_routes - the same with @routes more that nobody calls. */
+void platform_put_routes (PlatformScene *scene, const char *prefix, guint routes);
+
 /** platform_start_entry - @peers: quoted addresses of others, separated by commas. */
 Process *platform_start_entry (PlatformScene *scene, guint i, const char *peers);
 Process *platform_start_agent (PlatformScene *scene, guint i);
--- a/tests/relay.c
+++ b/tests/relay.c
@@ -7,6 +7,8 @@
 #include <event2/bufferevent.h>
 #include <sys/queue.h>
 
+#define LINE_TICK_MS 20
+
 typedef struct Pair
 {
   LIST_ENTRY (Pair) link_entry;
@@ -28,12 +30,20 @@
   struct event *timer;
 } Held;
 
+struct RelayLine
+{
+  struct event_base *base;
+  struct ev_token_bucket_cfg *rate;
+  struct bufferevent_rate_limit_group *group;
+};
+
 struct Relay
 {
   struct event_base *base;
   Listener *listener;
   char *target;
   RelayMode new_mode;
+  RelayLine *lines[2]; /* by the side that is read; NULL: as fast as it comes */
   LIST_HEAD (, Pair) pairs;
 };
 
@@ -175,7 +185,11 @@
   LIST_INIT (&pair->held);
   LIST_INSERT_HEAD (&relay->pairs, pair, link_entry);
   for (int i = 0; i < 2; i++)
-    bufferevent_setcb (pair->sides[i], on_read, NULL, on_event, pair);
+    {
+      bufferevent_setcb (pair->sides[i], on_read, NULL, on_event, pair);
+      if (relay->lines[i] != NULL)
+        bufferevent_add_to_rate_limit_group (pair->sides[i], relay->lines[i]->group);
+    }
   evutil_parse_sockaddr_port (relay->target, (struct sockaddr *)&where, &length);
   if (bufferevent_socket_connect (pair->sides[1], (struct sockaddr *)&where, length) < 0)
     {
@@ -186,6 +200,36 @@
     bufferevent_enable (pair->sides[i], EV_READ | EV_WRITE);
 }
 
+RelayLine *
+relay_line_new (struct event_base *base, guint bytes_per_s)
+{
+  struct timeval tick = timeval_from_ms (LINE_TICK_MS);
+  guint per_tick = bytes_per_s / (1000 / LINE_TICK_MS);
+  RelayLine *line = g_new0 (RelayLine, 1);
+
+  line->base = base;
+  line->rate = ev_token_bucket_cfg_new (per_tick, per_tick, EV_RATE_LIMIT_MAX,
+                                        EV_RATE_LIMIT_MAX, &tick);
+  line->group = bufferevent_rate_limit_group_new (base, line->rate);
+  return line;
+}
+
+void
+relay_line_free (RelayLine *line)
+{
+  /* Connections that were freed leave the group in the next turn of the loop. */
+  event_base_loop (line->base, EVLOOP_NONBLOCK);
+  bufferevent_rate_limit_group_free (line->group);
+  ev_token_bucket_cfg_free (line->rate);
+  g_free (line);
+}
+
+void
+relay_set_line (Relay *relay, RelayWay way, RelayLine *line)
+{
+  relay->lines[way == RELAY_TO_DIALLER] = line;
+}
+
 Relay *
 relay_new (struct event_base *base)
 {
--- a/tests/relay.h
+++ b/tests/relay.h
@@ -16,6 +16,21 @@
   RELAY_DELAY,  /* forwards all of it RELAY_DELAY_MS later */
 } RelayMode;
 
+/* A line that carries a limited number of bytes a second, shared by all that is
+ * forwarded over it. */
+typedef struct RelayLine RelayLine;
+
+RelayLine *relay_line_new (struct event_base *base, guint bytes_per_s);
+
+/** relay_line_free - once all relays that use it are freed. */
+void relay_line_free (RelayLine *line);
+
+typedef enum
+{
+  RELAY_TO_TARGET,
+  RELAY_TO_DIALLER,
+} RelayWay;
+
 Relay *relay_new (struct event_base *base);
 void relay_free (Relay *relay);
 
@@ -25,6 +40,9 @@
 /** relay_set_target - where new connections are forwarded to. */
 void relay_set_target (Relay *relay, const char *address);
 
+/** relay_set_line - what new connections carry that way goes over @line. */
+void relay_set_line (Relay *relay, RelayWay way, RelayLine *line);
+
 /** relay_set_mode - for connections that stand and, with @new_too, for new ones. */
 void relay_set_mode (Relay *relay, RelayMode mode, gboolean new_too);
 
