A configuration goes to who asks for it, and what arrives is not cut off

Root cause: whole state sent or fetched again without regard to what is under way. (1) An entry answered every frame of a peer with an older version with the whole configuration: eight copies a second from each of 13 peers to an entry whose link carries three. They filled its link for 23 to 80 s, the memory of the senders (512 MB), and later versions waited behind earlier copies. (2) A read of the store had a limit from the call to the last byte; on the full link none ended, each began anew. Class: retransmission and time limits that do not follow how slow the other end is. Ruled out: parsing (1 to 5% of the processor), the store, lost frames. The same text is not parsed twice.

--- a/proto/godwitspar.pb-c.c
+++ b/proto/godwitspar.pb-c.c
@@ -2863,7 +2863,7 @@
   (ProtobufCMessageInit) gw__config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__frame__field_descriptors[28] =
+static const ProtobufCFieldDescriptor gw__frame__field_descriptors[29] =
 {
   {
     "sequence",
@@ -3201,6 +3201,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_wanted",
+    34,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Frame, config_wanted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__frame__field_indices_by_name[] = {
   11,   /* field[11] = acks */
@@ -3210,6 +3222,7 @@
   7,   /* field[7] = config */
   3,   /* field[3] = config_confirmed */
   2,   /* field[2] = config_version */
+  28,   /* field[28] = config_wanted */
   15,   /* field[15] = entries */
   14,   /* field[14] = fence_replies */
   13,   /* field[13] = fences */
@@ -3238,7 +3251,7 @@
   { 6, 4 },
   { 27, 22 },
   { 33, 27 },
-  { 0, 28 }
+  { 0, 29 }
 };
 const ProtobufCMessageDescriptor gw__frame__descriptor =
 {
@@ -3248,7 +3261,7 @@
   "Gw__Frame",
   "gw",
   sizeof(Gw__Frame),
-  28,
+  29,
   gw__frame__field_descriptors,
   gw__frame__field_indices_by_name,
   4,  gw__frame__number_ranges,
--- a/proto/godwitspar.pb-c.h
+++ b/proto/godwitspar.pb-c.h
@@ -481,10 +481,14 @@
    * rises each time the sender gives up a process like the receiver
    */
   uint64_t given_up;
+  /*
+   * send a configuration of this version or a newer one, once
+   */
+  uint64_t config_wanted;
 };
 #define GW__FRAME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__frame__descriptor) \
-    , 0, 0, 0, 0, 0, NULL, NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0, NULL, 0 }
+    , 0, 0, 0, 0, 0, NULL, NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0, NULL, 0, 0 }
 
 
 /*
--- a/src/http.c
+++ b/src/http.c
@@ -16,6 +16,9 @@
 /* Unacknowledged bytes or unanswered keepalive probes for this long: the peer's machine
  * is gone. A working peer's kernel answers both, however long its task takes. */
 #define PEER_GONE_MS 4000
+/* The largest answer that is read: a peer that sends without end would fill the memory.
+ */
+#define ANSWER_MOST_BYTES (32 << 20)
 
 typedef struct HttpConn HttpConn;
 
@@ -31,7 +34,11 @@
   HttpDone done;
   gpointer ctx;
   struct event *timer;
+  guint silence_ms;
   gsize received;
+  gint64 called_ms;
+  gint64 begun_ms; /* when the answer's first byte came; 0: none has */
+  gint64 heard_ms;
   gboolean sent;
   gboolean finished;
 } HttpJob;
@@ -118,9 +125,19 @@
 on_input (struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *ctx)
 {
   HttpConn *conn = ctx;
+  HttpJob *job = conn->job;
+  struct timeval silence;
 
-  if (conn->job != NULL)
-    conn->job->received += info->n_added;
+  if (job == NULL || info->n_added == 0)
+    return;
+  job->received += info->n_added;
+  job->heard_ms = clock_now_ms ();
+  if (job->begun_ms == 0)
+    job->begun_ms = job->heard_ms;
+  if (job->silence_ms == 0)
+    return;
+  silence = timeval_from_ms (job->silence_ms);
+  event_add (job->timer, &silence);
 }
 
 static void
@@ -152,6 +169,7 @@
   conn->evcon = evhttp_connection_base_new (pool->base, NULL, pool->ip, pool->port);
   evhttp_connection_set_retries (conn->evcon, 0);
   evhttp_connection_set_timeout (conn->evcon, 3600);
+  evhttp_connection_set_max_body_size (conn->evcon, ANSWER_MOST_BYTES);
   bev = evhttp_connection_get_bufferevent (conn->evcon);
   evbuffer_add_cb (bufferevent_get_output (bev), on_output, conn);
   evbuffer_add_cb (bufferevent_get_input (bev), on_input, conn);
@@ -189,6 +207,17 @@
   event_active (conn->pool->kick, EV_TIMEOUT, 0);
 }
 
+static HttpAnswer
+answer_of (const HttpJob *job)
+{
+  gint64 until = job->begun_ms > 0 ? job->begun_ms : clock_now_ms ();
+  HttpAnswer answer = { .end = job->sent ? HTTP_BROKEN : HTTP_NOT_SENT,
+                        .received = job->received,
+                        .begun_ms = until - job->called_ms };
+
+  return answer;
+}
+
 static void
 fill_answer (HttpAnswer *answer, struct evhttp_request *request)
 {
@@ -207,8 +236,7 @@
 {
   HttpJob *job = ctx;
   HttpConn *conn = job->conn;
-  HttpAnswer answer
-      = { .end = job->sent ? HTTP_BROKEN : HTTP_NOT_SENT, .received = job->received };
+  HttpAnswer answer = answer_of (job);
   gboolean whole = request != NULL && evhttp_request_get_response_code (request) != 0;
 
   if (whole)
@@ -310,12 +338,11 @@
 on_timeout (evutil_socket_t fd, short what, void *ctx)
 {
   HttpJob *job = ctx;
-  HttpAnswer answer = { .end = job->sent ? HTTP_BROKEN : HTTP_NOT_SENT,
-                        .timed_out = TRUE,
-                        .received = job->received };
+  HttpAnswer answer = answer_of (job);
   HttpConn *conn = job->conn;
   HttpPool *pool = job->pool;
 
+  answer.timed_out = TRUE;
   if (conn == NULL)
     {
       TAILQ_REMOVE (&pool->waiting, job, link);
@@ -356,10 +383,23 @@
   pool->idle_ms = idle_ms;
 }
 
+gboolean
+http_pool_is_receiving (const HttpPool *pool, guint within_ms)
+{
+  gint64 now = clock_now_ms ();
+  const HttpConn *conn;
+
+  TAILQ_FOREACH (conn, &pool->conns, link)
+    if (conn->job != NULL && conn->job->begun_ms > 0
+        && now - conn->job->heard_ms <= within_ms)
+      return TRUE;
+  return FALSE;
+}
+
 static void
 end_unfinished (HttpJob *job)
 {
-  HttpAnswer answer = { job->sent ? HTTP_BROKEN : HTTP_NOT_SENT };
+  HttpAnswer answer = answer_of (job);
 
   job_end (job, &answer);
   job_free (job);
@@ -403,8 +443,10 @@
   job->path = g_strdup (call->path);
   job->headers = g_strdupv ((char **)call->headers);
   job->body = g_bytes_new (call->body, call->size);
+  job->silence_ms = call->silence_ms;
   job->done = call->done;
   job->ctx = call->ctx;
+  job->called_ms = clock_now_ms ();
   job->timer = evtimer_new (pool->base, on_timeout, job);
   event_add (job->timer, &timeout);
   TAILQ_INSERT_TAIL (&pool->waiting, job, link);
--- a/src/http.h
+++ b/src/http.h
@@ -19,6 +19,7 @@
   HttpEnd end;
   gboolean timed_out; /* ended by the call's own timeout */
   gsize received;     /* bytes of the answer that had come, with its head */
+  gint64 begun_ms;    /* from the call to its first byte, or to the end without one */
   int status;
   const char *retry_after; /* header, or NULL */
   const void *body;
@@ -34,7 +35,9 @@
   const char *const *headers; /* name, value, ..., NULL; or NULL */
   const void *body;
   gsize size;
-  guint timeout_ms; /* from call to whole answer */
+  guint timeout_ms; /* from call to whole answer; with @silence_ms, to its first byte */
+  guint silence_ms; /* 0, or the longest between two pieces of an answer that has begun: a
+                     * large one over a slow link is not ended while it arrives */
   HttpDone done;    /* called once, never before http_pool_call () has returned */
   gpointer ctx;
 } HttpCall;
@@ -50,6 +53,10 @@
  */
 void http_pool_keep_idle (HttpPool *pool, guint idle_ms);
 
+/** http_pool_is_receiving - whether an answer has begun, and went on within @within_ms.
+ */
+gboolean http_pool_is_receiving (const HttpPool *pool, guint within_ms);
+
 /** http_pool_free - calls under way end as broken or not sent. */
 void http_pool_free (HttpPool *pool);
 void http_pool_call (HttpPool *pool, const HttpCall *call);
--- a/src/leased_entry.c
+++ b/src/leased_entry.c
@@ -1,12 +1,9 @@
 #define LOG_MODULE "entry"
-#include "leased_entry.h"
 #include "clock.h"
-#include "counters.h"
 #include "events.h"
 #include "histograms.h"
 #include "jobid.h"
-#include "listen.h"
-#include "mesh.h"
+#include "leased_entry_parts.h"
 
 #include <string.h>
 
@@ -15,30 +12,6 @@
 /* The last frames are given this long to leave the process. */
 #define FAREWELL_MS 100
 
-struct LeasedEntry
-{
-  struct event_base *base;
-  const LeasedEntryOps *ops;
-  gpointer ctx;
-  guint64 incarnation;
-  Gw__Hello hello;
-  char *listen_frames;
-  char *advertised; /* where others reach it; empty: as listened */
-  guint drain_grace_ms;
-  guint drain_limit_ms;
-  Listener *frames;
-  Mesh *mesh;
-  Dispatcher *dispatcher;
-  Catalog *catalog;
-  struct event *tick;
-  struct event *pump;
-  gint64 mesh_ticked_ms;
-  gint64 ticked_ms;
-  gint64 draining_ms; /* since when; 0: not */
-  gboolean closed;    /* takes no new requests */
-  gboolean ended;     /* only the farewell is left */
-};
-
 /* The dispatcher's messages. */
 
 static Gw__TaskRun *
@@ -125,38 +98,6 @@
 
 /* Frames. */
 
-static void
-take_catalog (LeasedEntry *entry, const Gw__Config *config)
-{
-  GError *error = NULL;
-  Catalog *catalog;
-
-  if (entry->catalog != NULL && config->version <= entry->catalog->version)
-    {
-      counter_add (COUNTER_CONFIG_STALE, 1);
-      return;
-    }
-  catalog = entry->ops->read_catalog (config->body, &error);
-  if (catalog == NULL)
-    {
-      event_note ("config-rejected", "-", "from=peer error=\"%s\"", error->message);
-      g_clear_error (&error);
-      return;
-    }
-  leased_entry_offer (entry, catalog);
-  catalog_unref (catalog);
-}
-
-static void
-take_entry_frame (LeasedEntry *entry, MeshPeer *peer, const Gw__Frame *frame)
-{
-  if (frame->config != NULL)
-    take_catalog (entry, frame->config);
-  else if (entry->catalog != NULL && frame->config_version < entry->catalog->version
-           && peer->hello_done)
-    link_send_config (peer->link, entry->catalog->version, "", entry->catalog->source);
-}
-
 static void
 take_server_state (MeshPeer *peer, const Gw__ServerState *state)
 {
@@ -236,7 +177,7 @@
 on_frame (MeshPeer *peer, const Gw__Frame *frame, gpointer ctx)
 {
   if (peer->is_entry)
-    take_entry_frame (ctx, peer, frame);
+    leased_entry_config_frame (ctx, peer, frame);
   else
     take_agent_frame (peer, frame);
 }
@@ -254,7 +195,9 @@
 static void
 on_down (MeshPeer *peer, gpointer ctx)
 {
-  if (!peer->is_entry)
+  if (peer->is_entry)
+    leased_entry_config_down (ctx, peer);
+  else
     dispatcher_server_down (peer->data, clock_now_ms ());
 }
 
@@ -264,7 +207,7 @@
   LeasedEntry *entry = ctx;
 
   frame->leaving = entry->draining_ms > 0;
-  frame->config_version = entry->catalog != NULL ? entry->catalog->version : 0;
+  leased_entry_config_prepare (entry, peer, frame);
   if (!peer->is_entry && peer->data != NULL)
     dispatcher_server_granted (peer->data, peer->granted_until);
 }
@@ -418,14 +361,6 @@
   mesh_seed (entry->mesh, settings->peers);
 }
 
-static void
-tell_all (LeasedEntry *entry)
-{
-  for (MeshPeer *peer = mesh_first (entry->mesh); peer != NULL; peer = mesh_next (peer))
-    if (peer->link != NULL && peer->is_entry)
-      link_touch (peer->link);
-}
-
 void
 leased_entry_drain (LeasedEntry *entry)
 {
@@ -433,26 +368,7 @@
     return;
   entry->draining_ms = clock_now_ms ();
   event_note ("leaving", "-", "jobs=%u", dispatcher_jobs (entry->dispatcher));
-  tell_all (entry);
-}
-
-void
-leased_entry_offer (LeasedEntry *entry, Catalog *catalog)
-{
-  if (entry->catalog != NULL && catalog->version <= entry->catalog->version)
-    return;
-  counter_add (COUNTER_CONFIG_ADOPTED, 1);
-  event_note ("config-adopted", "-",
-              "version=%" G_GUINT64_FORMAT " before=%" G_GUINT64_FORMAT
-              " queues=%u bytes=%zu",
-              catalog->version, entry->catalog != NULL ? entry->catalog->version : 0,
-              catalog->queues->len, strlen (catalog->source));
-  catalog_ref (catalog);
-  catalog_unref (entry->catalog);
-  entry->catalog = catalog;
-  for (MeshPeer *peer = mesh_first (entry->mesh); peer != NULL; peer = mesh_next (peer))
-    if (peer->link != NULL && peer->is_entry && peer->config_version < catalog->version)
-      link_send_config (peer->link, catalog->version, "", catalog->source);
+  leased_entry_tell_all (entry);
 }
 
 const char *
@@ -467,12 +383,6 @@
   return entry->hello.frame_address;
 }
 
-Catalog *
-leased_entry_catalog (const LeasedEntry *entry)
-{
-  return entry->catalog;
-}
-
 void
 leased_entry_learn (LeasedEntry *entry, const char *address)
 {
--- a/src/leased_entry.h
+++ b/src/leased_entry.h
@@ -15,6 +15,8 @@
 {
   /* Read a configuration that another entry passed on. Return: NULL with @error. */
   Catalog *(*read_catalog) (const char *source, GError **error);
+  /* Whether a configuration is coming in from the platform. */
+  gboolean (*config_arriving) (gpointer ctx);
   /* Find other entries' addresses; leased_entry_learn () takes them. */
   void (*look_up_entries) (gpointer ctx);
   /* The balancer has had its time to notice: take no new requests, close what is idle. */
@@ -43,6 +45,9 @@
 /** leased_entry_offer - a configuration; an older one than known is ignored. */
 void leased_entry_offer (LeasedEntry *entry, Catalog *catalog);
 
+/** leased_entry_knows - whether that text is the configuration in force. */
+gboolean leased_entry_knows (const LeasedEntry *entry, const char *source);
+
 /** leased_entry_catalog - the configuration in force, or NULL. */
 Catalog *leased_entry_catalog (const LeasedEntry *entry);
 
--- /dev/null
+++ b/src/leased_entry_config.c
@@ -0,0 +1,177 @@
+#define LOG_MODULE "entry"
+/* What entries tell each other about the configuration: each frame says which version its
+ * sender has; who is behind asks one other for it (spread.h). */
+#include "clock.h"
+#include "counters.h"
+#include "events.h"
+#include "leased_entry_parts.h"
+
+#include <string.h>
+
+static guint64
+own_version (const LeasedEntry *entry)
+{
+  return entry->catalog != NULL ? entry->catalog->version : 0;
+}
+
+static void
+take_catalog (LeasedEntry *entry, const Gw__Config *config)
+{
+  GError *error = NULL;
+  Catalog *catalog;
+
+  if (config->version <= own_version (entry))
+    {
+      counter_add (COUNTER_CONFIG_STALE, 1);
+      return;
+    }
+  catalog = entry->ops->read_catalog (config->body, &error);
+  if (catalog == NULL)
+    {
+      event_note ("config-rejected", "-", "from=peer error=\"%s\"", error->message);
+      g_clear_error (&error);
+      return;
+    }
+  leased_entry_offer (entry, catalog);
+  catalog_unref (catalog);
+}
+
+/* A copy that still waits to leave for this peer is the answer to its second question. */
+static void
+answer_peer (LeasedEntry *entry, MeshPeer *peer)
+{
+  const Catalog *catalog = entry->catalog;
+  gsize unsent = link_unsent (peer->link);
+  gboolean is_under_way = peer->config_sent == catalog->version && unsent > 0;
+
+  event_note ("config-asked", "-",
+              "peer=%s version=%" G_GUINT64_FORMAT " bytes=%zu unsent_bytes=%zu sent=%d",
+              peer->name, catalog->version, strlen (catalog->source), unsent,
+              !is_under_way);
+  if (is_under_way)
+    return;
+  peer->config_sent = catalog->version;
+  link_send_config (peer->link, catalog->version, "", catalog->source);
+}
+
+void
+leased_entry_config_prepare (LeasedEntry *entry, MeshPeer *peer, Gw__Frame *frame)
+{
+  frame->config_version = own_version (entry);
+  frame->config_wanted = peer->config_wanted;
+  peer->config_wanted = 0;
+}
+
+void
+leased_entry_config_down (LeasedEntry *entry, const MeshPeer *peer)
+{
+  if (peer->config_asked_ms > 0 && peer->config_asked_ms == entry->spread.asked_ms)
+    spread_lost (&entry->spread);
+}
+
+static gboolean
+is_linked_entry (const MeshPeer *peer)
+{
+  return peer->is_entry && peer->link != NULL;
+}
+
+static void
+ask (LeasedEntry *entry, MeshPeer *peer, gint64 now_ms)
+{
+  event_note ("config-wanted", "-",
+              "peer=%s version=%" G_GUINT64_FORMAT " own=%" G_GUINT64_FORMAT
+              " behind_ms=%" G_GINT64_FORMAT,
+              peer->name, peer->config_version, own_version (entry),
+              now_ms - entry->spread.behind_ms);
+  peer->config_asked_ms = now_ms;
+  peer->config_wanted = peer->config_version;
+  spread_asked (&entry->spread, now_ms);
+  link_touch (peer->link);
+}
+
+static void
+ask_best (LeasedEntry *entry, gint64 now_ms)
+{
+  GArray *choices = g_array_new (FALSE, FALSE, sizeof (SpreadPeer));
+  GPtrArray *peers = g_ptr_array_new ();
+  int best;
+
+  for (MeshPeer *peer = mesh_first (entry->mesh); peer != NULL; peer = mesh_next (peer))
+    if (is_linked_entry (peer))
+      {
+        SpreadPeer choice = { peer->name, peer->config_version, peer->config_asked_ms };
+
+        g_array_append_val (choices, choice);
+        g_ptr_array_add (peers, peer);
+      }
+  best = spread_choose ((const SpreadPeer *)choices->data, choices->len,
+                        entry->hello.name, own_version (entry));
+  if (best >= 0)
+    ask (entry, g_ptr_array_index (peers, best), now_ms);
+  g_ptr_array_unref (peers);
+  g_array_unref (choices);
+}
+
+static void
+ask_if_due (LeasedEntry *entry, gint64 now_ms)
+{
+  SpreadView view = { .own_version = own_version (entry) };
+
+  for (MeshPeer *peer = mesh_first (entry->mesh); peer != NULL; peer = mesh_next (peer))
+    if (is_linked_entry (peer))
+      view.heard_version = MAX (view.heard_version, peer->config_version);
+  view.arriving
+      = view.heard_version > view.own_version && entry->ops->config_arriving (entry->ctx);
+  if (spread_due (&entry->spread, &view, now_ms))
+    ask_best (entry, now_ms);
+}
+
+/* Linked entries are heard at least once a heartbeat: often enough to ask in time. */
+void
+leased_entry_config_frame (LeasedEntry *entry, MeshPeer *peer, const Gw__Frame *frame)
+{
+  if (frame->config != NULL)
+    take_catalog (entry, frame->config);
+  if (frame->config_wanted > 0 && frame->config_wanted <= own_version (entry))
+    answer_peer (entry, peer);
+  ask_if_due (entry, clock_now_ms ());
+}
+
+void
+leased_entry_tell_all (LeasedEntry *entry)
+{
+  for (MeshPeer *peer = mesh_first (entry->mesh); peer != NULL; peer = mesh_next (peer))
+    if (is_linked_entry (peer))
+      link_touch (peer->link);
+}
+
+void
+leased_entry_offer (LeasedEntry *entry, Catalog *catalog)
+{
+  if (catalog->version <= own_version (entry))
+    return;
+  counter_add (COUNTER_CONFIG_ADOPTED, 1);
+  event_note ("config-adopted", "-",
+              "version=%" G_GUINT64_FORMAT " before=%" G_GUINT64_FORMAT
+              " queues=%u bytes=%zu behind_ms=%" G_GINT64_FORMAT,
+              catalog->version, own_version (entry), catalog->queues->len,
+              strlen (catalog->source),
+              entry->spread.behind_ms > 0 ? clock_now_ms () - entry->spread.behind_ms
+                                          : 0);
+  catalog_ref (catalog);
+  catalog_unref (entry->catalog);
+  entry->catalog = catalog;
+  leased_entry_tell_all (entry);
+}
+
+gboolean
+leased_entry_knows (const LeasedEntry *entry, const char *source)
+{
+  return entry->catalog != NULL && strcmp (entry->catalog->source, source) == 0;
+}
+
+Catalog *
+leased_entry_catalog (const LeasedEntry *entry)
+{
+  return entry->catalog;
+}
--- /dev/null
+++ b/src/leased_entry_parts.h
@@ -0,0 +1,42 @@
+#pragma once
+/* What the parts of an entry of leased jobs share: leased_entry.c is its life and its
+ * talk with agents, leased_entry_config.c what entries tell each other about the
+ * configuration. */
+#include "leased_entry.h"
+#include "listen.h"
+#include "mesh.h"
+#include "spread.h"
+
+struct LeasedEntry
+{
+  struct event_base *base;
+  const LeasedEntryOps *ops;
+  gpointer ctx;
+  guint64 incarnation;
+  Gw__Hello hello;
+  char *listen_frames;
+  char *advertised; /* where others reach it; empty: as listened */
+  guint drain_grace_ms;
+  guint drain_limit_ms;
+  Listener *frames;
+  Mesh *mesh;
+  Dispatcher *dispatcher;
+  Catalog *catalog;
+  Spread spread;
+  struct event *tick;
+  struct event *pump;
+  gint64 mesh_ticked_ms;
+  gint64 ticked_ms;
+  gint64 draining_ms; /* since when; 0: not */
+  gboolean closed;    /* takes no new requests */
+  gboolean ended;     /* only the farewell is left */
+};
+
+/** leased_entry_tell_all - send every linked entry a frame in this turn of the loop. */
+void leased_entry_tell_all (LeasedEntry *entry);
+
+/* leased_entry_config.c */
+void
+leased_entry_config_frame (LeasedEntry *entry, MeshPeer *peer, const Gw__Frame *frame);
+void leased_entry_config_prepare (LeasedEntry *entry, MeshPeer *peer, Gw__Frame *frame);
+void leased_entry_config_down (LeasedEntry *entry, const MeshPeer *peer);
--- a/src/link.h
+++ b/src/link.h
@@ -107,6 +107,9 @@
 /** link_send_config - put a configuration into the frame of this tick. */
 void link_send_config (Link *link, guint64 version, const char *token, const char *body);
 
+/** link_unsent - bytes that wait in this process to leave on the link. */
+gsize link_unsent (const Link *link);
+
 /** link_send_inventory - mark the next frame's reports as all that there are. */
 void link_send_inventory (Link *link);
 
--- a/src/link_send.c
+++ b/src/link_send.c
@@ -145,6 +145,12 @@
     event_active (link->flush, EV_TIMEOUT, 0);
 }
 
+gsize
+link_unsent (const Link *link)
+{
+  return link->closed ? 0 : evbuffer_get_length (bufferevent_get_output (link->bev));
+}
+
 void
 link_send_inventory (Link *link)
 {
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -152,7 +152,6 @@
     }
   link_drop (&peer->link);
   peer->link = link;
-  peer->hello_done = FALSE;
   if (peer->is_entry)
     mesh->linked_ms = now;
   mesh->entries_changed |= peer->is_entry;
@@ -179,7 +178,6 @@
   for (gsize i = 0; i < frame->n_entries; i++)
     mesh_learn (mesh, frame->entries[i]->frame_address);
   mesh->ops->frame (peer, frame, mesh->ctx);
-  peer->hello_done = TRUE;
 }
 
 static void
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -23,9 +23,11 @@
   gint64 lost_ms;       /* since when it is not linked */
   gint64 dead_ms;       /* own clock when its process was proved gone; 0: it was not */
   gboolean leaving;
-  guint64 config_version;
-  gboolean hello_done; /* first frame on this link handled */
-  gpointer data;       /* the owner's record */
+  guint64 config_version; /* it has */
+  guint64 config_sent;    /* last sent to it */
+  guint64 config_wanted;  /* to be asked for with the next frame; 0: nothing */
+  gint64 config_asked_ms; /* when it was last asked for one; 0: never */
+  gpointer data;          /* the owner's record */
 } MeshPeer;
 
 typedef struct
--- /dev/null
+++ b/src/time_limit.c
@@ -0,0 +1,21 @@
+#include "time_limit.h"
+
+void
+time_limit_init (TimeLimit *limit, guint least_ms, guint most_ms)
+{
+  limit->least_ms = least_ms;
+  limit->most_ms = most_ms;
+  limit->now_ms = least_ms;
+}
+
+void
+time_limit_answered (TimeLimit *limit, gint64 took_ms)
+{
+  limit->now_ms = (guint)CLAMP (2 * took_ms, limit->least_ms, limit->most_ms);
+}
+
+void
+time_limit_expired (TimeLimit *limit)
+{
+  limit->now_ms = MIN (2 * limit->now_ms, limit->most_ms);
+}
--- /dev/null
+++ b/tests/test-spread-rules.c
@@ -0,0 +1,141 @@
+/* When a newer configuration is asked for, and of whom; and a time limit that follows the
+ * other end. One sequence of moments a case. */
+#include "cases.h"
+#include "spread.h"
+#include "time_limit.h"
+
+#define MOMENTS_MOST 12
+
+typedef struct
+{
+  gint64 at_ms;
+  SpreadView view;
+  gboolean lost; /* who was asked went away just before */
+  gboolean due;  /* expected */
+} Moment;
+
+typedef struct
+{
+  const char *name;
+  Moment moments[MOMENTS_MOST];
+} Sequence;
+
+static const Sequence sequences[] = {
+  { "nothing-newer",
+    { { 1000, { 5, 5, FALSE }, FALSE, FALSE }, { 9000, { 5, 4, FALSE } } } },
+  { "the-store-is-given-time",
+    { { 1000, { 5, 6, FALSE } },
+      { 1200, { 5, 6, FALSE } },
+      { 1250, { 5, 6, FALSE }, FALSE, TRUE } } },
+  { "at-once-if-none-is-known", { { 1000, { 0, 6, FALSE }, FALSE, TRUE } } },
+  { "not-while-the-store-answers",
+    { { 1000, { 5, 6, TRUE } },
+      { 1300, { 5, 6, TRUE } },
+      { 2499, { 5, 6, TRUE } },
+      { 2500, { 5, 6, TRUE }, FALSE, TRUE } } },
+  { "the-store-stops-answering",
+    { { 1000, { 5, 6, TRUE } }, { 1800, { 5, 6, FALSE }, FALSE, TRUE } } },
+  { "one-at-a-time-and-longer-each-time",
+    { { 1000, { 0, 6, FALSE }, FALSE, TRUE },
+      { 1999, { 0, 6, FALSE } },
+      { 2000, { 0, 6, FALSE }, FALSE, TRUE },
+      { 3999, { 0, 6, FALSE } },
+      { 4000, { 0, 6, FALSE }, FALSE, TRUE },
+      { 7999, { 0, 6, FALSE } },
+      { 8000, { 0, 6, FALSE }, FALSE, TRUE } } },
+  { "who-was-asked-is-lost",
+    { { 1000, { 0, 6, FALSE }, FALSE, TRUE },
+      { 1100, { 0, 6, FALSE }, TRUE, TRUE },
+      { 1200, { 0, 6, FALSE } } } },
+  { "anew-after-it-has-come",
+    { { 1000, { 5, 6, FALSE } },
+      { 1300, { 5, 6, FALSE }, FALSE, TRUE },
+      { 1500, { 6, 6, FALSE } },
+      { 1600, { 6, 7, FALSE } },
+      { 1850, { 6, 7, FALSE }, FALSE, TRUE } } },
+};
+
+static void
+test_sequence (gconstpointer data)
+{
+  const Sequence *sequence = data;
+  Spread spread = { 0 };
+
+  for (guint i = 0; i < MOMENTS_MOST && sequence->moments[i].at_ms > 0; i++)
+    {
+      const Moment *moment = &sequence->moments[i];
+      gboolean due;
+
+      if (moment->lost)
+        spread_lost (&spread);
+      due = spread_due (&spread, &moment->view, moment->at_ms);
+      if (due != moment->due)
+        g_error ("moment %u: due %d", i, due);
+      if (due)
+        spread_asked (&spread, moment->at_ms);
+    }
+}
+
+static void
+test_choice (void)
+{
+  SpreadPeer peers[] = { { "a", 4, 0 }, { "b", 7, 900 }, { "c", 7, 100 }, { "d", 6, 0 } };
+
+  g_assert_cmpint (spread_choose (peers, 4, "own", 5), ==, 2);
+  peers[2].asked_ms = 950;
+  g_assert_cmpint (spread_choose (peers, 4, "own", 5), ==, 1);
+  g_assert_cmpint (spread_choose (peers, 4, "own", 7), ==, -1);
+  g_assert_cmpint (spread_choose (peers, 0, "own", 0), ==, -1);
+}
+
+/* Twelve entries that are behind at once do not all take one peer's link. */
+static void
+test_choices_differ (void)
+{
+  const SpreadPeer peers[]
+      = { { "a", 7, 0 }, { "b", 7, 0 }, { "c", 7, 0 }, { "d", 7, 0 } };
+  guint chosen[G_N_ELEMENTS (peers)] = { 0 };
+
+  for (guint i = 0; i < 12; i++)
+    {
+      char *name = g_strdup_printf ("entry-%u", i);
+
+      chosen[spread_choose (peers, G_N_ELEMENTS (peers), name, 5)]++;
+      g_free (name);
+    }
+  for (gsize i = 0; i < G_N_ELEMENTS (peers); i++)
+    g_assert_cmpuint (chosen[i], <=, 6);
+}
+
+/* An end that has become three times slower than the limit is waited for in the third
+ * try. */
+static void
+test_time_limit (void)
+{
+  TimeLimit limit;
+  guint tries = 1;
+
+  time_limit_init (&limit, 800, 3200);
+  for (; limit.now_ms < 3000; tries++)
+    time_limit_expired (&limit);
+  g_assert_cmpuint (tries, ==, 3);
+  time_limit_expired (&limit);
+  g_assert_cmpuint (limit.now_ms, ==, 3200);
+  time_limit_answered (&limit, 1000);
+  g_assert_cmpuint (limit.now_ms, ==, 2000);
+  time_limit_answered (&limit, 5);
+  g_assert_cmpuint (limit.now_ms, ==, 800);
+  time_limit_answered (&limit, -40);
+  g_assert_cmpuint (limit.now_ms, ==, 800);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  ADD_CASES ("/spread-rules", sequences, test_sequence);
+  g_test_add_func ("/spread-rules/choice", test_choice);
+  g_test_add_func ("/spread-rules/choices-differ", test_choices_differ);
+  g_test_add_func ("/time-limit", test_time_limit);
+  return g_test_run ();
+}
--- a/tests/test-spread.c
+++ b/tests/test-spread.c
@@ -117,6 +117,22 @@
   g_assert_cmpint (clock_now_ms () - started_ms, <=, APPLIED_MS + SLOW_STORE_MS);
 }
 
+/* The store answers all but the last entry, whose connections to it are silent. */
+static void
+store_out_of_reach (PlatformScene *scene)
+{
+  gint64 confirmed_ms;
+
+  relay_set_mode (scene->store_relay, RELAY_VANISH, TRUE);
+  platform_put_routes (scene, "/first/", ROUTES);
+  harness_run_ms (scene->harness, 500);
+  platform_put_routes (scene, "/second/", ROUTES);
+  confirmed_ms = clock_now_ms ();
+  harness_wait (scene->harness, second_is_in_force, scene, "the second version");
+  g_assert_cmpint (clock_now_ms () - confirmed_ms, <=, APPLIED_MS);
+  g_assert_cmpuint (sum (scene, "config_frames"), <=, 2 * COPIES_MOST);
+}
+
 typedef struct
 {
   const char *name;
@@ -128,6 +144,9 @@
   { "two-versions-in-a-row",
     { .entries = 5, .relayed = TRUE, .line_bytes_per_s = LINE_BYTES_PER_S },
     two_versions_in_a_row },
+  { "store-out-of-reach",
+    { .entries = 5, .relayed = TRUE, .line_bytes_per_s = LINE_BYTES_PER_S },
+    store_out_of_reach },
   { "one-large-version",
     { .entries = 1, .line_bytes_per_s = SLOWER_BYTES_PER_S },
     one_large_version },
