Tests: a slow table is read, reads do not wait behind writes, slow servers are waited for

Cause: the same as of the late configuration, found by reading every time limit and pool: a fixed limit at the table's reads, one pool of connections for reads and claims, a limit at the agent that learns only from answers that came within it. The stand-ins' slow mode is shared (standins/hold.c).

--- a/standins/platform.c
+++ b/standins/platform.c
@@ -2,8 +2,10 @@
  *
  * POST /faults?mode=MODE switches: "ok"; "down" (503 at once); "hang" (no answer, nothing
  * done); "lose" (writes take effect, their answers are lost); "lose-next" (only the next
- * write's); "late" (writes take effect after --late-ms, and only then are answered). */
+ * write's); "late" (writes take effect after --late-ms, and only then are answered);
+ * "slow" (every call is looked at later). */
 #include "clock.h"
+#include "hold.h"
 #include "http.h"
 #include "listen.h"
 
@@ -18,6 +20,7 @@
 #define ROWS_PATH "/v1/tables/godwitspar/rows"
 #define COMMIT_PATH "/v1/tables/godwitspar/commit"
 #define LATE_MS 1500
+#define SLOW_MS 700
 
 typedef enum
 {
@@ -27,10 +30,11 @@
   MODE_LOSE,
   MODE_LOSE_NEXT,
   MODE_LATE,
+  MODE_SLOW,
 } Mode;
 
 static const char *const mode_names[]
-    = { "ok", "down", "hang", "lose", "lose-next", "late" };
+    = { "ok", "down", "hang", "lose", "lose-next", "late", "slow" };
 
 typedef struct
 {
@@ -323,6 +327,26 @@
   g_free (text);
 }
 
+static void
+serve (struct evhttp_request *request, gpointer ctx)
+{
+  Platform *platform = ctx;
+  const char *path = evhttp_uri_get_path (evhttp_request_get_evhttp_uri (request));
+
+  if (strcmp (path, COMMIT_PATH) == 0)
+    {
+      serve_commit (platform, request);
+      return;
+    }
+  platform->reads++;
+  if (strcmp (path, ROWS_PATH) == 0)
+    serve_list (platform, request);
+  else if (g_str_has_prefix (path, ROWS_PATH "/"))
+    serve_row (platform, request, path + strlen (ROWS_PATH "/"));
+  else
+    reply_plain (request, 404, "no such page\n");
+}
+
 static void
 on_request (struct evhttp_request *request, void *ctx)
 {
@@ -335,20 +359,10 @@
     serve_counts (platform, request);
   else if (platform->mode == MODE_DOWN)
     reply_plain (request, 503, "down\n");
-  else if (platform->mode == MODE_HANG)
-    return; /* the client gives up and closes */
-  else if (strcmp (path, COMMIT_PATH) == 0)
-    serve_commit (platform, request);
-  else
-    {
-      platform->reads++;
-      if (strcmp (path, ROWS_PATH) == 0)
-        serve_list (platform, request);
-      else if (g_str_has_prefix (path, ROWS_PATH "/"))
-        serve_row (platform, request, path + strlen (ROWS_PATH "/"));
-      else
-        reply_plain (request, 404, "no such page\n");
-    }
+  else if (platform->mode == MODE_SLOW)
+    hold_request (platform->base, request, SLOW_MS, serve, platform);
+  else if (platform->mode != MODE_HANG) /* there the client gives up and closes */
+    serve (request, platform);
 }
 
 int
--- a/standins/store.c
+++ b/standins/store.c
@@ -6,6 +6,7 @@
  * dropped: feeds answer 410 once); "slow" (every call is looked at a
  * second later). */
 #include "clock.h"
+#include "hold.h"
 #include "http.h"
 #include "listen.h"
 
@@ -49,19 +50,11 @@
   gint64 until_ms;
 } Feed;
 
-/* A call that is looked at later. */
-typedef struct
-{
-  struct evhttp_request *request;
-  gint64 due_ms;
-} Held;
-
 typedef struct
 {
   struct event_base *base;
   GPtrArray *rows;
   GPtrArray *feeds;
-  GPtrArray *held;
   gint64 version;
   gint64 oldest; /* feeds from before this version are refused */
   Mode mode;
@@ -306,8 +299,9 @@
 }
 
 static void
-serve (Store *store, struct evhttp_request *request)
+serve (struct evhttp_request *request, gpointer ctx)
 {
+  Store *store = ctx;
   const char *path = evhttp_uri_get_path (evhttp_request_get_evhttp_uri (request));
 
   if (strcmp (path, "/rows-get") == 0)
@@ -320,50 +314,6 @@
     reply_empty (request, 404);
 }
 
-static void
-on_held_gone (struct evhttp_connection *connection, void *ctx)
-{
-  Store *store = ctx;
-
-  for (guint i = store->held->len; i > 0; i--)
-    {
-      Held *held = g_ptr_array_index (store->held, i - 1);
-
-      if (evhttp_request_get_connection (held->request) == connection)
-        g_ptr_array_remove_index (store->held, i - 1);
-    }
-}
-
-static void
-hold (Store *store, struct evhttp_request *request)
-{
-  Held *held = g_new0 (Held, 1);
-
-  held->request = request;
-  held->due_ms = clock_now_ms () + SLOW_MS;
-  evhttp_connection_set_closecb (evhttp_request_get_connection (request), on_held_gone,
-                                 store);
-  g_ptr_array_add (store->held, held);
-}
-
-static void
-serve_held (Store *store)
-{
-  gint64 now = clock_now_ms ();
-
-  for (guint i = store->held->len; i > 0; i--)
-    {
-      Held *held = g_ptr_array_index (store->held, i - 1);
-      struct evhttp_request *request = held->request;
-
-      if (now < held->due_ms)
-        continue;
-      evhttp_connection_set_closecb (evhttp_request_get_connection (request), NULL, NULL);
-      g_ptr_array_remove_index (store->held, i - 1);
-      serve (store, request);
-    }
-}
-
 static void
 on_request (struct evhttp_request *request, void *ctx)
 {
@@ -375,16 +325,15 @@
   else if (store->mode == MODE_DOWN)
     reply_empty (request, 503);
   else if (store->mode == MODE_SLOW)
-    hold (store, request);
+    hold_request (store->base, request, SLOW_MS, serve, store);
   else if (store->mode != MODE_HANG)
-    serve (store, request);
+    serve (request, store);
 }
 
 static void
 on_tick (evutil_socket_t fd, short what, void *ctx)
 {
   feed_all (ctx);
-  serve_held (ctx);
 }
 
 int
@@ -405,7 +354,6 @@
     }
   store.rows = g_ptr_array_new_with_free_func (row_free);
   store.feeds = g_ptr_array_new_with_free_func (feed_free);
-  store.held = g_ptr_array_new_with_free_func (g_free);
   evhttp_set_gencb (http, on_request, &store);
   event_add (tick, &interval);
   fprintf (stderr, "standin-store listens, http %s\n", address);
--- a/tests/test-config.c
+++ b/tests/test-config.c
@@ -2,12 +2,16 @@
 #include "cases.h"
 #include "clock.h"
 #include "harness.h"
+#include "table.h"
 
 #include <json-glib/json-glib.h>
 #include <string.h>
 
 /* The letter's bound for the fleet; what is measured is far below and printed. */
 #define IN_FORCE_LIMIT_MS 13000
+#define TABLE_WRITES 8
+/* Far below the 1.5 s that a late write takes, far above the few ms of a read. */
+#define READ_LIMIT_MS 500
 
 static Exchange *
 change (Harness *harness,
@@ -159,6 +163,95 @@
   harness_free (harness);
 }
 
+#define SLOW_TABLE_ADAPTS_MS 3000
+
+/* Symptom: no change is accepted and none is seen while the table is slow, though it does
+ *   all that it is asked.
+ * Sequence: the table answers after 700 ms, each read is ended after 300 ms and begun
+ * anew. Cause: a limit that does not follow how slow the other end is. */
+static void
+test_slow_table (void)
+{
+  HarnessInit init = { .entries = 1,
+                       .entry_settings = "table.timeout_ms = 300\nconfig.poll_ms = 200" };
+  Harness *harness = harness_new (&init);
+
+  harness_fault (harness, harness->platform, "slow");
+  harness_run_ms (harness, SLOW_TABLE_ADAPTS_MS);
+  accepted (harness, change (harness, 0, "team.a.weight", "2", NULL));
+  harness_free (harness);
+}
+
+typedef struct
+{
+  gboolean done;
+  TableStatus status;
+} TableRead;
+
+static void
+on_table_read (TableStatus status, const TableRow *row, gpointer ctx)
+{
+  TableRead *read = ctx;
+
+  read->done = TRUE;
+  read->status = status;
+}
+
+static void
+on_table_written (TableStatus status, GPtrArray *writes, gpointer ctx)
+{
+  guint *n_written = ctx;
+
+  (*n_written)++;
+}
+
+static gboolean
+is_read (gpointer ctx)
+{
+  return ((TableRead *)ctx)->done;
+}
+
+static gboolean
+all_are_written (gpointer ctx)
+{
+  return *(guint *)ctx == TABLE_WRITES;
+}
+
+/* Symptom: an entry that takes many keyed jobs does not see a new configuration.
+ * Sequence: writes are answered after 1.5 s; they take every connection to the table;
+ *   reads wait for their turn until their own limit is over.
+ * Cause: one pool of connections for both. */
+static void
+test_reads_beside_slow_writes (void)
+{
+  HarnessInit init = { .entries = 1 };
+  Harness *harness = harness_new (&init);
+  Table *table = table_new (harness->base, harness->platform->http, 3000);
+  TableRead read = { 0 };
+  guint n_written = 0;
+  gint64 begun_ms;
+
+  harness_fault (harness, harness->platform, "late");
+  for (guint i = 0; i < TABLE_WRITES; i++)
+    {
+      GPtrArray *writes = table_writes_new ();
+      char *key = g_strdup_printf ("claims/%u", i);
+
+      table_writes_add (writes, key, "1", TABLE_ANY, 0);
+      table_write (table, writes, on_table_written, &n_written);
+      g_free (key);
+    }
+  harness_run_ms (harness, 100);
+  begun_ms = clock_now_ms ();
+  table_read (table, "config/current", on_table_read, &read);
+  harness_wait (harness, is_read, &read, "the read");
+  g_assert_cmpint (clock_now_ms () - begun_ms, <=, READ_LIMIT_MS);
+  g_assert_cmpint (read.status, !=, TABLE_NOT_SENT);
+  harness_wait (harness, all_are_written, &n_written, "the writes");
+  table_free (table);
+  harness_free (harness);
+}
+
 /* Symptom: an accepted version is known to one entry only when the store goes down. */
 static void
 test_store_down_right_after (void)
@@ -365,6 +458,8 @@
   g_test_add_func ("/config/race", test_race);
   g_test_add_func ("/config/all-kept", test_all_kept);
   g_test_add_func ("/config/answer-lost", test_answer_lost);
+  g_test_add_func ("/config/slow-table", test_slow_table);
+  g_test_add_func ("/config/reads-beside-slow-writes", test_reads_beside_slow_writes);
   g_test_add_func ("/config/store-down-right-after", test_store_down_right_after);
   g_test_add_func ("/config/started-while-store-down", test_started_while_store_down);
   g_test_add_func ("/config/alone-while-store-down", test_alone_while_store_down);
--- a/tests/test-runner.c
+++ b/tests/test-runner.c
@@ -623,6 +623,32 @@
   g_assert_cmpint (runner_quality (scene->runner)->trust, ==, TRUST_FULL);
 }
 
+/* What each answer takes, and how many calls may be lost to find that out. */
+#define SLOW_ANSWER_MS 25
+#define CALLS_TO_ADAPT 8
+
+/* Symptom: a backend server on a slow VM is never used, though it answers every call.
+ * Sequence: its answers take 25 ms; each call is given up after 15 ms, as the first ones
+ * were. Cause: the limit was learned only from answers that came within it. */
+static void
+slow_answers_are_waited_for (Scene *scene)
+{
+  guint lost = 0;
+
+  scene_open (scene);
+  tell_facts (scene, "one", 1, FALSE);
+  while (open_settle (scene)->call.timeout_ms < SLOW_ANSWER_MS)
+    {
+      g_assert_cmpuint (lost++, <, CALLS_TO_ADAPT);
+      pass (scene, open_settle (scene)->call.timeout_ms);
+      answer (scene, open_settle (scene), CALL_UNANSWERED);
+      pass (scene, 1);
+    }
+  pass (scene, SLOW_ANSWER_MS);
+  answer (scene, open_settle (scene), CALL_DONE);
+  g_assert_true (runner_ready (scene->runner));
+}
+
 typedef struct
 {
   const char *name;
@@ -751,6 +777,7 @@
   { "ends-are-looked-for-under-starts", ends_are_looked_for_under_starts },
   { "lost-watch-is-replaced", lost_watch_is_replaced },
   { "watch-that-answers-is-kept", watch_that_answers_is_kept },
+  { "slow-answers-are-waited-for", slow_answers_are_waited_for },
   { "astray-start-is-noticed-soon", astray_start_is_noticed_soon },
 };
 
