--- a/src/leased_entry.h
+++ b/src/leased_entry.h
@@ -48,6 +48,9 @@
 /** leased_entry_knows - whether that text is the configuration in force. */
 gboolean leased_entry_knows (const LeasedEntry *entry, const char *source);
 
+/** leased_entry_config_is_coming - whether the platform or an entry is sending one. */
+gboolean leased_entry_config_is_coming (const LeasedEntry *entry);
+
 /** leased_entry_catalog - the configuration in force, or NULL. */
 Catalog *leased_entry_catalog (const LeasedEntry *entry);
 
--- a/src/leased_entry_config.c
+++ b/src/leased_entry_config.c
@@ -170,6 +170,12 @@
   return entry->catalog != NULL && strcmp (entry->catalog->source, source) == 0;
 }
 
+gboolean
+leased_entry_config_is_coming (const LeasedEntry *entry)
+{
+  return entry->spread.asked_ms > 0 || entry->ops->config_arriving (entry->ctx);
+}
+
 Catalog *
 leased_entry_catalog (const LeasedEntry *entry)
 {
