--- a/src/spread.h
+++ b/src/spread.h
@@ -1,9 +1,9 @@
 #pragma once
 /* When an entry asks another one for a newer configuration, and which.
  *
- * Load pattern: an operator adds thousands of routes (4,200 are 1.1 MB); a dozen entries
+ * Load pattern: an operator adds thousands of routes (4,200 are 0.8 MB); a dozen entries
  * have the new version within 0.1 s, one has a link of 25 Mbit/s. A copy from each of
- * them takes that link for 4 s, one with each heartbeat for good, and what it does not
+ * them takes that link for 3 s, one with each heartbeat for good, and what it does not
  * carry fills the senders' memory. So a configuration is sent only to who asks for it,
  * one entry is asked at a time, and none while the store's own answer arrives. */
 #include <glib.h>
