--- a/tests/test-spread.c
+++ b/tests/test-spread.c
@@ -6,7 +6,7 @@
  * callers there were answered by older ones or not at all, and in the end every large
  * entry was ended for its memory. Two causes fed each other. Entries answered each
  * heartbeat of an entry that had an older version with the whole configuration, also
- * while a copy was under way: 272 MB from one entry in 15 s, where 9 MB were needed
+ * while a copy was under way: 272 MB from one entry in 15 s, where 14 MB were needed
  * ("bytes_sent"), and what the link did not carry waited in the sender's memory (1 to
  * 245 MB, "process_rss_kb"), with every later version behind it. And reads of the store
  * were ended 0.8 s after they began, however much had come, and begun anew: 1 in 55 s was
@@ -15,11 +15,11 @@
 #include "clock.h"
 #include "platform_scene.h"
 
-/* About 340 kB of configuration, 460 kB in the store's encoding. */
+/* 300 kB of configuration, 400 kB in the store's encoding. */
 #define ROUTES 1600
-/* The slow line takes 0.46 s for one such answer of the store, nothing else on it. */
+/* The slow line takes 0.4 s for one such answer of the store, nothing else on it. */
 #define LINE_BYTES_PER_S 1000000
-/* 1.33 MB in the store's encoding take the slower line 1.9 s. */
+/* 1.2 MB in the store's encoding take the slower line 1.7 s. */
 #define MANY_ROUTES 4800
 #define SLOWER_BYTES_PER_S 700000
 /* The operator's aim: a confirmed version is in force everywhere this much later. */
@@ -126,9 +126,8 @@
 
 /* Symptom: callers of an entry that has just started are refused, though it could serve
  *   them a second later.
- * Sequence: it is killed and starts again; its configuration of 1 MB takes the line 1.9
- * s. Cause: who came before the configuration waited 0.5 s, whether it was arriving or
- * not. */
+ * Sequence: it is killed and starts again; its configuration takes the line 1.7 s. Cause:
+ * who came before the configuration waited 0.5 s, whether it was arriving or not. */
 static void
 restart_with_a_large_version (PlatformScene *scene)
 {
