--- a/tests/test-spread.c
+++ b/tests/test-spread.c
@@ -29,7 +29,7 @@
 /* Entries that know of no other look each other up in the store after 0.7 s. */
 #define LINKED_MS 2500
 /* The aim is one copy of a version for each entry; one more if a source falls silent. */
-#define COPIES_MOST 2
+#define COPIES_MOST ((guint64)2)
 
 /* Whether the last entry knows the queue of that prefix. */
 static gboolean
