--- a/tests/test-decoders.c
+++ b/tests/test-decoders.c
@@ -208,6 +208,131 @@
     catalog_unref (catalog);
 }
 
+#define ROUTES 1800
+#define MUTATIONS 3000
+#define MUTATED_BYTES 3
+
+static char *
+many_routes (guint n)
+{
+  GString *text = g_string_new ("{\"version\":7,\"routes\":[");
+
+  for (guint i = 0; i < n; i++)
+    g_string_append_printf (
+        text,
+        "%s{\"name\":\"more-%u\",\"host\":\"a.example\",\"prefix\":\"/more/%u/\","
+        "\"kind\":\"unsafe\",\"timeout_ms\":1500,\"target_latency_ms\":60,"
+        "\"priority\":1,\"service\":\"exchange\",\"max_attempts\":2,"
+        "\"stretch\":1.6,\"advice\":%s}",
+        i > 0 ? "," : "", i, i, i % 2 == 0 ? "null" : "{\"each_ms\":2,\"name\":[7]}");
+  g_string_append (text, "],\"services\":[{\"name\":\"exchange\"}],"
+                         "\"limits\":{\"max_body_bytes\":20000}}");
+  return g_string_free (text, FALSE);
+}
+
+static guint
+bounded (JsonObject *object, const char *name)
+{
+  return (guint)CLAMP (json_int (object, name), 0, G_MAXINT32);
+}
+
+static void
+assert_queue (const JobQueue *queue, JsonObject *route)
+{
+  g_assert_cmpstr (queue->name, ==, json_text (route, "name"));
+  g_assert_cmpstr (queue->host, ==, json_text (route, "host"));
+  g_assert_cmpstr (queue->prefix, ==, json_text (route, "prefix"));
+  g_assert_cmpstr (queue->service, ==, json_text (route, "service"));
+  g_assert_cmpuint (queue->priority, ==, bounded (route, "priority"));
+  g_assert_cmpuint (queue->max_attempts, ==, bounded (route, "max_attempts"));
+  g_assert_cmpuint (queue->target_ms, ==, bounded (route, "target_latency_ms"));
+  g_assert_cmpfloat (queue->stretch, ==, json_double (route, "stretch"));
+  g_assert_cmpint (queue->needs_advice, ==, json_object_at (route, "advice") != NULL);
+}
+
+/* What the reader makes of a text is what its tree says. */
+static void
+assert_as_tree (const char *text)
+{
+  JsonNode *root;
+  JsonObject *body = json_parse_object (text, strlen (text), &root);
+  JsonArray *routes = body != NULL ? json_array (body, "routes") : NULL;
+  Catalog *catalog = operator_config_read (text, NULL);
+  guint n = 0;
+
+  g_assert_cmpint (catalog != NULL, ==, routes != NULL && json_int (body, "version") > 0);
+  if (catalog == NULL)
+    goto out;
+  g_assert_cmpuint (catalog->version, ==, json_int (body, "version"));
+  for (guint i = 0; i < json_array_get_length (routes); i++)
+    if (json_array_object (routes, i) != NULL)
+      assert_queue (g_ptr_array_index (catalog->queues, n++),
+                    json_array_object (routes, i));
+  g_assert_cmpuint (catalog->queues->len, ==, n);
+  catalog_unref (catalog);
+
+out:
+  g_clear_pointer (&root, json_node_unref);
+}
+
+static void
+test_config_as_tree (void)
+{
+  static const char *const texts[] = {
+    "{\"version\":1,\"routes\":[[{\"name\":\"inner\"}],{\"name\":\"outer\"}]}",
+    "{\"version\":1,\"routes\":[[\"x\",7],{\"name\":[\"y\"],\"host\":{\"name\":\"z\"}}]}",
+    "{\"version\":1,\"other\":{\"routes\":[{\"name\":\"a\"}]},\"routes\":[]}",
+    "{\"version\":1,\"other\":{\"version\":9},\"routes\":[{\"advice\":{},\"priority\":3}]"
+    "}",
+    "{\"version\":1.5,\"routes\":[]}",
+    "{\"version\":2,\"routes\":[{\"priority\":1e3,\"max_attempts\":2.5,\"stretch\":-1}]}",
+    "{\"version\":9007199254740993,\"routes\":[]}",
+    "[{\"version\":1,\"routes\":[]}]",
+  };
+  char *good = many_routes (3);
+  GRand *random = g_rand_new_with_seed (11);
+
+  for (guint i = 0; i < G_N_ELEMENTS (texts); i++)
+    assert_as_tree (texts[i]);
+  for (guint i = 0; i < MUTATIONS; i++)
+    {
+      char *text = g_strdup (good);
+
+      for (guint j = 0; j < MUTATED_BYTES; j++)
+        text[g_rand_int_range (random, 0, (gint32)strlen (good))]
+            = "{}[],:\"0e"[g_rand_int_range (random, 0, 9)];
+      assert_as_tree (text);
+      g_free (text);
+    }
+  g_rand_free (random);
+  g_free (good);
+}
+
+/* Symptom: entries lose their leases, and callers their answers, whenever an operator
+ * adds some hundred routes. Sequence: a small entry reads the text in one turn of its
+ * loop and stands still for nearly half a second. Cause: a tree of nodes was built for
+ * what is looked at once. */
+static void
+test_config_without_a_tree (void)
+{
+  char *text = many_routes (ROUTES);
+  gint64 began = g_get_monotonic_time ();
+  JsonNode *root;
+  gint64 tree_us;
+  gint64 read_us;
+
+  g_assert_nonnull (json_parse_object (text, strlen (text), &root));
+  tree_us = g_get_monotonic_time () - began;
+  json_node_unref (root);
+  began = g_get_monotonic_time ();
+  catalog_unref (operator_config_read (text, NULL));
+  read_us = g_get_monotonic_time () - began;
+  g_test_message ("%zu bytes: tree %" G_GINT64_FORMAT " us, read %" G_GINT64_FORMAT " us",
+                  strlen (text), tree_us, read_us);
+  g_assert_cmpint (read_us, <, tree_us);
+  g_free (text);
+}
+
 /* Symptom: a process ends with a signal. Sequence: a body of some 100 kB is a list in a
  * list and so on. Cause: the parser calls itself for each level until its stack is full.
  */
@@ -247,6 +372,8 @@
   ADD_CASES ("/decoders/rows", rows, test_rows);
   ADD_CASES ("/decoders/job", jobs, test_job);
   ADD_CASES ("/decoders/config", configs, test_config);
+  g_test_add_func ("/decoders/config-as-its-tree", test_config_as_tree);
+  g_test_add_func ("/decoders/config-without-a-tree", test_config_without_a_tree);
   g_test_add_func ("/decoders/deep-body", test_deep_body);
   g_test_add_func ("/decoders/unreadable-body", test_unreadable_body);
   return g_test_run ();
