--- a/proto/godwitspar.pb-c.c
+++ b/proto/godwitspar.pb-c.c
@@ -3332,7 +3332,7 @@
   (ProtobufCMessageInit) gw__demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__lease_time__field_descriptors[2] =
+static const ProtobufCFieldDescriptor gw__lease_time__field_descriptors[3] =
 {
   {
     "now_ms",
@@ -3358,15 +3358,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "late_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__LeaseTime, late_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__lease_time__field_indices_by_name[] = {
   1,   /* field[1] = granted_until_ms */
+  2,   /* field[2] = late_ms */
   0,   /* field[0] = now_ms */
 };
 static const ProtobufCIntRange gw__lease_time__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor gw__lease_time__descriptor =
 {
@@ -3376,7 +3389,7 @@
   "Gw__LeaseTime",
   "gw",
   sizeof(Gw__LeaseTime),
-  2,
+  3,
   gw__lease_time__field_descriptors,
   gw__lease_time__field_indices_by_name,
   1,  gw__lease_time__number_ranges,
--- a/proto/godwitspar.pb-c.h
+++ b/proto/godwitspar.pb-c.h
@@ -523,10 +523,14 @@
    * receiver's clock: the sender's work there may go on until then
    */
   int64_t granted_until_ms;
+  /*
+   * so late the receiver's last frame came here
+   */
+  uint32_t late_ms;
 };
 #define GW__LEASE_TIME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__lease_time__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 struct  Gw__TaskRun
--- a/src/counters.h
+++ b/src/counters.h
@@ -44,6 +44,11 @@
   X (FRAMES_CONTROL, "frames_control", "other frames sent")                              \
   X (FRAMES_DROPPED, "frames_dropped", "repeated frames dropped")                        \
   X (BYTES_SENT, "bytes_sent", "bytes sent to own processes")                            \
+  X (BYTES_RECEIVED, "bytes_received", "bytes received from own processes")              \
+  X (WISHES_SENT, "wishes_sent", "requests to agents to offer room")                     \
+  X (RUN_ORDERS_SENT, "run_orders_sent", "orders to agents to start tasks")              \
+  X (RUN_REPORTS_SENT, "run_reports_sent", "reports on runs to entries")                 \
+  X (STATES_SENT, "states_sent", "states of the backend server told to entries")         \
   X (LINKS_OPENED, "links_opened", "connections to own processes opened")                \
   X (LINKS_SILENT, "links_silent", "connections closed for silence")                     \
   X (LINKS_BROKEN, "links_broken", "connections closed for breaking the protocol")       \
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -111,6 +111,9 @@
 /** dispatcher_server_clock - the agent told its time. */
 void dispatcher_server_clock (LeasedServer *server, gint64 told_ms, gint64 now_ms);
 
+/** dispatcher_server_late - so late what is sent to the agent comes there. */
+void dispatcher_server_late (LeasedServer *server, guint late_ms, gint64 now_ms);
+
 /** dispatcher_server_granted - the agent may let runs go on until then (its clock). */
 void dispatcher_server_granted (LeasedServer *server, gint64 until_ms);
 
--- a/src/dispatcher_parts.h
+++ b/src/dispatcher_parts.h
@@ -4,6 +4,7 @@
  * dispatcher_place.c places. */
 #include "arrivals.h"
 #include "dispatcher.h"
+#include "pace.h"
 #include "runtimes.h"
 
 #include <sys/queue.h>
@@ -64,6 +65,8 @@
   PeerClock clock;
   gint64 granted_until; /* agent's clock */
   gint64 hold_until_ms; /* nothing is placed before this time */
+  guint late_ms;        /* so late orders come there */
+  Pace wish_pace;       /* of asking for room */
   gint64 wanted_ms;     /* when room was last asked for */
   double wanted_rank;   /* of the job that it was asked for */
   Demand placed;
@@ -93,10 +96,11 @@
   GHashTable *recent_ids;
   GHashTable *runtimes; /* queue -> Runtimes */
   guint n_jobs;
-  guint n_waiting;    /* tasks */
-  gboolean trust_all; /* too many servers are distrusted: the fault is in the tasks */
-  double wait_ms;     /* about how long a task waits for room */
-  GPtrArray *ordered; /* jobs that wait, while they are placed */
+  guint n_waiting;      /* tasks */
+  gboolean trust_all;   /* too many servers are distrusted: the fault is in the tasks */
+  gboolean saves_bytes; /* the own link is full */
+  double wait_ms;       /* about how long a task waits for room */
+  GPtrArray *ordered;   /* jobs that wait, while they are placed */
   Arrivals arrivals;
   double used_here; /* thousandths of a core that own runs take, lately */
   double used_by_all;
--- a/src/dispatcher_place.c
+++ b/src/dispatcher_place.c
@@ -7,6 +7,9 @@
 
 /* An order that is older than this when the agent reads it is refused there. */
 #define ORDER_VALID_MS 250
+/* While orders come this late, no more are sent there: they would wait behind those that
+ * do, be refused as too old, and be sent again. */
+#define ORDER_LATE_MS 60
 /* Below this a server's run times are within what tasks differ among themselves. */
 #define SLOWNESS_NORMAL 1.6
 /* A slot elsewhere that frees this much sooner is not worth waiting for. */
@@ -19,10 +22,8 @@
 /* A straggler is started anew only if that is expected to gain this much. */
 #define STRAGGLER_GAIN_MS 40
 /* Room is asked for again before the agent forgets the wish (80 ms), and sooner when the
- * rank of what waits has fallen to this part of what was told; then at most so often,
- * since each wish is a frame. */
+ * rank of what waits has fallen to this part of what was told. */
 #define WANT_AGAIN_MS 60
-#define WANT_SOONEST_MS 10
 #define WANT_BETTER 0.7
 /* An offer is not taken for a job whose rank is this many times what was told: between 1
  * / WANT_BETTER and this a difference is not worth a round trip. */
@@ -30,6 +31,11 @@
 /* Asked of so many servers for each task that waits: whichever has room first. Replayed
  * overloads earn the same with four, or with all servers asked, at more frames. */
 #define WANTS_A_TASK 2
+/* What is sent to more than this share of the servers came late: it is the own link that
+ * is full. Tasks of a job that start together then go to one server, with one order and
+ * one payload, unless another is less slow or fails less. */
+#define LATE_SHARE 0.1
+#define TOGETHER_GAIN 0.02
 /* Beyond this share of distrusted servers the fault is taken to be in the tasks. */
 #define DISTRUSTED_SHARE 0.34
 
@@ -83,7 +89,7 @@
 is_open (const LeasedServer *server)
 {
   return server->owner != NULL && server->inventoried && server->status.ready
-         && !server->status.draining
+         && !server->status.draining && server->late_ms < ORDER_LATE_MS
          && server->dispatcher->now_ms >= server->hold_until_ms;
 }
 
@@ -135,8 +141,12 @@
          + server->status.failing_percent * 0.01;
 }
 
+/* @chosen: servers that get tasks of the job in this turn; NULL: none. */
 static LeasedServer *
-choose_server (Dispatcher *dispatcher, const LeasedJob *job, const LeasedTask *task)
+choose_server (Dispatcher *dispatcher,
+               const LeasedJob *job,
+               const LeasedTask *task,
+               GPtrArray *chosen)
 {
   LeasedServer *best = NULL;
   LeasedServer *server;
@@ -149,6 +159,9 @@
       if (!is_suitable (server, job, task))
         continue;
       cost = cost_of (server, job);
+      if (dispatcher->saves_bytes && chosen != NULL
+          && g_ptr_array_find (chosen, server, NULL))
+        cost -= TOGETHER_GAIN;
       if (best != NULL && cost >= best_cost)
         continue;
       best = server;
@@ -257,7 +270,7 @@
 
       if (job->tasks[i].state != TASK_WAITS)
         continue;
-      server = choose_server (dispatcher, job, &job->tasks[i]);
+      server = choose_server (dispatcher, job, &job->tasks[i], chosen);
       if (server == NULL)
         {
           all = FALSE;
@@ -289,6 +302,7 @@
   GArray *all = g_array_new (FALSE, FALSE, sizeof (double));
   const LeasedServer *server;
   guint distrusted = 0;
+  guint slowed = 0;
 
   TAILQ_FOREACH (server, &dispatcher->servers, link)
     {
@@ -297,6 +311,8 @@
       if (!is_open (server))
         continue;
       g_array_append_val (all, slowness);
+      if (pace_is_slowed (&server->wish_pace))
+        slowed++;
       if (server->status.trust != TRUST_FULL)
         distrusted++;
     }
@@ -304,6 +320,7 @@
   dispatcher->usual
       = all->len > 0 ? MAX (g_array_index (all, double, (all->len - 1) / 2), 1) : 1;
   dispatcher->trust_all = distrusted > MAX (1, all->len * DISTRUSTED_SHARE);
+  dispatcher->saves_bytes = slowed > all->len * LATE_SHARE;
   g_array_unref (all);
 }
 
@@ -330,8 +347,9 @@
 
   if (is_offered_for_better (server, rank) || server->wanted_rank >= RANK_NO_CHANCE)
     return TRUE;
-  return age_ms >= WANT_AGAIN_MS
-         || (age_ms >= WANT_SOONEST_MS && rank < server->wanted_rank * WANT_BETTER);
+  if (age_ms < pace_interval_ms (&server->wish_pace))
+    return FALSE;
+  return age_ms >= WANT_AGAIN_MS || rank < server->wanted_rank * WANT_BETTER;
 }
 
 /* An entry that only asked where it believed to find room would leave room that frees to
@@ -421,7 +439,7 @@
     return;
   task->avoid = task->server;
   task->waits_ms = dispatcher->now_ms;
-  if (choose_server (dispatcher, job, task) == NULL)
+  if (choose_server (dispatcher, job, task, NULL) == NULL)
     {
       task->avoid = before;
       return;
--- a/src/dispatcher_servers.c
+++ b/src/dispatcher_servers.c
@@ -4,6 +4,8 @@
 
 #include <string.h>
 
+/* A server is asked for room at most this often: each wish is a frame. */
+#define WISH_LEAST_MS 10
 /* After the lease of an entry an agent needs its tick, the call and the server's own time
  * to end a run. */
 #define STOP_SLACK_MS 150
@@ -52,6 +54,8 @@
     }
   server->owner = owner;
   server->inventoried = FALSE;
+  server->late_ms = 0;
+  server->wish_pace = pace_new (WISH_LEAST_MS);
   return server;
 }
 
@@ -77,6 +81,13 @@
   peer_clock_hear (&server->clock, told_ms, now_ms);
 }
 
+void
+dispatcher_server_late (LeasedServer *server, guint late_ms, gint64 now_ms)
+{
+  server->late_ms = late_ms;
+  pace_hear (&server->wish_pace, late_ms, now_ms);
+}
+
 void
 dispatcher_server_granted (LeasedServer *server, gint64 until_ms)
 {
--- a/src/leased_agent.c
+++ b/src/leased_agent.c
@@ -1,13 +1,15 @@
 #define LOG_MODULE "agent"
 #include "clock.h"
 #include "events.h"
-#include "histograms.h"
 #include "jobid.h"
 #include "leased_agent_parts.h"
 
 #include <string.h>
 
 #define PROTOCOL_VERSION 1
+/* Entries that use one server. Links, heartbeats and states of the server grow with it;
+ * with fewer, an entry to which many callers come finds less of the free room. */
+#define MOST_ENTRIES 16
 /* Reports of the last runs are given this long to leave the process. */
 #define FAREWELL_MS 100
 
@@ -175,6 +177,7 @@
   LeasedAgent *agent = ctx;
   gint64 now = clock_now_ms ();
 
+  leased_agent_hear_pace (peer, now);
   if (frame->time != NULL && frame->time->granted_until_ms > 0)
     runner_grant (agent->runner, peer->incarnation, frame->time->granted_until_ms);
   for (gsize i = 0; i < frame->n_run_stops; i++)
@@ -191,8 +194,17 @@
   agent->ops->look_up_entries (agent->ctx);
 }
 
+static gboolean
+may_release (MeshPeer *peer, gpointer ctx)
+{
+  LeasedAgent *agent = ctx;
+
+  return !runner_has_work (agent->runner, peer->incarnation);
+}
+
 static const MeshOps mesh_ops
-    = { on_up, on_down, on_frame, leased_agent_prepare, on_forgotten, on_isolated };
+    = { on_up,        on_down,     on_frame,   leased_agent_prepare,
+        on_forgotten, on_isolated, may_release };
 
 /* The clock's work. */
 
@@ -218,7 +230,7 @@
   gint64 now = clock_now_ms ();
 
   if (agent->ticked_ms > 0)
-    histogram_observe (HISTOGRAM_LOOP_LAG, now - agent->ticked_ms - RUNNER_TICK_MS);
+    figures_note_lag (agent->figures, now - agent->ticked_ms - RUNNER_TICK_MS);
   agent->ticked_ms = now;
   if (now - agent->mesh_ticked_ms >= MESH_TICK_MS)
     {
@@ -255,7 +267,8 @@
                     .heartbeat_ms = settings->heartbeat_ms,
                     .timeout_ms = settings->timeout_ms,
                     .lease_ms = settings->entry_lease_ms,
-                    .forget_ms = 4 * settings->entry_lease_ms };
+                    .forget_ms = 4 * settings->entry_lease_ms,
+                    .most_entries = MOST_ENTRIES };
 
   agent->base = base;
   agent->ops = ops;
@@ -270,6 +283,7 @@
   agent->changed = event_new (base, -1, 0, leased_agent_tell_state, agent);
   agent->offer_ends = evtimer_new (base, leased_agent_end_offer, agent);
   agent->offers = offers_new ();
+  agent->figures = figures_new (base);
   return agent;
 }
 
@@ -284,6 +298,7 @@
 {
   if (agent == NULL)
     return;
+  figures_free (agent->figures);
   mesh_free (agent->mesh);
   runner_free (agent->runner);
   event_free (agent->tick);
--- a/src/leased_agent_parts.h
+++ b/src/leased_agent_parts.h
@@ -1,6 +1,7 @@
 #pragma once
 /* What the parts of the agent share. leased_agent.c is its life and its traffic,
  * leased_agent_state.c tells the entries the state of the backend server. */
+#include "figures.h"
 #include "leased_agent.h"
 #include "mesh.h"
 #include "offers.h"
@@ -19,6 +20,7 @@
   struct event *changed;
   struct event *offer_ends;
   Offers *offers;
+  Figures *figures;
   gint64 mesh_ticked_ms;
   gint64 ticked_ms;
   gint64 draining_ms; /* since when; 0: not */
@@ -41,5 +43,8 @@
 /** leased_agent_end_offer - callback of the timer of an offer. */
 void leased_agent_end_offer (evutil_socket_t fd, short what, void *ctx);
 
+/** leased_agent_hear_pace - a frame of an entry said how late the agent's come. */
+void leased_agent_hear_pace (MeshPeer *peer, gint64 now_ms);
+
 /** leased_agent_prepare - put the state into a frame if it is news to that entry. */
 void leased_agent_prepare (MeshPeer *peer, Gw__Frame *frame, gpointer ctx);
--- a/src/leased_agent_state.c
+++ b/src/leased_agent_state.c
@@ -1,11 +1,11 @@
 #include "clock.h"
 #include "leased_agent_parts.h"
+#include "pace.h"
 
 #include <string.h>
 
-/* The state of the server is told to an entry at most this often by a frame of its own:
- * with 66 agents and 10 entries this, and telling starts with the next frame, took an
- * entry's processor time from 0.065 to 0.046 of a core. */
+/* The state of the server is told to an entry at most this often by a frame of its own.
+ */
 #define STATE_LEAST_MS 15
 /* Room is tight when less than this part of the server is free. */
 #define TIGHT_PART 4
@@ -22,11 +22,13 @@
   Demand used_by_others;
 } State;
 
-/* What an entry was told last. */
+/* What an entry was told last, and how often it can be told. */
 typedef struct
 {
+  gboolean told; /* anything, over this link */
   State state;
   gint64 told_ms;
+  Pace pace;
 } ToldState;
 
 /* Told in steps: each step is news to all entries. */
@@ -49,13 +51,14 @@
 }
 
 static State
-state_for (const LeasedAgent *agent, guint64 entry)
+state_for (const LeasedAgent *agent, const MeshPeer *peer)
 {
+  guint64 entry = peer->incarnation;
   const Quality *quality = runner_quality (agent->runner);
   State state;
 
   memset (&state, 0, sizeof state);
-  state.ready = runner_ready (agent->runner);
+  state.ready = runner_ready (agent->runner) && peer->surplus_ms == 0;
   state.draining = runner_draining (agent->runner);
   state.trust = quality->trust;
   state.slowness_percent = in_steps (quality->slowness, 20);
@@ -70,7 +73,7 @@
 static gboolean
 state_is_news (const State *state, const ToldState *told)
 {
-  return told == NULL || memcmp (&told->state, state, sizeof *state) != 0;
+  return told == NULL || !told->told || memcmp (&told->state, state, sizeof *state) != 0;
 }
 
 static gboolean
@@ -85,7 +88,7 @@
 static gboolean
 is_urgent (const State *state, const ToldState *told)
 {
-  if (told == NULL || state->offered || told->state.ready != state->ready
+  if (told == NULL || !told->told || state->offered || told->state.ready != state->ready
       || told->state.draining != state->draining || told->state.trust != state->trust)
     return TRUE;
   return is_tight (state) || is_tight (&told->state);
@@ -100,32 +103,54 @@
     event_add (agent->offer_ends, &delay);
 }
 
+/* An offer is taken within a round trip or lapses: it cannot wait for its turn. */
+static gint64
+left_ms (const State *state, const ToldState *told, gint64 now_ms)
+{
+  if (told == NULL || !told->told || state->offered)
+    return 0;
+  return told->told_ms + pace_interval_ms (&told->pace) - now_ms;
+}
+
+void
+leased_agent_hear_pace (MeshPeer *peer, gint64 now_ms)
+{
+  ToldState *told = peer->data;
+
+  if (told != NULL)
+    pace_hear (&told->pace, peer->told_late_ms, now_ms);
+}
+
 void
 leased_agent_tell_state (evutil_socket_t fd, short what, void *ctx)
 {
   LeasedAgent *agent = ctx;
-  struct timeval delay = timeval_from_ms (STATE_LEAST_MS);
   gint64 now = clock_now_ms ();
-  gboolean later = FALSE;
+  gint64 soonest_ms = G_MAXUINT;
   MeshPeer *peer;
 
   schedule_offer_end (agent);
   for (peer = mesh_first (agent->mesh); peer != NULL; peer = mesh_next (peer))
     {
       const ToldState *told = peer->data;
-      State state = state_for (agent, peer->incarnation);
+      State state = state_for (agent, peer);
+      gint64 wait_ms;
 
       if (peer->link == NULL || !state_is_news (&state, told)
           || !is_urgent (&state, told))
         continue;
-      if (told == NULL || offers_keep (agent->offers, peer->incarnation)
-          || now - told->told_ms >= STATE_LEAST_MS)
+      wait_ms = left_ms (&state, told, now);
+      if (wait_ms <= 0)
         link_touch (peer->link);
       else
-        later = TRUE;
+        soonest_ms = MIN (soonest_ms, wait_ms);
+    }
+  if (soonest_ms < G_MAXUINT && !event_pending (agent->changed, EV_TIMEOUT, NULL))
+    {
+      struct timeval delay = timeval_from_ms ((guint)soonest_ms);
+
+      event_add (agent->changed, &delay);
     }
-  if (later && !event_pending (agent->changed, EV_TIMEOUT, NULL))
-    event_add (agent->changed, &delay);
 }
 
 void
@@ -142,13 +167,20 @@
 {
   LeasedAgent *agent = ctx;
   const char *instance = runner_instance (agent->runner);
-  ToldState now = { state_for (agent, peer->incarnation), clock_now_ms () };
-  const State *state = &now.state;
+  ToldState *told = peer->data;
+  State now = state_for (agent, peer);
+  const State *state = &now;
 
   if (instance == NULL || !state_is_news (state, peer->data))
     return;
-  g_free (peer->data);
-  peer->data = g_memdup2 (&now, sizeof now);
+  if (told == NULL)
+    {
+      peer->data = told = g_new0 (ToldState, 1);
+      told->pace = pace_new (STATE_LEAST_MS);
+    }
+  told->told = TRUE;
+  told->state = now;
+  told->told_ms = clock_now_ms ();
   gw__server_state__init (&agent->state);
   agent->state.instance = (char *)instance;
   agent->state.service = agent->service;
--- a/src/leased_entry.c
+++ b/src/leased_entry.c
@@ -1,7 +1,7 @@
 #define LOG_MODULE "entry"
 #include "clock.h"
+#include "counters.h"
 #include "events.h"
-#include "histograms.h"
 #include "jobid.h"
 #include "leased_entry_parts.h"
 
@@ -9,6 +9,9 @@
 
 #define TICK_MS DISPATCHER_TICK_MS
 #define PROTOCOL_VERSION 1
+/* Entries hold no leases of each other, and news goes out at once: their heartbeats, one
+ * for each other entry, are this much slower than those to agents. */
+#define ENTRY_PACE 4
 /* The last frames are given this long to leave the process. */
 #define FAREWELL_MS 100
 
@@ -50,6 +53,7 @@
   order->runs = g_new (Gw__TaskRun *, n_runs);
   for (gsize i = 0; i < n_runs; i++)
     order->runs[i] = message_task_run (&runs[i]);
+  counter_add (COUNTER_RUN_ORDERS_SENT, 1);
   link_append (peer->link, LINK_RUN_ORDERS, &order->base);
 }
 
@@ -61,6 +65,7 @@
 
   gw__run_order__init (order);
   order->wish = wish_to_wire (wish);
+  counter_add (COUNTER_WISHES_SENT, 1);
   link_append (peer->link, LINK_RUN_ORDERS, &order->base);
 }
 
@@ -167,6 +172,7 @@
 {
   if (frame->time != NULL)
     dispatcher_server_clock (peer->data, frame->time->now_ms, clock_now_ms ());
+  dispatcher_server_late (peer->data, peer->told_late_ms, clock_now_ms ());
   if (frame->server_state != NULL)
     take_server_state (peer, frame->server_state);
   if (frame->n_run_reports > 0 || frame->inventory)
@@ -226,7 +232,7 @@
 }
 
 static const MeshOps mesh_ops
-    = { on_up, on_down, on_frame, on_prepare, on_forgotten, on_isolated };
+    = { on_up, on_down, on_frame, on_prepare, on_forgotten, on_isolated, NULL };
 
 static void
 drain_tick (LeasedEntry *entry, gint64 now)
@@ -254,12 +260,13 @@
   gint64 now = clock_now_ms ();
 
   if (entry->ticked_ms > 0)
-    histogram_observe (HISTOGRAM_LOOP_LAG, now - entry->ticked_ms - TICK_MS);
+    figures_note_lag (entry->figures, now - entry->ticked_ms - TICK_MS);
   entry->ticked_ms = now;
   if (now - entry->mesh_ticked_ms >= MESH_TICK_MS)
     {
       entry->mesh_ticked_ms = now;
       mesh_tick (entry->mesh, now);
+      leased_entry_config_tick (entry, now);
     }
   dispatcher_tick (entry->dispatcher, now);
   drain_tick (entry, now);
@@ -291,7 +298,9 @@
           .heartbeat_ms = settings->heartbeat_ms,
           .timeout_ms = settings->timeout_ms,
           .lease_ms = settings->entry_lease_ms,
-          .forget_ms = 4 * (settings->entry_lease_ms + settings->server_lease_ms) };
+          .forget_ms = 4 * (settings->entry_lease_ms + settings->server_lease_ms),
+          .entry_heartbeat_ms = ENTRY_PACE * settings->heartbeat_ms,
+          .entry_timeout_ms = ENTRY_PACE * settings->timeout_ms };
 
   entry->base = base;
   entry->ops = ops;
@@ -307,6 +316,7 @@
   entry->dispatcher = dispatcher_new (&dispatcher, &dispatcher_ops, entry);
   entry->tick = event_new (base, -1, EV_PERSIST, on_tick, entry);
   entry->pump = event_new (base, -1, 0, on_pump, entry);
+  entry->figures = figures_new (base);
   return entry;
 }
 
@@ -315,6 +325,7 @@
 {
   if (entry == NULL)
     return;
+  figures_free (entry->figures);
   listen_free (entry->frames);
   dispatcher_free (entry->dispatcher);
   mesh_free (entry->mesh);
--- a/src/leased_entry_config.c
+++ b/src/leased_entry_config.c
@@ -126,7 +126,12 @@
     ask_best (entry, now_ms);
 }
 
-/* Linked entries are heard at least once a heartbeat: often enough to ask in time. */
+void
+leased_entry_config_tick (LeasedEntry *entry, gint64 now_ms)
+{
+  ask_if_due (entry, now_ms);
+}
+
 void
 leased_entry_config_frame (LeasedEntry *entry, MeshPeer *peer, const Gw__Frame *frame)
 {
--- a/src/leased_entry_parts.h
+++ b/src/leased_entry_parts.h
@@ -2,6 +2,7 @@
 /* What the parts of an entry of leased jobs share: leased_entry.c is its life and its
  * talk with agents, leased_entry_config.c what entries tell each other about the
  * configuration. */
+#include "figures.h"
 #include "leased_entry.h"
 #include "listen.h"
 #include "mesh.h"
@@ -25,6 +26,7 @@
   Spread spread;
   struct event *tick;
   struct event *pump;
+  Figures *figures;
   gint64 mesh_ticked_ms;
   gint64 ticked_ms;
   gint64 draining_ms; /* since when; 0: not */
@@ -39,4 +41,5 @@
 void
 leased_entry_config_frame (LeasedEntry *entry, MeshPeer *peer, const Gw__Frame *frame);
 void leased_entry_config_prepare (LeasedEntry *entry, MeshPeer *peer, Gw__Frame *frame);
+void leased_entry_config_tick (LeasedEntry *entry, gint64 now_ms);
 void leased_entry_config_down (LeasedEntry *entry, const MeshPeer *peer);
--- a/src/link.c
+++ b/src/link.c
@@ -62,12 +62,12 @@
   Link *link = ctx;
   gint64 now = clock_now_ms ();
 
-  if (now - link->heard_ms > link->config->timeout_ms)
+  if (now - link->heard_ms > link->timeout_ms)
     {
       link_end (link, LINK_SILENT);
       return;
     }
-  if (now - link->sent_ms < link->config->heartbeat_ms / 2)
+  if (now - link->sent_ms < link->heartbeat_ms / 2)
     return;
   link->heartbeat_due = TRUE;
   link_touch (link);
@@ -128,6 +128,7 @@
       return;
     }
   counter_add (COUNTER_FRAMES_RECEIVED, 1);
+  counter_add (COUNTER_BYTES_RECEIVED, size + LINK_HEADER_SIZE);
   hlc_observe (frame->stamp);
   if (check_sequence (link, frame) && take_hello (link, frame))
     link->config->ops->frame (link, frame, link->config->ctx);
@@ -170,7 +171,7 @@
   /* A process that was stopped finds frames of long ago in its socket. Their leases have
    * lapsed and their senders have settled without it: handling them would start tasks
    * that others were told had not run. */
-  if (now - link->heard_ms > link->config->timeout_ms)
+  if (now - link->heard_ms > link->timeout_ms)
     {
       link_end (link, LINK_SILENT);
       return;
@@ -218,6 +219,8 @@
   struct timeval interval = timeval_from_ms (config->heartbeat_ms);
 
   link->config = config;
+  link->heartbeat_ms = config->heartbeat_ms;
+  link->timeout_ms = config->timeout_ms;
   link->bev = bufferevent_socket_new (config->base, fd, BEV_OPT_CLOSE_ON_FREE);
   for (int i = 0; i < LINK_LISTS; i++)
     link->lists[i] = g_ptr_array_new_with_free_func (link_free_message);
@@ -337,6 +340,17 @@
   return link->heard_ms;
 }
 
+void
+link_set_pace (Link *link, guint heartbeat_ms, guint timeout_ms)
+{
+  struct timeval interval = timeval_from_ms (heartbeat_ms);
+
+  link->heartbeat_ms = heartbeat_ms;
+  link->timeout_ms = timeout_ms;
+  if (!link->closed)
+    event_add (link->heartbeat, &interval);
+}
+
 void
 link_set_data (Link *link, gpointer data)
 {
--- a/src/link.h
+++ b/src/link.h
@@ -88,6 +88,10 @@
 /** link_heard_ms - when the last frame arrived, on the lease clock. */
 gint64 link_heard_ms (const Link *link);
 
+/** link_set_pace - heartbeats of this link other than its configuration says, at both
+ * ends. */
+void link_set_pace (Link *link, guint heartbeat_ms, guint timeout_ms);
+
 /**
  * link_append - put a message into the frame of this tick.
  * @message: allocated by malloc in all its parts; the link takes it over.
--- a/src/link_parts.h
+++ b/src/link_parts.h
@@ -22,6 +22,8 @@
   gboolean closed;
   guint64 sent_sequence;
   guint64 received_sequence;
+  guint heartbeat_ms;
+  guint timeout_ms;
   gint64 heard_ms;
   gint64 sent_ms;
   gpointer data;
--- a/src/link_send.c
+++ b/src/link_send.c
@@ -43,6 +43,8 @@
 {
   counter_add (COUNTER_FRAMES_SENT, 1);
   counter_add (COUNTER_BYTES_SENT, size);
+  counter_add (COUNTER_RUN_REPORTS_SENT, frame->n_run_reports);
+  counter_add (COUNTER_STATES_SENT, frame->server_state != NULL);
   if (frame->config != NULL)
     {
       counter_add (COUNTER_CONFIG_FRAMES, 1);
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -6,16 +6,16 @@
 #include <string.h>
 
 #define ISOLATED_MS 700
+/* Well within the time after which an address that nobody names is forgotten. */
+#define LIST_AGAIN_MS 8000
+/* A link that is not needed ends after this, once nothing runs for that entry. */
+#define RELEASE_MS 500
 
+/* NULL before the peer has said who it is, and for a link that is not the one kept. */
 static MeshPeer *
-peer_of_link (Mesh *mesh, const Link *link)
+peer_of_link (const Link *link)
 {
-  MeshPeer *peer;
-
-  TAILQ_FOREACH (peer, &mesh->peers, link_entry)
-    if (peer->link == link)
-      return peer;
-  return NULL;
+  return link_data (link);
 }
 
 MeshPeer *
@@ -41,36 +41,71 @@
   return TAILQ_NEXT (peer, link_entry);
 }
 
+static void
+send_entry (const MeshPeer *told, Link *link)
+{
+  Gw__Entry *entry = g_new (Gw__Entry, 1);
+
+  gw__entry__init (entry);
+  entry->name = g_strdup (told->name);
+  entry->incarnation = told->incarnation;
+  entry->zone = g_strdup ("");
+  entry->http_address = g_strdup ("");
+  entry->frame_address = g_strdup (told->frame_address);
+  link_append (link, LINK_ENTRIES, &entry->base);
+}
+
+static gboolean
+is_linked_entry (const MeshPeer *peer)
+{
+  return peer->is_entry && peer->link != NULL;
+}
+
+static gboolean
+tells_entries (const Mesh *mesh)
+{
+  return mesh->init.hello->role == GW__HELLO__ROLE__ENTRY;
+}
+
 static void
 send_entries (Mesh *mesh, Link *link)
 {
   MeshPeer *peer;
 
+  if (!tells_entries (mesh))
+    return;
   TAILQ_FOREACH (peer, &mesh->peers, link_entry)
-    {
-      Gw__Entry *entry;
+    if (is_linked_entry (peer))
+      send_entry (peer, link);
+}
 
-      if (!peer->is_entry || peer->link == NULL)
-        continue;
-      entry = g_new (Gw__Entry, 1);
-      gw__entry__init (entry);
-      entry->name = g_strdup (peer->name);
-      entry->incarnation = peer->incarnation;
-      entry->zone = g_strdup ("");
-      entry->http_address = g_strdup ("");
-      entry->frame_address = g_strdup (peer->frame_address);
-      link_append (link, LINK_ENTRIES, &entry->base);
-    }
+static void
+announce (Mesh *mesh, MeshPeer *entry)
+{
+  MeshPeer *peer;
+
+  entry->announced = TRUE;
+  TAILQ_FOREACH (peer, &mesh->peers, link_entry)
+    if (peer->link != NULL && peer != entry)
+      send_entry (entry, peer->link);
 }
 
+/* Peers are told of an entry when it is linked, and of all now and then, since they
+ * forget whom nobody names. The whole list at each change, to all, filled narrow links
+ * whenever many entries came up together. */
 static void
-tell_entries (Mesh *mesh)
+tell_entries (Mesh *mesh, gint64 now_ms)
 {
   MeshPeer *peer;
 
-  mesh->entries_changed = FALSE;
-  if (mesh->init.hello->role != GW__HELLO__ROLE__ENTRY)
+  if (!tells_entries (mesh))
     return;
+  TAILQ_FOREACH (peer, &mesh->peers, link_entry)
+    if (is_linked_entry (peer) && !peer->announced)
+      announce (mesh, peer);
+  if (now_ms - mesh->listed_ms < LIST_AGAIN_MS)
+    return;
+  mesh->listed_ms = now_ms;
   TAILQ_FOREACH (peer, &mesh->peers, link_entry)
     if (peer->link != NULL)
       send_entries (mesh, peer->link);
@@ -152,14 +187,19 @@
     }
   link_drop (&peer->link);
   peer->link = link;
+  link_set_data (link, peer);
+  peer->announced = FALSE;
+  peer->surplus_ms = 0;
+  if (peer->is_entry && tells_entries (mesh) && mesh->init.entry_heartbeat_ms > 0)
+    link_set_pace (link, mesh->init.entry_heartbeat_ms, mesh->init.entry_timeout_ms);
+  peer->heard = (Lateness){ 0 };
+  peer->told_late_ms = 0;
   if (peer->is_entry)
     mesh->linked_ms = now;
-  mesh->entries_changed |= peer->is_entry;
   event_note ("peer-linked", "-", "peer=%s incarnation=%" G_GINT64_MODIFIER "x entry=%d",
               peer->name, peer->incarnation, peer->is_entry);
   bury_earlier_lives (mesh, peer, now);
-  if (mesh->init.hello->role == GW__HELLO__ROLE__ENTRY)
-    send_entries (mesh, link);
+  send_entries (mesh, link);
   mesh->ops->up (peer, mesh->ctx);
 }
 
@@ -167,12 +207,16 @@
 on_frame (Link *link, const Gw__Frame *frame, gpointer ctx)
 {
   Mesh *mesh = ctx;
-  MeshPeer *peer = peer_of_link (mesh, link);
+  MeshPeer *peer = peer_of_link (link);
 
   if (peer == NULL)
     return;
   if (frame->time != NULL)
-    peer_clock_hear (&peer->clock, frame->time->now_ms, clock_now_ms ());
+    {
+      peer_clock_hear (&peer->clock, frame->time->now_ms, clock_now_ms ());
+      lateness_hear (&peer->heard, frame->time->now_ms, clock_now_ms ());
+      peer->told_late_ms = frame->time->late_ms;
+    }
   peer->leaving = frame->leaving;
   peer->config_version = frame->config_version;
   for (gsize i = 0; i < frame->n_entries; i++)
@@ -184,13 +228,14 @@
 on_down (Link *link, LinkEnd end, gpointer ctx)
 {
   Mesh *mesh = ctx;
-  MeshPeer *peer = peer_of_link (mesh, link);
+  MeshPeer *peer = peer_of_link (link);
   Address *address = mesh_address_of_link (mesh, link);
 
   if (address != NULL)
     {
       link_unref (address->dialing);
       address->dialing = NULL;
+      mesh_address_failed (mesh, address->text, clock_now_ms ());
       mesh_dial_again (mesh);
       for (MeshPeer *gone = TAILQ_FIRST (&mesh->peers);
            gone != NULL && end == LINK_REFUSED; gone = TAILQ_NEXT (gone, link_entry))
@@ -205,7 +250,7 @@
       link_unref (peer->link);
       peer->link = NULL;
       peer->lost_ms = clock_now_ms ();
-      mesh->entries_changed |= peer->is_entry;
+      mesh_address_failed (mesh, peer->frame_address, peer->lost_ms);
       mesh_dial_soon (mesh);
       mesh->ops->down (peer, mesh->ctx);
     }
@@ -216,7 +261,7 @@
 on_prepare (Link *link, Gw__Frame *frame, gpointer ctx)
 {
   Mesh *mesh = ctx;
-  MeshPeer *peer = peer_of_link (mesh, link);
+  MeshPeer *peer = peer_of_link (link);
   gint64 now = clock_now_ms ();
 
   gw__lease_time__init (&mesh->time);
@@ -224,6 +269,7 @@
   frame->time = &mesh->time;
   if (peer == NULL)
     return;
+  mesh->time.late_ms = peer->heard.late_ms;
   if (peer_clock_known (&peer->clock))
     {
       mesh->time.granted_until_ms
@@ -308,6 +354,32 @@
   mesh->ops->isolated (mesh->ctx);
 }
 
+static void
+release (MeshPeer *peer, gint64 now_ms)
+{
+  event_note ("peer-released", "-", "peer=%s incarnation=%" G_GINT64_MODIFIER "x",
+              peer->name, peer->incarnation);
+  link_drop (&peer->link);
+  peer->lost_ms = now_ms;
+  peer->surplus_ms = 0;
+  peer->mesh->ops->down (peer, peer->mesh->ctx);
+}
+
+static void
+release_surplus (Mesh *mesh, gint64 now_ms)
+{
+  MeshPeer *peer;
+
+  if (mesh->init.most_entries == 0)
+    return;
+  mesh_note_surplus (mesh, now_ms);
+  TAILQ_FOREACH (peer, &mesh->peers, link_entry)
+    if (peer->link != NULL && peer->surplus_ms > 0
+        && now_ms - peer->surplus_ms >= RELEASE_MS
+        && mesh->ops->may_release (peer, mesh->ctx))
+      release (peer, now_ms);
+}
+
 void
 mesh_tick (Mesh *mesh, gint64 now_ms)
 {
@@ -322,7 +394,7 @@
       if (peer->link == NULL && now_ms - peer->lost_ms > mesh->init.forget_ms)
         peer_free (peer);
     }
-  if (mesh->entries_changed)
-    tell_entries (mesh);
+  release_surplus (mesh, now_ms);
+  tell_entries (mesh, now_ms);
   check_isolation (mesh, now_ms);
 }
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -1,6 +1,7 @@
 #pragma once
 /* The links among entries and agents of leased jobs, found without any list: from a few
  * seed addresses, from what linked entries tell, and from a directory when both fail. */
+#include "lateness.h"
 #include "lease.h"
 #include "link.h"
 
@@ -19,10 +20,14 @@
   gboolean is_entry;
   Link *link; /* NULL while it is not linked */
   PeerClock clock;
+  Lateness heard;       /* how late its frames come here */
+  guint told_late_ms;   /* how late ours come there, as it says */
   gint64 granted_until; /* its clock: the longest lease it was given */
   gint64 lost_ms;       /* since when it is not linked */
   gint64 dead_ms;       /* own clock when its process was proved gone; 0: it was not */
   gboolean leaving;
+  gboolean announced;     /* to the peers, as an entry that is linked here */
+  gint64 surplus_ms;      /* since when enough better ones are linked; 0: they are not */
   guint64 config_version; /* it has */
   guint64 config_sent;    /* last sent to it */
   guint64 config_wanted;  /* to be asked for with the next frame; 0: nothing */
@@ -41,6 +46,8 @@
   void (*forgotten) (MeshPeer *peer, gpointer ctx);
   /* No entry is linked: look addresses up elsewhere. */
   void (*isolated) (gpointer ctx);
+  /* Whether the link to an entry that is not needed may end now; NULL: all are needed. */
+  gboolean (*may_release) (MeshPeer *peer, gpointer ctx);
 } MeshOps;
 
 typedef struct
@@ -49,8 +56,11 @@
   Gw__Hello *hello;
   guint heartbeat_ms;
   guint timeout_ms;
-  guint lease_ms;  /* granted to every peer with each frame */
-  guint forget_ms; /* a peer that is not linked is remembered this long */
+  guint lease_ms;           /* granted to every peer with each frame */
+  guint forget_ms;          /* a peer that is not linked is remembered this long */
+  guint most_entries;       /* to be linked to; 0: all that there are */
+  guint entry_heartbeat_ms; /* between two entries; 0: as to agents */
+  guint entry_timeout_ms;
 } MeshInit;
 
 Mesh *mesh_new (const MeshInit *init, const MeshOps *ops, gpointer ctx);
--- a/src/mesh_dial.c
+++ b/src/mesh_dial.c
@@ -1,5 +1,6 @@
 #include "clock.h"
 #include "mesh_parts.h"
+#include "rendezvous.h"
 
 #include <string.h>
 
@@ -18,8 +19,13 @@
  * milliseconds within a region; the longer time is for links that have grown slow. */
 #define CONNECT_EAGER_MS 100
 #define CONNECT_TIMEOUT_MS 300
-/* An address learned from others that has not answered for this long is dropped. */
+/* An address learned from others that has not answered, and that nobody has named, for
+ * this long is dropped. */
 #define ADDRESS_FORGET_MS 20000
+/* Who has just answered and does not any more for this long is replaced by the next one: longer than a process
+ * takes to be restarted would leave its place empty, much shorter would have each restart
+ * of an entry move its agents' links. */
+#define HOPE_MS 1000
 
 static void
 dial_after (Mesh *mesh, guint delay_ms)
@@ -62,15 +68,21 @@
   g_free (address);
 }
 
-static gboolean
-is_linked (Mesh *mesh, const char *text)
+static MeshPeer *
+linked_peer (Mesh *mesh, const char *text)
 {
   MeshPeer *peer;
 
   TAILQ_FOREACH (peer, &mesh->peers, link_entry)
     if (peer->link != NULL && strcmp (peer->frame_address, text) == 0)
-      return TRUE;
-  return FALSE;
+      return peer;
+  return NULL;
+}
+
+static gboolean
+is_linked (Mesh *mesh, const char *text)
+{
+  return linked_peer (mesh, text) != NULL;
 }
 
 static void
@@ -81,7 +93,7 @@
 
   if (is_linked (mesh, address->text))
     {
-      address->answered_ms = now_ms;
+      mesh_address_answered (address, now_ms);
       return;
     }
   eager = now_ms - address->answered_ms < EAGER_FOR_MS;
@@ -94,13 +106,50 @@
   address->dialing = link_dial (&mesh->links, address->text);
 }
 
+static gboolean
+is_hopeful (const Address *address, gint64 now_ms)
+{
+  if (address->failing_ms == 0)
+    return TRUE;
+  return address->failing_ms - address->answered_ms < HOPE_MS
+         && now_ms - address->failing_ms < HOPE_MS;
+}
+
+/* With a limit, the best that answer are linked; better ones that do not are tried
+ * again all the same, so that they get their place back. */
 void
 mesh_dial_all (Mesh *mesh, gint64 now_ms)
 {
   Address *address;
+  guint hopeful = 0;
 
   TAILQ_FOREACH (address, &mesh->addresses, link)
-    dial (mesh, address, now_ms);
+    {
+      if (mesh->init.most_entries > 0 && hopeful >= mesh->init.most_entries)
+        return;
+      dial (mesh, address, now_ms);
+      hopeful += is_hopeful (address, now_ms);
+    }
+}
+
+void
+mesh_note_surplus (Mesh *mesh, gint64 now_ms)
+{
+  Address *address;
+  guint linked = 0;
+
+  TAILQ_FOREACH (address, &mesh->addresses, link)
+    {
+      MeshPeer *peer = linked_peer (mesh, address->text);
+
+      if (peer == NULL)
+        continue;
+      linked++;
+      if (linked <= mesh->init.most_entries)
+        peer->surplus_ms = 0;
+      else if (peer->surplus_ms == 0)
+        peer->surplus_ms = now_ms;
+    }
 }
 
 void
@@ -120,11 +169,29 @@
   return NULL;
 }
 
+/* Each process ranks the entries in its own order, so that the agents spread over them
+ * evenly and the loss of one moves its own agents' links only. */
+static void
+insert_ranked (Mesh *mesh, Address *address)
+{
+  Address *next = TAILQ_FIRST (&mesh->addresses);
+
+  address->score = rendezvous_score (mesh->init.hello->name, address->text);
+  while (next != NULL && next->score >= address->score)
+    next = TAILQ_NEXT (next, link);
+  if (next != NULL)
+    TAILQ_INSERT_BEFORE (next, address, link);
+  else
+    TAILQ_INSERT_TAIL (&mesh->addresses, address, link);
+}
+
 static Address *
 learn (Mesh *mesh, const char *text)
 {
   Address *address = find_address (mesh, text);
 
+  if (address != NULL)
+    address->told_ms = clock_now_ms ();
   if (address != NULL || text[0] == '\0'
       || g_strcmp0 (text, mesh->init.hello->frame_address) == 0)
     return address;
@@ -132,8 +199,9 @@
   address->mesh = mesh;
   address->text = g_strdup (text);
   address->answered_ms = clock_now_ms ();
+  address->told_ms = address->answered_ms;
   address->wait_ms = DIAL_FIRST_MS;
-  TAILQ_INSERT_TAIL (&mesh->addresses, address, link);
+  insert_ranked (mesh, address);
   mesh_dial_soon (mesh);
   return address;
 }
@@ -163,9 +231,19 @@
 mesh_address_answered (Address *address, gint64 now_ms)
 {
   address->answered_ms = now_ms;
+  address->failing_ms = 0;
   address->wait_ms = DIAL_FIRST_MS;
 }
 
+void
+mesh_address_failed (Mesh *mesh, const char *text, gint64 now_ms)
+{
+  Address *address = find_address (mesh, text);
+
+  if (address != NULL && address->failing_ms == 0)
+    address->failing_ms = now_ms;
+}
+
 void
 mesh_forget_addresses (Mesh *mesh, gint64 now_ms)
 {
@@ -175,7 +253,8 @@
   for (address = TAILQ_FIRST (&mesh->addresses); address != NULL; address = next)
     {
       next = TAILQ_NEXT (address, link);
-      if (!address->seed && now_ms - address->answered_ms > ADDRESS_FORGET_MS)
+      if (!address->seed
+          && now_ms - MAX (address->answered_ms, address->told_ms) > ADDRESS_FORGET_MS)
         mesh_address_free (address);
     }
 }
--- a/tests/load_agents.c
+++ b/tests/load_agents.c
@@ -1,10 +1,13 @@
 #include "load_replay_parts.h"
 
+#define REPORT_BYTES 60
+#define STATE_BYTES 70
+
 static void
 report (Replay *replay, Server *server, Waiter *waiter, const TaskReport *told)
 {
-  Event *event
-      = event_at (replay, replay->now + WAY_MS, EVENT_REPORTED, waiter->entry, server);
+  Event *event = event_at (replay, link_to_entry (replay, waiter->entry, REPORT_BYTES),
+                           EVENT_REPORTED, waiter->entry, server);
 
   event->waiter = waiter;
   event->report = *told;
@@ -25,7 +28,9 @@
 {
   for (guint i = 0; i < replay->init->entries; i++)
     {
-      gint64 wait_ms = server->told_ms[i] + STATE_MS - replay->now;
+      const Known *known = known_server (replay, &replay->entries[i], server);
+      gint64 wait_ms
+          = server->told_ms[i] + pace_interval_ms (&known->state_pace) - replay->now;
 
       if (offers_keep (server->offers, i + 1))
         wait_ms = 0;
@@ -53,6 +58,13 @@
   Event *end;
   Run *run;
 
+  if (replay->now > event->valid_until_ms)
+    {
+      told.event = TASK_NOT_STARTED;
+      told.reason = "order too old";
+      report (replay, server, waiter, &told);
+      return;
+    }
   if (!demand_fits (&server->capacity, &server->used, &need))
     {
       offers_refused (server->offers, event->entry->index + 1, &event->wish, replay->now);
@@ -127,7 +139,8 @@
   used = server->capacity;
   demand_subtract (&used, &visible);
   demand_subtract (&used, &server->used_by[i]);
-  told = event_at (replay, replay->now + WAY_MS, EVENT_TOLD, event->entry, server);
+  told = event_at (replay, link_to_entry (replay, event->entry, STATE_BYTES), EVENT_TOLD,
+                   event->entry, server);
   told->used_by_others = used;
   told->offered = offers_keep (server->offers, i + 1);
   if (offers_open (server->offers))
--- a/tests/load_plan.c
+++ b/tests/load_plan.c
@@ -53,6 +53,15 @@
   g_free (job);
 }
 
+static guint
+draw_entry (Plan *plan)
+{
+  guint more = MAX (plan->init->busiest, 1) - 1;
+  gint32 drawn = g_rand_int_range (plan->random, 0, (gint32)(plan->init->entries + more));
+
+  return (guint)MAX (drawn - (gint32)more, 0);
+}
+
 static void
 plan_job (Plan *plan, guint queue_index, gint64 at)
 {
@@ -63,7 +72,7 @@
   guint longest = 0;
 
   g_snprintf (job->id, sizeof job->id, "%016x", plan->jobs->len + 1);
-  job->entry = (guint)g_rand_int_range (plan->random, 0, (gint32)plan->init->entries);
+  job->entry = draw_entry (plan);
   job->queue = queue;
   job->queue_index = queue_index;
   job->tasks = varied_count (plan, queue->tasks, SPREAD, queue->most_tasks);
--- a/tests/load_plan.h
+++ b/tests/load_plan.h
@@ -38,6 +38,10 @@
   guint burst_to_ms;
   double burst; /* times the usual load meanwhile */
   LoadDeclared declared;
+  double link_bytes_per_ms; /* of each entry, either way; 0: as wide as it takes */
+  guint payload_bytes;      /* of a job */
+  gboolean deaf;            /* entries do not hear how late what they send comes */
+  guint busiest; /* times the callers of another that the first entry has; 0: 1 */
   guint32 seed;
   const LoadQueue *queues;
 } LoadInit;
--- a/tests/load_replay.c
+++ b/tests/load_replay.c
@@ -1,5 +1,7 @@
 #include "load_replay_parts.h"
 
+#define WISH_BYTES 50
+
 static int
 compare_events (gconstpointer a, gconstpointer b, gpointer ctx)
 {
@@ -11,26 +13,29 @@
   return left->number < right->number ? -1 : 1;
 }
 
+Known *
+known_server (Replay *replay, const Entry *entry, const Server *server)
+{
+  return &replay->known[entry->index * replay->init->servers + server->index];
+}
+
 Event *
 event_at (Replay *replay, gint64 at, EventKind kind, Entry *entry, Server *server)
 {
   Event *event = g_new0 (Event, 1);
 
   event->at = at;
+  event->sent_at = replay->now;
   event->number = replay->numbers++;
   event->kind = kind;
   event->entry = entry;
   event->server = server;
+  if (entry != NULL && server != NULL)
+    event->late_there_ms = known_server (replay, entry, server)->late_there_ms;
   g_sequence_insert_sorted (replay->events, event, compare_events, NULL);
   return event;
 }
 
-static Known *
-known_server (Replay *replay, const Entry *entry, const Server *server)
-{
-  return &replay->known[entry->index * replay->init->servers + server->index];
-}
-
 /* The dispatcher's wishes. */
 
 static void
@@ -46,12 +51,13 @@
   Entry *entry = ctx;
   Replay *replay = entry->replay;
   Known *known = leased_server_owner (server);
+  gint64 arrives = link_to_agent (replay, entry, replay->init->payload_bytes);
 
   for (gsize i = 0; i < n_runs; i++)
     {
-      Event *event
-          = event_at (replay, replay->now + WAY_MS, EVENT_ORDERED, entry, known->server);
+      Event *event = event_at (replay, arrives, EVENT_ORDERED, entry, known->server);
 
+      event->valid_until_ms = valid_until_ms;
       event->waiter = g_hash_table_lookup (replay->by_id, spec->id);
       event->waiter->waiting--;
       event->key = runs[i];
@@ -66,8 +72,8 @@
   Entry *entry = ctx;
   Replay *replay = entry->replay;
   Known *known = leased_server_owner (server);
-  Event *event
-      = event_at (replay, replay->now + WAY_MS, EVENT_WANTED, entry, known->server);
+  Event *event = event_at (replay, link_to_agent (replay, entry, WISH_BYTES),
+                           EVENT_WANTED, entry, known->server);
 
   event->wish = *wish;
 }
@@ -78,8 +84,8 @@
   Entry *entry = ctx;
   Replay *replay = entry->replay;
   Known *known = leased_server_owner (server);
-  Event *event
-      = event_at (replay, replay->now + WAY_MS, EVENT_STOPPED, entry, known->server);
+  Event *event = event_at (replay, link_to_agent (replay, entry, 0), EVENT_STOPPED, entry,
+                           known->server);
 
   event->key = *run;
 }
@@ -174,12 +180,14 @@
       arrive (replay, event);
       break;
     case EVENT_ORDERED:
+      link_heard_by_agent (replay, event);
       agent_take_order (replay, event);
       break;
     case EVENT_STOPPED:
       agent_take_stop (replay, event);
       break;
     case EVENT_WANTED:
+      link_heard_by_agent (replay, event);
       offers_refused (event->server->offers, event->entry->index + 1, &event->wish,
                       replay->now);
       agent_changed (replay, event->server);
@@ -189,6 +197,7 @@
         agent_run_over (replay, event->server, event->run, TASK_DONE);
       break;
     case EVENT_REPORTED:
+      link_heard_by_entry (replay, event);
       note_report (event);
       dispatcher_reports (known_server (replay, event->entry, event->server)->known,
                           &event->report, 1, FALSE, replay->now);
@@ -196,7 +205,18 @@
     case EVENT_TELLS:
       agent_tell_state (replay, event);
       break;
+    case EVENT_BEAT:
+      link_beat (replay, event);
+      break;
+    case EVENT_BEAT_HEARD:
+      link_heard_by_agent (replay, event);
+      link_beat_heard (replay, event);
+      break;
+    case EVENT_BEAT_ANSWERED:
+      link_heard_by_entry (replay, event);
+      break;
     case EVENT_TOLD:
+      link_heard_by_entry (replay, event);
       hear_state (replay, event->entry, event->server, &event->used_by_others,
                   event->offered);
       break;
@@ -297,6 +317,7 @@
       dispatcher_server_clock (known->known, replay->now, replay->now);
       dispatcher_reports (known->known, NULL, 0, TRUE, replay->now);
       hear_state (replay, entry, server, &nothing, FALSE);
+      link_open (replay, entry, server);
     }
 }
 
--- a/tests/load_replay_parts.h
+++ b/tests/load_replay_parts.h
@@ -3,6 +3,7 @@
  * load_agents.c the agents beside the servers. */
 #include "load_replay.h"
 #include "offers.h"
+#include "pace.h"
 
 /* One way between an entry and an agent, with a turn of either's loop. */
 #define WAY_MS 2
@@ -19,6 +20,8 @@
   guint index;
   Dispatcher *dispatcher;
   gboolean pump_wanted;
+  double uplink_free_at;
+  double downlink_free_at;
 } Entry;
 
 /* A job while the replay plays it. */
@@ -51,11 +54,15 @@
   gboolean *telling;
 } Server;
 
-/* A server as one entry knows it: what the dispatcher's callbacks hand back. */
+/* A server as one entry knows it: what the dispatcher's callbacks hand back; and the link
+ * between the two. */
 typedef struct
 {
   Server *server;
   LeasedServer *known;
+  Pace state_pace;
+  guint late_there_ms; /* the entry's last frame came to the agent */
+  guint late_here_ms;  /* the agent's to the entry */
 } Known;
 
 typedef enum
@@ -68,11 +75,15 @@
   EVENT_REPORTED,
   EVENT_TELLS,
   EVENT_TOLD,
+  EVENT_BEAT,
+  EVENT_BEAT_HEARD,
+  EVENT_BEAT_ANSWERED,
 } EventKind;
 
 typedef struct
 {
   gint64 at;
+  gint64 sent_at;
   guint64 number;
   EventKind kind;
   Entry *entry;
@@ -80,6 +91,8 @@
   Waiter *waiter;
   Run *run;
   RunKey key;
+  gint64 valid_until_ms; /* of an order */
+  guint late_there_ms;   /* what the agent has heard of the entry came this late */
   Wish wish;
   TaskReport report;
   Demand used_by_others;
@@ -106,6 +119,21 @@
 /** event_at - something happens later. Return: the event, to be filled in. */
 Event *event_at (Replay *replay, gint64 at, EventKind kind, Entry *entry, Server *server);
 
+Known *known_server (Replay *replay, const Entry *entry, const Server *server);
+
+/* load_links.c */
+
+/** link_to_agent - Return: when a frame that is sent now arrives. */
+gint64 link_to_agent (Replay *replay, Entry *entry, guint bytes);
+gint64 link_to_entry (Replay *replay, Entry *entry, guint bytes);
+
+/** link_heard_by_agent - a frame of an entry has arrived. */
+void link_heard_by_agent (Replay *replay, const Event *event);
+void link_heard_by_entry (Replay *replay, const Event *event);
+void link_beat (Replay *replay, const Event *event);
+void link_beat_heard (Replay *replay, const Event *event);
+void link_open (Replay *replay, Entry *entry, Server *server);
+
 /* load_agents.c */
 void agent_changed (Replay *replay, Server *server);
 void agent_take_order (Replay *replay, const Event *event);
--- a/tests/test-dispatcher.c
+++ b/tests/test-dispatcher.c
@@ -687,6 +687,25 @@
   g_assert_cmpuint (scene->n_orders, ==, SERVERS + 1);
 }
 
+/* Symptom: orders come too late, are refused and sent again, and keep the link full.
+ * Sequence: what is sent to a server comes late; room is free there.
+ * Cause: orders were sent whatever became of those before. */
+static void
+late_orders_hold_back (Scene *scene)
+{
+  scene_open (scene, 4000);
+  for (guint i = 0; i < SERVERS; i++)
+    dispatcher_server_late (scene->servers[i], i == 1 ? 5 : 100, scene->now);
+  submit (scene, "a", 6);
+  g_assert_cmpuint (scene->n_orders, ==, 4);
+  for (guint i = 0; i < scene->n_orders; i++)
+    g_assert_cmpuint (scene->orders[i].server, ==, 1);
+  dispatcher_server_late (scene->servers[0], 10, scene->now);
+  pass (scene, DISPATCHER_TICK_MS);
+  g_assert_cmpuint (scene->n_orders, ==, 6);
+  g_assert_cmpuint (scene->orders[5].server, ==, 0);
+}
+
 static const Case cases[] = {
   { "completes", completes },
   { "keeps-within-capacity", keeps_within_capacity },
@@ -713,6 +732,7 @@
   { "restarted-entry-waits-for-figures", restarted_entry_waits_for_figures },
   { "nearly-done-goes-before-fresh", nearly_done_goes_before_fresh },
   { "offer-for-better-is-not-taken", offer_for_better_is_not_taken },
+  { "late-orders-hold-back", late_orders_hold_back },
 };
 
 static void
