A task that ends the servers which start it is given up; room that shrinks has a test

Cause (read, and the first of the tests): a run that was lost with its server only waited again, without a bound, so that one job took down server after server for as long as its caller waited. Now an agent tells 'the backend server ended or fell silent under it' apart from other losses. After two such ends a task runs alone, taking a whole server; after a third it is given up and its job answered as failed: three starts in all at one entry, where three more after three ends would be too many. What only stood beside it ends well there. Counted at the entry that holds the job: an entry that dies forgets two at most, so two and three more servers in all. Weighed: alone from the first crash on costs each bystander a whole server, and there is none empty under load. Not played: stand-ins that crash on a payload, the fleet under such jobs. Tests: /dispatcher/task-that-ends-servers-is-given-up, bystander-runs-alone-and-is-served, suspect-waits-for-an-empty-server, /runner/shrunk-room-takes-nothing-more (green before: the capacity was taken over).

--- a/proto/godwitspar.pb-c.h
+++ b/proto/godwitspar.pb-c.h
@@ -102,7 +102,11 @@
   /*
    * runs much longer than it would elsewhere
    */
-  GW__RUN_REPORT__KIND__STRAGGLES = 5
+  GW__RUN_REPORT__KIND__STRAGGLES = 5,
+  /*
+   * the backend server ended or fell silent under it
+   */
+  GW__RUN_REPORT__KIND__SERVER_ENDED = 6
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GW__RUN_REPORT__KIND)
 } Gw__RunReport__Kind;
 typedef enum _Gw__ServerState__Trust {
--- a/src/counters.h
+++ b/src/counters.h
@@ -71,6 +71,8 @@
   X (LEASED_FAILED, "leased_failed", "leased jobs answered failed")                      \
   X (LEASED_REFUSED, "leased_refused", "leased jobs refused, not run")                   \
   X (LEASED_GIVEN_UP, "leased_given_up", "leased jobs given up after a start")           \
+  X (TASKS_ENDED_SERVERS, "tasks_ended_servers",                                         \
+     "tasks given up because the servers that start them end")                           \
   X (ROWS_REJECTED, "rows_rejected", "rows and reports refused for what they say")       \
   X (RESTARTS, "restarts", "components restarted by their supervisor")
 
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -128,6 +128,7 @@
   TASK_FAILED,
   TASK_LOST,
   TASK_STRAGGLES,
+  TASK_SERVER_ENDED, /* or fell silent, under it */
 } TaskEvent;
 
 typedef struct
--- a/src/dispatcher_parts.h
+++ b/src/dispatcher_parts.h
@@ -23,6 +23,8 @@
   guint index;
   guint run; /* number of its last start */
   guint failures;
+  guint servers_ended; /* under it */
+  Demand taken;        /* of its server, while placed */
   LeasedServer *avoid; /* where it failed last */
   gint64 waits_ms;     /* since when it waits */
   TaskState state;
@@ -145,5 +147,8 @@
 
 /* dispatcher_place.c */
 
+/* A task under which so many servers have ended runs alone on the next one. */
+#define SERVERS_ENDED_ALONE 2
+
 /** dispatcher_straggler - decide whether a run is worth starting anew elsewhere. */
 void dispatcher_straggler (LeasedTask *task, const TaskReport *report);
--- a/src/dispatcher_place.c
+++ b/src/dispatcher_place.c
@@ -28,8 +28,7 @@
 /* An offer is not taken for a job whose rank is this many times what was told: between 1
  * / WANT_BETTER and this a difference is not worth a round trip. */
 #define WANT_WORSE 1.4
-/* Asked of so many servers for each task that waits: whichever has room first. Replayed
- * overloads earn the same with four, or with all servers asked, at more frames. */
+/* Asked of so many servers for each task that waits: whichever has room first. */
 #define WANTS_A_TASK 2
 /* What is sent to more than this share of the servers came late: it is the own link that
  * is full. Tasks of a job that start together then go to one server, with one order and
@@ -110,6 +109,28 @@
   return server->status.offered && rank > server->wanted_rank * WANT_WORSE;
 }
 
+static gboolean
+runs_alone (const LeasedTask *task)
+{
+  return task->servers_ended >= SERVERS_ENDED_ALONE;
+}
+
+/* What the task takes there: a task that runs alone takes all. */
+static Demand
+demand_on (const LeasedTask *task, const LeasedServer *server)
+{
+  return runs_alone (task) ? server->status.capacity : task->job->spec.demand;
+}
+
+static gboolean
+fits (const LeasedServer *server, const LeasedTask *task)
+{
+  Demand need = demand_on (task, server);
+
+  return has_room (server, &need)
+         && demand_fits (&need, &(Demand){ 0 }, &task->job->spec.demand);
+}
+
 static gboolean
 is_suitable (const LeasedServer *server, const LeasedJob *job, const LeasedTask *task)
 {
@@ -120,7 +141,7 @@
       || is_offered_for_better (server, job->rank)
       || (server == task->avoid && waited_ms < AVOID_MS)
       || strcmp (server->status.service, job->spec.service) != 0
-      || !has_label (server, job->spec.label) || !has_room (server, &job->spec.demand))
+      || !has_label (server, job->spec.label) || !fits (server, task))
     return FALSE;
   /* With a slow server free and all others busy, waiting a little ends sooner; after as
    * much waiting as it would cost, nothing better is to be expected. */
@@ -184,7 +205,8 @@
   task->ordered = FALSE;
   TAILQ_INSERT_TAIL (&server->tasks, task, on_server);
   server->n_placed++;
-  demand_add (&server->placed, &job->spec.demand);
+  task->taken = demand_on (task, server);
+  demand_add (&server->placed, &task->taken);
   job->placed++;
   job->waiting--;
   dispatcher->n_waiting--;
@@ -221,20 +243,19 @@
   server->wanted_rank = wish->rank;
 }
 
-/* One message for all tasks of the job that go to this server. */
-static void
-send_order (LeasedJob *job, LeasedServer *server)
+/* Return: how many tasks of the job that go to this server and are not ordered yet take
+ * @taken each. */
+static gsize
+note_ordered (LeasedJob *job, LeasedServer *server, const Demand *taken, RunKey *runs)
 {
-  Dispatcher *dispatcher = job->dispatcher;
-  RunKey *runs = g_new (RunKey, job->spec.count);
-  Wish wish = wish_of (dispatcher);
   gsize n = 0;
 
   for (guint i = 0; i < job->spec.count; i++)
     {
       LeasedTask *task = &job->tasks[i];
 
-      if (task->server != server || task->ordered)
+      if (task->server != server || task->ordered
+          || memcmp (&task->taken, taken, sizeof *taken) != 0)
         continue;
       task->ordered = TRUE;
       g_strlcpy (runs[n].job, job->spec.id, sizeof runs[n].job);
@@ -242,6 +263,22 @@
       runs[n].run = task->run;
       n++;
     }
+  return n;
+}
+
+/* One message for all tasks of the job that go to this server and take as much. */
+static void
+send_order (LeasedJob *job, LeasedServer *server, const Demand *taken)
+{
+  Dispatcher *dispatcher = job->dispatcher;
+  RunKey *runs = g_new (RunKey, job->spec.count);
+  gsize n = note_ordered (job, server, taken, runs);
+  LeasedSpec spec = job->spec;
+  Wish wish = wish_of (dispatcher);
+
+  if (n == 0)
+    goto out;
+  spec.demand = *taken;
   histogram_observe (HISTOGRAM_PLACING, dispatcher->now_ms - job->spec.arrived_ms);
   event_emit ("job-placed", job->spec.id,
               "agent=%s tasks=%" G_GSIZE_FORMAT " waited_ms=%" G_GINT64_FORMAT
@@ -249,14 +286,26 @@
               server->name, n, dispatcher->now_ms - job->spec.arrived_ms,
               server->placed.cpu_milli, server->status.slowness_percent / 100.0,
               dispatcher->n_waiting);
-  dispatcher->ops->order (
-      server, &job->spec, runs, n, (guint)MAX (job->task_ms, 1), &wish,
-      peer_clock_least (&server->clock, dispatcher->now_ms, 0) + ORDER_VALID_MS,
-      dispatcher->ctx);
+  dispatcher->ops->order (server, &spec, runs, n, (guint)MAX (job->task_ms, 1), &wish,
+                          peer_clock_least (&server->clock, dispatcher->now_ms, 0)
+                              + ORDER_VALID_MS,
+                          dispatcher->ctx);
   note_wish (server, &wish);
+
+out:
   g_free (runs);
 }
 
+static void
+send_orders (LeasedJob *job, LeasedServer *server)
+{
+  Demand alone = server->status.capacity;
+
+  send_order (job, server, &job->spec.demand);
+  if (memcmp (&alone, &job->spec.demand, sizeof alone) != 0)
+    send_order (job, server, &alone);
+}
+
 /* Return: FALSE if a task found no server. */
 static gboolean
 place_job (Dispatcher *dispatcher, LeasedJob *job)
@@ -281,7 +330,7 @@
         g_ptr_array_add (chosen, server);
     }
   for (guint i = 0; i < chosen->len; i++)
-    send_order (job, g_ptr_array_index (chosen, i));
+    send_orders (job, g_ptr_array_index (chosen, i));
   g_ptr_array_unref (chosen);
   return all;
 }
--- a/src/dispatcher_servers.c
+++ b/src/dispatcher_servers.c
@@ -1,4 +1,5 @@
 #define LOG_MODULE "dispatcher"
+#include "counters.h"
 #include "dispatcher_parts.h"
 #include "events.h"
 
@@ -6,6 +7,9 @@
 
 /* A server is asked for room at most this often: each wish is a frame. */
 #define WISH_LEAST_MS 10
+/* A task under which so many servers have ended, the last one while it ran there alone,
+ * is started no more. */
+#define SERVERS_ENDED_MOST (SERVERS_ENDED_ALONE + 1)
 /* After the lease of an entry an agent needs its tick, the call and the server's own time
  * to end a run. */
 #define STOP_SLACK_MS 150
@@ -142,7 +146,7 @@
   g_assert (server != NULL);
   TAILQ_REMOVE (&server->tasks, task, on_server);
   server->n_placed--;
-  demand_subtract (&server->placed, &job->spec.demand);
+  demand_subtract (&server->placed, &task->taken);
   task->server = NULL;
   task->stopping = FALSE;
   job->placed--;
@@ -196,6 +200,25 @@
     job_answer (job, LEASED_FAILED, "a task failed as often as its queue allows", 0);
 }
 
+/* A task may end each server that starts it, and with it all that runs beside it. Once
+ * that has happened twice it runs alone (dispatcher_place.c): if the server ends again,
+ * it is this task that ends them. What only stood beside it ends well there. */
+static void
+task_server_ended (LeasedTask *task)
+{
+  LeasedJob *job = task->job;
+
+  task->servers_ended++;
+  event_note ("server-ended-under", job->spec.id, "task=%u run=%u agent=%s times=%u",
+              task->index, task->run, task->server->name, task->servers_ended);
+  task_detach (task);
+  task_wait_again (task);
+  if (task->servers_ended < SERVERS_ENDED_MOST || job->closed)
+    return;
+  counter_add (COUNTER_TASKS_ENDED_SERVERS, 1);
+  job_answer (job, LEASED_FAILED, "the servers that start a task of it end", 0);
+}
+
 static void
 task_not_started (LeasedTask *task, const char *reason)
 {
@@ -255,6 +278,10 @@
       task_detach (task);
       task_wait_again (task);
       break;
+    case TASK_SERVER_ENDED:
+      job->started = TRUE;
+      task_server_ended (task);
+      break;
     case TASK_STRAGGLES:
       dispatcher_straggler (task, report);
       return;
--- a/src/leased_entry.c
+++ b/src/leased_entry.c
@@ -139,6 +139,8 @@
       return TASK_FAILED;
     case GW__RUN_REPORT__KIND__STRAGGLES:
       return TASK_STRAGGLES;
+    case GW__RUN_REPORT__KIND__SERVER_ENDED:
+      return TASK_SERVER_ENDED;
     default:
       return TASK_LOST;
     }
--- a/src/runner.c
+++ b/src/runner.c
@@ -16,7 +16,7 @@
 #define PAST_RUNS_MS 3000
 
 static const char *const report_names[]
-    = { "started", "not-started", "done", "failed", "lost", "straggles" };
+    = { "started", "not-started", "done", "failed", "lost", "straggles", "server-ended" };
 
 Runner *
 runner_new (const RunnerInit *init, const RunnerOps *ops, gpointer ctx)
@@ -129,12 +129,12 @@
 }
 
 void
-runner_lose_all (Runner *runner, const char *reason)
+runner_lose_all (Runner *runner, ReportKind kind, const char *reason)
 {
   Run *run;
 
   while ((run = TAILQ_FIRST (&runner->runs)) != NULL)
-    run_end (runner, run, REPORT_LOST, reason);
+    run_end (runner, run, kind, reason);
 }
 
 gboolean
@@ -293,7 +293,7 @@
   event_emit ("server-lease-lapsed", "-",
               "server=%s runs=%u answer_age_ms=%" G_GINT64_FORMAT, runner->instance,
               runner->n_runs, runner->now_ms - runner->clock.heard_ms);
-  runner_lose_all (runner, "backend server out of reach");
+  runner_lose_all (runner, REPORT_SERVER_ENDED, "backend server out of reach");
   runner->token++;
   runner_set_state (runner, LIFE_CLEARING);
 }
--- a/src/runner.h
+++ b/src/runner.h
@@ -16,7 +16,8 @@
   REPORT_DONE,
   REPORT_FAILED,
   REPORT_LOST,
-  REPORT_STRAGGLES, /* it runs, but much longer than expected */
+  REPORT_STRAGGLES,    /* it runs, but much longer than expected */
+  REPORT_SERVER_ENDED, /* the backend server ended or fell silent under it */
 } ReportKind;
 
 typedef struct
--- a/src/runner_calls.c
+++ b/src/runner_calls.c
@@ -7,13 +7,12 @@
 /* A start is answered within a few ms on the server's own VM; a task's latency objective
  * leaves about 90 ms for tries at the shortest, so that an astray one is settled well
  * before that. Where the VM is slow, its usual answers take longer, and so does the wait
- * for them. With half of the orders lost 15 ms earned 0.59 of the benefit where 40 ms
- * earned 0.52. */
+ * for them. */
 #define SHORT_TIMEOUT_MS 15
 #define LONG_TIMEOUT_MS 150
 #define TIMEOUT_FACTOR 6
 /* After so many calls without any answer the limit is doubled: of orders that are lost by
- * halves it is one in 256. At three, such days earned 0.02 to 0.03 less. */
+ * halves it is one in 256. */
 #define SLOW_CALLS 8
 #define DOUBLINGS_MOST 4 /* from the shortest to the longest limit */
 #define CALL_TIME_RATE 0.2
@@ -100,7 +99,7 @@
     peer_clock_hear (&runner->clock, reply->server_ms, runner->now_ms);
   if (reply->end == CALL_OTHER_LIFE)
     {
-      runner_forget_life (runner, "backend server restarted");
+      runner_forget_life (runner, REPORT_SERVER_ENDED, "backend server restarted");
       return FALSE;
     }
   /* Another runner of this server has drawn a higher token, or an order of an earlier one
--- a/src/runner_life.c
+++ b/src/runner_life.c
@@ -29,11 +29,11 @@
 }
 
 void
-runner_forget_life (Runner *runner, const char *reason)
+runner_forget_life (Runner *runner, ReportKind kind, const char *reason)
 {
   if (runner->instance == NULL)
     return;
-  runner_lose_all (runner, reason);
+  runner_lose_all (runner, kind, reason);
   remember_instance (runner, g_steal_pointer (&runner->instance));
   runner->life++;
   watches_forget (&runner->watches);
@@ -56,7 +56,7 @@
 static void
 begin_life (Runner *runner, const ServerFacts *facts)
 {
-  runner_forget_life (runner, "backend server restarted");
+  runner_forget_life (runner, REPORT_SERVER_ENDED, "backend server restarted");
   runner->instance = g_strdup (facts->instance);
   runner->life++;
   runner->sequence = 0;
@@ -104,5 +104,5 @@
 {
   runner->now_ms = now_ms;
   if (g_strcmp0 (runner->instance, instance) == 0)
-    runner_forget_life (runner, "backend server left");
+    runner_forget_life (runner, REPORT_LOST, "backend server left");
 }
--- a/src/runner_parts.h
+++ b/src/runner_parts.h
@@ -93,7 +93,7 @@
 /* runner.c */
 Run *runner_find (const Runner *runner, const RunKey *key);
 void run_end (Runner *runner, Run *run, ReportKind kind, const char *reason);
-void runner_lose_all (Runner *runner, const char *reason);
+void runner_lose_all (Runner *runner, ReportKind kind, const char *reason);
 
 /** runner_server_is_silent - several calls in a row got no answer. */
 gboolean runner_server_is_silent (const Runner *runner);
@@ -108,7 +108,9 @@
 
 /* runner_life.c */
 void runner_set_state (Runner *runner, LifeState state);
-void runner_forget_life (Runner *runner, const char *reason);
+
+/** runner_forget_life - what ran there ends as @kind. */
+void runner_forget_life (Runner *runner, ReportKind kind, const char *reason);
 
 /* runner_calls.c */
 void runner_send_start (Runner *runner, Run *run);
--- a/tests/test-dispatcher.c
+++ b/tests/test-dispatcher.c
@@ -687,6 +687,87 @@
   g_assert_cmpuint (scene->n_orders, ==, SERVERS + 1);
 }
 
+static Order *
+open_order_of (Scene *scene, const char *job)
+{
+  for (guint i = 0; i < scene->n_orders; i++)
+    if (scene->orders[i].open && strcmp (scene->orders[i].key.job, job) == 0)
+      return &scene->orders[i];
+  return NULL;
+}
+
+/* Symptom: one job takes down server after server, with all that runs there, for as long
+ *   as its caller waits.
+ * Sequence: a task ends each server that starts it; each time it waits again and is
+ *   started elsewhere.
+ * Cause: a run that is lost with its server was repeated without a bound. */
+static void
+task_that_ends_servers_is_given_up (Scene *scene)
+{
+  Order *order;
+  guint starts = 0;
+
+  scene_open (scene, 4000);
+  submit (scene, "guilty", 1);
+  while ((order = open_order_of (scene, "guilty")) != NULL)
+    {
+      starts++;
+      g_assert_cmpuint (starts, <=, 3);
+      report (scene, order, TASK_STARTED);
+      report (scene, order, TASK_SERVER_ENDED);
+      pass (scene, DISPATCHER_TICK_MS);
+    }
+  g_assert_cmpuint (starts, ==, 3);
+  g_assert_cmpuint (scene->results, ==, 1);
+  g_assert_cmpint (scene->last.end, ==, LEASED_FAILED);
+}
+
+/* Symptom: a job fails though its tasks are sound.
+ * Sequence: it stands beside one that ends servers, twice.
+ * Cause: whatever ran on a server that ended taken for guilty. */
+static void
+bystander_runs_alone_and_is_served (Scene *scene)
+{
+  Order *order;
+
+  scene_open (scene, 4000);
+  submit (scene, "innocent", 1);
+  for (guint i = 0; i < 2; i++)
+    {
+      order = open_order_of (scene, "innocent");
+      g_assert_cmpuint (order->cpu, ==, 1000);
+      report (scene, order, TASK_STARTED);
+      report (scene, order, TASK_SERVER_ENDED);
+    }
+  order = open_order_of (scene, "innocent");
+  g_assert_cmpuint (order->cpu, ==, 4000);
+  submit (scene, "other", 9);
+  for (guint i = 0; i < scene->n_orders; i++)
+    if (&scene->orders[i] != order && scene->orders[i].open)
+      g_assert_cmpuint (scene->orders[i].server, !=, order->server);
+  report (scene, order, TASK_DONE);
+  g_assert_cmpuint (scene->results, ==, 1);
+  g_assert_cmpint (scene->last.end, ==, LEASED_COMPLETED);
+}
+
+/* It takes a whole server, so it waits until one is empty; what runs stays. */
+static void
+suspect_waits_for_an_empty_server (Scene *scene)
+{
+  scene_open (scene, 4000);
+  submit (scene, "suspect", 1);
+  report (scene, open_order_of (scene, "suspect"), TASK_SERVER_ENDED);
+  for (guint i = 0; i < SERVERS; i++)
+    tell_used_by_others (scene, i, 1000);
+  report (scene, open_order_of (scene, "suspect"), TASK_SERVER_ENDED);
+  pass (scene, 100);
+  g_assert_null (open_order_of (scene, "suspect"));
+  tell_used_by_others (scene, 1, 0);
+  pass (scene, DISPATCHER_TICK_MS);
+  g_assert_nonnull (open_order_of (scene, "suspect"));
+  g_assert_cmpuint (open_order_of (scene, "suspect")->server, ==, 1);
+}
+
 /* Symptom: orders come too late, are refused and sent again, and keep the link full.
  * Sequence: what is sent to a server comes late; room is free there.
  * Cause: orders were sent whatever became of those before. */
@@ -732,6 +813,9 @@
   { "restarted-entry-waits-for-figures", restarted_entry_waits_for_figures },
   { "nearly-done-goes-before-fresh", nearly_done_goes_before_fresh },
   { "offer-for-better-is-not-taken", offer_for_better_is_not_taken },
+  { "task-that-ends-servers-is-given-up", task_that_ends_servers_is_given_up },
+  { "bystander-runs-alone-and-is-served", bystander_runs_alone_and_is_served },
+  { "suspect-waits-for-an-empty-server", suspect_waits_for_an_empty_server },
   { "late-orders-hold-back", late_orders_hold_back },
 };
 
--- a/tests/test-runner.c
+++ b/tests/test-runner.c
@@ -520,7 +520,7 @@
       scene->n_calls = 0;
       runner_tick (scene->runner, scene->now);
     }
-  g_assert_cmpint (last_report (scene)->kind, ==, REPORT_LOST);
+  g_assert_cmpint (last_report (scene)->kind, ==, REPORT_SERVER_ENDED);
   g_assert_false (runner_ready (scene->runner));
 }
 
@@ -534,18 +534,57 @@
   scene_ready (scene);
   start_running (scene, "j", 1000);
   tell_facts (scene, "two", 1, FALSE);
-  g_assert_cmpint (last_report (scene)->kind, ==, REPORT_LOST);
+  g_assert_cmpint (last_report (scene)->kind, ==, REPORT_SERVER_ENDED);
   tell_facts (scene, "one", 9, FALSE);
   g_assert_cmpstr (runner_instance (scene->runner), ==, "two");
 }
 
+static void
+tell_room (Scene *scene, guint64 sequence, guint cpu)
+{
+  ServerFacts facts = { .instance = "one",
+                        .service = "exchange",
+                        .zone = "fukuoka-a",
+                        .capacity = { cpu, 1000, 0 },
+                        .server_ms = scene->server_ms,
+                        .sequence = sequence };
+
+  runner_facts (scene->runner, &facts, scene->now);
+}
+
+/* Symptom: a backend server is loaded beyond its capacity.
+ * Sequence: its room shrinks below what runs there; a run is told to stop; more is asked
+ *   for. The room grows again.
+ * Cause: room counted by what it was, or as free before the end of the stop is listed. */
+static void
+shrunk_room_takes_nothing_more (Scene *scene)
+{
+  RunKey key = key_of ("j", 0, 1);
+
+  scene_ready (scene);
+  start_running (scene, "j", 3000);
+  tell_room (scene, 100, 2000);
+  ask_start (scene, ENTRY, "k", 500);
+  g_assert_cmpstr (last_report (scene)->reason, ==, "no room");
+  runner_stop (scene->runner, ENTRY, &key, scene->now);
+  answer (scene, open_call (scene, CALLED_STOP), CALL_DONE);
+  ask_start (scene, ENTRY, "k", 500);
+  g_assert_cmpstr (last_report (scene)->reason, ==, "no room");
+  list_end (scene, open_watch (scene), "j", RUN_END_STOPPED);
+  ask_start (scene, ENTRY, "l", 2500);
+  g_assert_cmpstr (last_report (scene)->reason, ==, "no room");
+  tell_room (scene, 101, 4000);
+  ask_start (scene, ENTRY, "l", 2500);
+  g_assert_nonnull (open_call (scene, CALLED_START));
+}
+
 static void
 other_life_answers (Scene *scene)
 {
   scene_ready (scene);
   start_running (scene, "j", 1000);
   answer (scene, open_watch (scene), CALL_OTHER_LIFE);
-  g_assert_cmpint (last_report (scene)->kind, ==, REPORT_LOST);
+  g_assert_cmpint (last_report (scene)->kind, ==, REPORT_SERVER_ENDED);
   g_assert_false (runner_ready (scene->runner));
 }
 
@@ -769,6 +808,7 @@
   { "silent-server-loses-its-runs", silent_server_loses_its_runs },
   { "earlier-life-is-not-believed", earlier_life_is_not_believed },
   { "other-life-answers", other_life_answers },
+  { "shrunk-room-takes-nothing-more", shrunk_room_takes_nothing_more },
   { "draining-takes-nothing", draining_takes_nothing },
   { "repeated-order-is-ignored", repeated_order_is_ignored },
   { "other-run-of-a-task-is-refused", other_run_of_a_task_is_refused },
