--- a/proto/godwitspar.pb-c.c
+++ b/proto/godwitspar.pb-c.c
@@ -3564,7 +3564,7 @@
   (ProtobufCMessageInit) gw__run_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__wish__field_descriptors[4] =
+static const ProtobufCFieldDescriptor gw__wish__field_descriptors[5] =
 {
   {
     "tasks",
@@ -3614,17 +3614,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stands_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wish, stands_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__wish__field_indices_by_name[] = {
   3,   /* field[3] = first_tasks */
   2,   /* field[2] = need */
   1,   /* field[1] = rank */
+  4,   /* field[4] = stands_ms */
   0,   /* field[0] = tasks */
 };
 static const ProtobufCIntRange gw__wish__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor gw__wish__descriptor =
 {
@@ -3634,7 +3647,7 @@
   "Gw__Wish",
   "gw",
   sizeof(Gw__Wish),
-  4,
+  5,
   gw__wish__field_descriptors,
   gw__wish__field_indices_by_name,
   1,  gw__wish__number_ranges,
--- a/proto/godwitspar.pb-c.h
+++ b/proto/godwitspar.pb-c.h
@@ -600,10 +600,14 @@
    * of the first job that wait
    */
   uint32_t first_tasks;
+  /*
+   * it is forgotten after this
+   */
+  uint32_t stands_ms;
 };
 #define GW__WISH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__wish__descriptor) \
-    , 0, 0, NULL, 0 }
+    , 0, 0, NULL, 0, 0 }
 
 
 struct  Gw__RunStop
--- a/src/dispatcher_parts.h
+++ b/src/dispatcher_parts.h
@@ -101,6 +101,7 @@
   guint n_waiting;      /* tasks */
   gboolean trust_all;   /* too many servers are distrusted: the fault is in the tasks */
   gboolean saves_bytes; /* the own link is full */
+  guint n_open;         /* servers that take orders */
   double wait_ms;       /* about how long a task waits for room */
   GPtrArray *ordered;   /* jobs that wait, while they are placed */
   Arrivals arrivals;
--- a/src/dispatcher_place.c
+++ b/src/dispatcher_place.c
@@ -21,9 +21,12 @@
 #define STALLED_MS 30000
 /* A straggler is started anew only if that is expected to gain this much. */
 #define STRAGGLER_GAIN_MS 40
-/* Room is asked for again before the agent forgets the wish (80 ms), and sooner when the
- * rank of what waits has fallen to this part of what was told. */
+/* Room is asked for again before the agent forgets the wish, and sooner when the rank of
+ * what waits has fallen to this part of what was told. Wishes a second are bounded for an
+ * entry: with many servers each is asked less often, and forgets later. */
 #define WANT_AGAIN_MS 60
+#define WANT_SPACING_MS 3
+#define WANT_STANDS 4 / 3
 #define WANT_BETTER 0.7
 /* An offer is not taken for a job whose rank is this many times what was told: between 1
  * / WANT_BETTER and this a difference is not worth a round trip. */
@@ -212,10 +215,18 @@
   dispatcher->n_waiting--;
 }
 
+static guint
+want_again_ms (const Dispatcher *dispatcher)
+{
+  return MAX (WANT_AGAIN_MS, dispatcher->n_open * WANT_SPACING_MS);
+}
+
 static Wish
 wish_for (const LeasedJob *job)
 {
-  Wish wish = { job->dispatcher->n_waiting, job->waiting, job->rank, job->spec.demand };
+  Dispatcher *dispatcher = job->dispatcher;
+  Wish wish = { dispatcher->n_waiting, job->waiting, job->rank, job->spec.demand,
+                want_again_ms (dispatcher) * WANT_STANDS };
 
   return wish;
 }
@@ -369,6 +380,7 @@
   dispatcher->usual
       = all->len > 0 ? MAX (g_array_index (all, double, (all->len - 1) / 2), 1) : 1;
   dispatcher->trust_all = distrusted > MAX (1, all->len * DISTRUSTED_SHARE);
+  dispatcher->n_open = all->len;
   dispatcher->saves_bytes = slowed > all->len * LATE_SHARE;
   g_array_unref (all);
 }
@@ -398,7 +410,8 @@
     return TRUE;
   if (age_ms < pace_interval_ms (&server->wish_pace))
     return FALSE;
-  return age_ms >= WANT_AGAIN_MS || rank < server->wanted_rank * WANT_BETTER;
+  return age_ms >= want_again_ms (server->dispatcher)
+         || rank < server->wanted_rank * WANT_BETTER;
 }
 
 /* An entry that only asked where it believed to find room would leave room that frees to
--- a/src/offers.c
+++ b/src/offers.c
@@ -1,8 +1,5 @@
 #include "offers.h"
 
-/* Whoever found no room this long ago has found other room meanwhile, or given up. */
-#define WANTING_MS 80
-
 typedef struct
 {
   guint64 entry;
@@ -53,11 +50,17 @@
       }
 }
 
+static gboolean
+is_old (const Wanting *wanting, gint64 now_ms)
+{
+  return now_ms - wanting->refused_ms > wanting->wish.stands_ms;
+}
+
 static void
 forget_old (Offers *offers, gint64 now_ms)
 {
   for (guint i = offers->wanting->len; i > 0; i--)
-    if (now_ms - g_array_index (offers->wanting, Wanting, i - 1).refused_ms > WANTING_MS)
+    if (is_old (&g_array_index (offers->wanting, Wanting, i - 1), now_ms))
       g_array_remove_index_fast (offers->wanting, i - 1);
 }
 
--- a/src/wish.h
+++ b/src/wish.h
@@ -9,6 +9,7 @@
   guint first_tasks; /* of the job that is first there */
   double rank;       /* of that job; the least goes first */
   Demand need;       /* of one of its tasks */
+  guint stands_ms;   /* it is forgotten after this */
 } Wish;
 
 /** wish_from_wire - NULL is nothing at all. */
--- a/tests/test-offers.c
+++ b/tests/test-offers.c
@@ -2,6 +2,7 @@
 #include "cases.h"
 #include "offers.h"
 
+#define STANDS_MS 80
 #define NEAR 1
 #define FAR 2
 
@@ -35,7 +36,7 @@
 static void
 wants (Offers *offers, guint64 entry, guint tasks, double rank, gint64 now_ms)
 {
-  Wish wish = { tasks, tasks, rank, need };
+  Wish wish = { tasks, tasks, rank, need, STANDS_MS };
 
   offers_refused (offers, entry, &wish, now_ms);
 }
@@ -43,7 +44,7 @@
 static void
 uses (Offers *offers, guint64 entry, guint tasks_left, double rank, gint64 now_ms)
 {
-  Wish wish = { tasks_left, tasks_left, rank, need };
+  Wish wish = { tasks_left, tasks_left, rank, need, STANDS_MS };
 
   offers_used (offers, entry, &wish, now_ms);
 }
