--- a/src/dispatcher_parts.h
+++ b/src/dispatcher_parts.h
@@ -1,7 +1,7 @@
 #pragma once
 /* What the parts of the dispatcher share: dispatcher.c keeps jobs, dispatcher_servers.c
  * keeps servers and takes reports, dispatcher_order.c orders and refuses,
- * dispatcher_place.c places. */
+ * dispatcher_place.c places, dispatcher_wishes.c asks for room. */
 #include "arrivals.h"
 #include "dispatcher.h"
 #include "pace.h"
@@ -151,5 +151,30 @@
 /* A task under which so many servers have ended runs alone on the next one. */
 #define SERVERS_ENDED_ALONE 2
 
+gboolean server_has_label (const LeasedServer *server, const char *label);
+
+/** server_is_open - it takes orders, room aside. */
+gboolean server_is_open (const LeasedServer *server);
+
+/** server_is_trusted - one run at a time on one that has just failed or stood still. */
+gboolean server_is_trusted (const LeasedServer *server);
+
 /** dispatcher_straggler - decide whether a run is worth starting anew elsewhere. */
 void dispatcher_straggler (LeasedTask *task, const TaskReport *report);
+
+/* dispatcher_wishes.c */
+
+/** dispatcher_wish - what waits besides the jobs that are being placed. */
+Wish dispatcher_wish (const Dispatcher *dispatcher);
+
+/** server_note_wish - its agent is being told. */
+void server_note_wish (LeasedServer *server, const Wish *wish);
+
+/** server_is_offered_for_better - its room is kept for something better than @rank. */
+gboolean server_is_offered_for_better (const LeasedServer *server, double rank);
+
+/** dispatcher_send_wishes - ask for room for @jobs, best first. */
+void dispatcher_send_wishes (Dispatcher *dispatcher, GPtrArray *jobs);
+
+/** dispatcher_decline_offers - nothing waits: room is kept here for nothing. */
+void dispatcher_decline_offers (Dispatcher *dispatcher);
--- a/src/dispatcher_place.c
+++ b/src/dispatcher_place.c
@@ -21,18 +21,6 @@
 #define STALLED_MS 30000
 /* A straggler is started anew only if that is expected to gain this much. */
 #define STRAGGLER_GAIN_MS 40
-/* Room is asked for again before the agent forgets the wish, and sooner when the rank of
- * what waits has fallen to this part of what was told. Wishes a second are bounded for an
- * entry: with many servers each is asked less often, and forgets later. */
-#define WANT_AGAIN_MS 60
-#define WANT_SPACING_MS 3
-#define WANT_STANDS 4 / 3
-#define WANT_BETTER 0.7
-/* An offer is not taken for a job whose rank is this many times what was told: between 1
- * / WANT_BETTER and this a difference is not worth a round trip. */
-#define WANT_WORSE 1.4
-/* Asked of so many servers for each task that waits: whichever has room first. */
-#define WANTS_A_TASK 2
 /* What is sent to more than this share of the servers came late: it is the own link that
  * is full. Tasks of a job that start together then go to one server, with one order and
  * one payload, unless another is less slow or fails less. */
@@ -41,8 +29,8 @@
 /* Beyond this share of distrusted servers the fault is taken to be in the tasks. */
 #define DISTRUSTED_SHARE 0.34
 
-static gboolean
-has_label (const LeasedServer *server, const char *label)
+gboolean
+server_has_label (const LeasedServer *server, const char *label)
 {
   return label[0] == '\0'
          || (server->status.labels != NULL
@@ -71,8 +59,8 @@
 }
 
 /* One run at a time on a server that has just failed or stood still. */
-static gboolean
-is_trusted (const LeasedServer *server)
+gboolean
+server_is_trusted (const LeasedServer *server)
 {
   switch (server->status.trust)
     {
@@ -87,8 +75,8 @@
   g_assert_not_reached ();
 }
 
-static gboolean
-is_open (const LeasedServer *server)
+gboolean
+server_is_open (const LeasedServer *server)
 {
   return server->owner != NULL && server->inventoried && server->status.ready
          && !server->status.draining && server->late_ms < ORDER_LATE_MS
@@ -104,14 +92,6 @@
   return demand_fits (&server->status.capacity, &used, need);
 }
 
-/* Room was kept here for a job that has been placed elsewhere meanwhile: what is left may
- * be less urgent than what waits at other entries, and must say so first. */
-static gboolean
-is_offered_for_better (const LeasedServer *server, double rank)
-{
-  return server->status.offered && rank > server->wanted_rank * WANT_WORSE;
-}
-
 static gboolean
 runs_alone (const LeasedTask *task)
 {
@@ -140,11 +120,11 @@
   gint64 waited_ms = server->dispatcher->now_ms - task->waits_ms;
   double lost_ms = (slowness_of (server) - 1) * job->task_ms;
 
-  if (!is_open (server) || !is_trusted (server)
-      || is_offered_for_better (server, job->rank)
+  if (!server_is_open (server) || !server_is_trusted (server)
+      || server_is_offered_for_better (server, job->rank)
       || (server == task->avoid && waited_ms < AVOID_MS)
       || strcmp (server->status.service, job->spec.service) != 0
-      || !has_label (server, job->spec.label) || !fits (server, task))
+      || !server_has_label (server, job->spec.label) || !fits (server, task))
     return FALSE;
   /* With a slow server free and all others busy, waiting a little ends sooner; after as
    * much waiting as it would cost, nothing better is to be expected. */
@@ -159,7 +139,7 @@
 {
   guint used = server->placed.cpu_milli + server->status.used_by_others.cpu_milli;
   double filled = (double)used / MAX (server->status.capacity.cpu_milli, 1);
-  double away = has_label (server, job->spec.rack) ? 0 : 0.5;
+  double away = server_has_label (server, job->spec.rack) ? 0 : 0.5;
 
   return slowness_of (server) + away + filled * 0.01
          + server->status.failing_percent * 0.01;
@@ -215,45 +195,6 @@
   dispatcher->n_waiting--;
 }
 
-static guint
-want_again_ms (const Dispatcher *dispatcher)
-{
-  return MAX (WANT_AGAIN_MS, dispatcher->n_open * WANT_SPACING_MS);
-}
-
-static Wish
-wish_for (const LeasedJob *job)
-{
-  Dispatcher *dispatcher = job->dispatcher;
-  Wish wish = { dispatcher->n_waiting, job->waiting, job->rank, job->spec.demand,
-                want_again_ms (dispatcher) * WANT_STANDS };
-
-  return wish;
-}
-
-/* What waits here besides the jobs that are being placed. */
-static Wish
-wish_of (const Dispatcher *dispatcher)
-{
-  Wish nothing = { .rank = RANK_NO_CHANCE };
-
-  for (guint i = 0; i < dispatcher->ordered->len; i++)
-    {
-      const LeasedJob *job = g_ptr_array_index (dispatcher->ordered, i);
-
-      if (job->waiting > 0)
-        return wish_for (job);
-    }
-  return nothing;
-}
-
-static void
-note_wish (LeasedServer *server, const Wish *wish)
-{
-  server->wanted_ms = server->dispatcher->now_ms;
-  server->wanted_rank = wish->rank;
-}
-
 /* Return: how many tasks of the job that go to this server and are not ordered yet take
  * @taken each. */
 static gsize
@@ -285,7 +226,7 @@
   RunKey *runs = g_new (RunKey, job->spec.count);
   gsize n = note_ordered (job, server, taken, runs);
   LeasedSpec spec = job->spec;
-  Wish wish = wish_of (dispatcher);
+  Wish wish = dispatcher_wish (dispatcher);
 
   if (n == 0)
     goto out;
@@ -301,7 +242,7 @@
                           peer_clock_least (&server->clock, dispatcher->now_ms, 0)
                               + ORDER_VALID_MS,
                           dispatcher->ctx);
-  note_wish (server, &wish);
+  server_note_wish (server, &wish);
 
 out:
   g_free (runs);
@@ -368,7 +309,7 @@
     {
       double slowness = MAX (server->status.slowness_percent, 1) / 100.0;
 
-      if (!is_open (server))
+      if (!server_is_open (server))
         continue;
       g_array_append_val (all, slowness);
       if (pace_is_slowed (&server->wish_pace))
@@ -385,79 +326,6 @@
   g_array_unref (all);
 }
 
-/* The first job in order that could use room on the server. */
-static const LeasedJob *
-first_for (GPtrArray *jobs, const LeasedServer *server)
-{
-  for (guint i = 0; i < jobs->len; i++)
-    {
-      const LeasedJob *job = g_ptr_array_index (jobs, i);
-
-      if (job->waiting > 0 && job->rank < RANK_NO_CHANCE
-          && strcmp (server->status.service, job->spec.service) == 0
-          && has_label (server, job->spec.label))
-        return job;
-    }
-  return NULL;
-}
-
-static gboolean
-want_is_news (const LeasedServer *server, double rank)
-{
-  gint64 age_ms = server->dispatcher->now_ms - server->wanted_ms;
-
-  if (is_offered_for_better (server, rank) || server->wanted_rank >= RANK_NO_CHANCE)
-    return TRUE;
-  if (age_ms < pace_interval_ms (&server->wish_pace))
-    return FALSE;
-  return age_ms >= want_again_ms (server->dispatcher)
-         || rank < server->wanted_rank * WANT_BETTER;
-}
-
-/* An entry that only asked where it believed to find room would leave room that frees to
- * whoever asked there by chance, whatever waits here. */
-static void
-send_wants (Dispatcher *dispatcher, GPtrArray *jobs)
-{
-  guint left = WANTS_A_TASK * dispatcher->n_waiting;
-  LeasedServer *server;
-
-  TAILQ_FOREACH (server, &dispatcher->servers, link)
-    {
-      const LeasedJob *job;
-      Wish wish;
-
-      if (left == 0)
-        return;
-      if (!is_open (server) || !is_trusted (server))
-        continue;
-      job = first_for (jobs, server);
-      if (job == NULL || !want_is_news (server, job->rank))
-        continue;
-      wish = wish_for (job);
-      note_wish (server, &wish);
-      dispatcher->ops->want (server, &wish, dispatcher->ctx);
-      left--;
-    }
-}
-
-/* Room that is kept here for nothing would stand free until the offer lapses. */
-static void
-decline_offers (Dispatcher *dispatcher)
-{
-  const Wish nothing = { .rank = RANK_NO_CHANCE };
-  LeasedServer *server;
-
-  TAILQ_FOREACH (server, &dispatcher->servers, link)
-    {
-      if (!server->status.offered || !is_open (server))
-        continue;
-      server->status.offered = FALSE;
-      note_wish (server, &nothing);
-      dispatcher->ops->want (server, &nothing, dispatcher->ctx);
-    }
-}
-
 void
 dispatcher_pump (Dispatcher *dispatcher, gint64 now_ms)
 {
@@ -466,7 +334,7 @@
   dispatcher->now_ms = now_ms;
   if (dispatcher->n_waiting == 0)
     {
-      decline_offers (dispatcher);
+      dispatcher_decline_offers (dispatcher);
       return;
     }
   note_usual (dispatcher);
@@ -476,7 +344,7 @@
   for (guint i = 0; i < jobs->len; i++)
     place_job (dispatcher, g_ptr_array_index (jobs, i));
   if (dispatcher->n_waiting > 0)
-    send_wants (dispatcher, jobs);
+    dispatcher_send_wishes (dispatcher, jobs);
   dispatcher->ordered = NULL;
   g_ptr_array_unref (jobs);
   if (dispatcher->arrived)
--- a/tests/test-decoders.c
+++ b/tests/test-decoders.c
@@ -282,8 +282,7 @@
     "{\"version\":1,\"routes\":[[{\"name\":\"inner\"}],{\"name\":\"outer\"}]}",
     "{\"version\":1,\"routes\":[[\"x\",7],{\"name\":[\"y\"],\"host\":{\"name\":\"z\"}}]}",
     "{\"version\":1,\"other\":{\"routes\":[{\"name\":\"a\"}]},\"routes\":[]}",
-    "{\"version\":1,\"other\":{\"version\":9},\"routes\":[{\"advice\":{},\"priority\":3}]"
-    "}",
+    "{\"version\":1,\"o\":{\"version\":9},\"routes\":[{\"advice\":{},\"priority\":3}]}",
     "{\"version\":1.5,\"routes\":[]}",
     "{\"version\":2,\"routes\":[{\"priority\":1e3,\"max_attempts\":2.5,\"stretch\":-1}]}",
     "{\"version\":9007199254740993,\"routes\":[]}",
--- a/tests/test-mesh.c
+++ b/tests/test-mesh.c
@@ -123,6 +123,7 @@
 #define MOST_ENTRIES 4
 /* Every agent has as many links, so an entry has this many in the mean. */
 #define AGENTS_AN_ENTRY (AGENTS * MOST_ENTRIES / ENTRIES)
+#define AGENTS_AN_ENTRY_MOST (3u * AGENTS_AN_ENTRY)
 /* After this all must have found one another, on a busy machine too. */
 #define SETTLED_MS 4000
 
@@ -200,7 +201,7 @@
   node->base = base;
   gw__hello__init (&node->hello);
   node->hello.role = role;
-  node->hello.incarnation = role * 1000 + i + 1;
+  node->hello.incarnation = (guint64)role * 1000 + i + 1;
   g_snprintf (node->name, sizeof node->name, "%s-%u",
               role == GW__HELLO__ROLE__ENTRY ? "entry" : "agent", i);
   node->hello.name = node->name;
@@ -299,7 +300,7 @@
       g_test_message ("entry %u: %u agents", i, agents);
       g_assert_cmpuint (linked (&parts.entries[i], TRUE), ==, ENTRIES - 1);
       g_assert_cmpuint (agents, >, 0);
-      g_assert_cmpuint (agents, <=, 3 * AGENTS_AN_ENTRY);
+      g_assert_cmpuint (agents, <=, AGENTS_AN_ENTRY_MOST);
     }
   parts_close (&parts);
 }
--- a/tests/test-pace.c
+++ b/tests/test-pace.c
@@ -31,7 +31,8 @@
   Lateness lateness = { 0 };
 
   for (guint i = 0; i < FRAMES; i++)
-    lateness_hear (&lateness, TOLD_AT_MS + 100 * i, HEARD_AT_MS + 100 * i + c->way_ms[i]);
+    lateness_hear (&lateness, TOLD_AT_MS + (gint64)100 * i,
+                   HEARD_AT_MS + (gint64)100 * i + c->way_ms[i]);
   g_assert_cmpuint (lateness.late_ms, ==, c->late_ms);
 }
 
@@ -55,7 +56,7 @@
   g_assert_cmpuint (lateness.late_ms, ==, 0);
 }
 
-#define LEAST_MS 15
+#define LEAST_MS 15u
 
 typedef struct
 {
@@ -98,7 +99,7 @@
 
   for (guint i = 0; i < 100; i++)
     pace_hear (&pace, 100, 1000);
-  g_assert_cmpuint (pace_interval_ms (&pace), ==, 2 * LEAST_MS);
+  g_assert_cmpuint (pace_interval_ms (&pace), ==, 2u * LEAST_MS);
 }
 
 int
