--- a/tests/test-mesh.c
+++ b/tests/test-mesh.c
@@ -123,7 +123,7 @@
 #define MOST_ENTRIES 4
 /* Every agent has as many links, so an entry has this many in the mean. */
 #define AGENTS_AN_ENTRY (AGENTS * MOST_ENTRIES / ENTRIES)
-#define AGENTS_AN_ENTRY_MOST (3u * AGENTS_AN_ENTRY)
+#define AGENTS_AN_ENTRY_MOST ((guint64)3 * AGENTS_AN_ENTRY)
 /* After this all must have found one another, on a busy machine too. */
 #define SETTLED_MS 4000
 
--- a/tests/test-pace.c
+++ b/tests/test-pace.c
@@ -95,11 +95,12 @@
 static void
 test_pace_many_frames (void)
 {
+  const guint doubled = 2 * LEAST_MS;
   Pace pace = pace_new (LEAST_MS);
 
   for (guint i = 0; i < 100; i++)
     pace_hear (&pace, 100, 1000);
-  g_assert_cmpuint (pace_interval_ms (&pace), ==, 2u * LEAST_MS);
+  g_assert_cmpuint (pace_interval_ms (&pace), ==, doubled);
 }
 
 int
