--- a/src/leased_agent_state.c
+++ b/src/leased_agent_state.c
@@ -25,7 +25,6 @@
 /* What an entry was told last, and how often it can be told. */
 typedef struct
 {
-  gboolean told; /* anything, over this link */
   State state;
   gint64 told_ms;
   Pace pace;
@@ -73,7 +72,7 @@
 static gboolean
 state_is_news (const State *state, const ToldState *told)
 {
-  return told == NULL || !told->told || memcmp (&told->state, state, sizeof *state) != 0;
+  return told == NULL || memcmp (&told->state, state, sizeof *state) != 0;
 }
 
 static gboolean
@@ -88,7 +87,7 @@
 static gboolean
 is_urgent (const State *state, const ToldState *told)
 {
-  if (told == NULL || !told->told || state->offered || told->state.ready != state->ready
+  if (told == NULL || state->offered || told->state.ready != state->ready
       || told->state.draining != state->draining || told->state.trust != state->trust)
     return TRUE;
   return is_tight (state) || is_tight (&told->state);
@@ -107,7 +106,7 @@
 static gint64
 left_ms (const State *state, const ToldState *told, gint64 now_ms)
 {
-  if (told == NULL || !told->told || state->offered)
+  if (told == NULL || state->offered)
     return 0;
   return told->told_ms + pace_interval_ms (&told->pace) - now_ms;
 }
@@ -178,7 +177,6 @@
       peer->data = told = g_new0 (ToldState, 1);
       told->pace = pace_new (STATE_LEAST_MS);
     }
-  told->told = TRUE;
   told->state = now;
   told->told_ms = clock_now_ms ();
   gw__server_state__init (&agent->state);
