--- a/src/counters.h
+++ b/src/counters.h
@@ -62,6 +62,8 @@
   X (CONFIG_STALE, "config_stale", "configurations received that were no newer")         \
   X (CONFIG_FRAMES, "config_frames", "frames sent that carry a configuration")           \
   X (CONFIG_BYTES, "config_bytes", "bytes of frames sent that carry a configuration")    \
+  X (CONFIG_SILENCE, "config_silence_ms",                                                \
+     "longest time between two answers to the configuration's reader")                   \
   X (CONFIG_UNCONFIRMED, "config_unconfirmed",                                           \
      "submissions refused, version unconfirmed")                                         \
   X (EVENTS_WRITTEN, "events_written", "event lines written")                            \
