--- a/standins/store.c
+++ b/standins/store.c
@@ -2,9 +2,10 @@
  * rows-tx, rows-feed. A test plays the operator by writing the table "op" itself.
  *
  * POST /faults?mode=MODE switches: "ok"; "down" (503 at once); "hang" (no answer, nothing
- * done); "lose" (writes are done, their answers are lost); "forget" (the history is
- * dropped: feeds answer 410 once); "slow" (every call is looked at a
- * second later). */
+ * done); "silent" (the same, and feeds that wait are never answered); "lose" (writes are
+ * done, their answers are lost); "forget" (the history is dropped: feeds answer 410
+ * once); "slow" (every call is looked at a second later). GET /counters: reads of
+ * the operator's table. */
 #include "clock.h"
 #include "hold.h"
 #include "http.h"
@@ -25,13 +26,14 @@
   MODE_OK,
   MODE_DOWN,
   MODE_HANG,
+  MODE_SILENT,
   MODE_LOSE,
   MODE_FORGET,
   MODE_SLOW,
 } Mode;
 
 static const char *const mode_names[]
-    = { "ok", "down", "hang", "lose", "forget", "slow" };
+    = { "ok", "down", "hang", "silent", "lose", "forget", "slow" };
 
 typedef struct
 {
@@ -58,6 +60,7 @@
   gint64 version;
   gint64 oldest; /* feeds from before this version are refused */
   Mode mode;
+  guint64 config_reads;
 } Store;
 
 static void
@@ -280,6 +283,29 @@
   g_free (text);
 }
 
+static void
+forget_feeds (Store *store)
+{
+  for (guint i = 0; i < store->feeds->len; i++)
+    {
+      const Feed *feed = g_ptr_array_index (store->feeds, i);
+
+      evhttp_connection_set_closecb (evhttp_request_get_connection (feed->request), NULL,
+                                     NULL);
+    }
+  g_ptr_array_set_size (store->feeds, 0);
+}
+
+static void
+serve_counters (const Store *store, struct evhttp_request *request)
+{
+  char *text
+      = g_strdup_printf ("config_reads %" G_GUINT64_FORMAT "\n", store->config_reads);
+
+  http_reply (request, 200, "text/plain", text, strlen (text), 0);
+  g_free (text);
+}
+
 static void
 serve_faults (Store *store, struct evhttp_request *request)
 {
@@ -288,6 +314,8 @@
   for (guint i = 0; i < G_N_ELEMENTS (mode_names); i++)
     if (g_strcmp0 (mode, mode_names[i]) == 0)
       store->mode = i;
+  if (store->mode == MODE_SILENT)
+    forget_feeds (store);
   if (store->mode == MODE_FORGET)
     {
       store->oldest = store->version + 1;
@@ -314,6 +342,16 @@
     reply_empty (request, 404);
 }
 
+static gboolean
+is_config_read (struct evhttp_request *request)
+{
+  char *table = http_query_value (request, "table");
+  gboolean is_read = g_strcmp0 (table, "op") == 0;
+
+  g_free (table);
+  return is_read;
+}
+
 static void
 on_request (struct evhttp_request *request, void *ctx)
 {
@@ -321,12 +359,21 @@
   const char *path = evhttp_uri_get_path (evhttp_request_get_evhttp_uri (request));
 
   if (strcmp (path, "/faults") == 0)
-    serve_faults (store, request);
-  else if (store->mode == MODE_DOWN)
+    {
+      serve_faults (store, request);
+      return;
+    }
+  if (strcmp (path, "/counters") == 0)
+    {
+      serve_counters (store, request);
+      return;
+    }
+  store->config_reads += is_config_read (request);
+  if (store->mode == MODE_DOWN)
     reply_empty (request, 503);
   else if (store->mode == MODE_SLOW)
     hold_request (store->base, request, SLOW_MS, serve, store);
-  else if (store->mode != MODE_HANG)
+  else if (store->mode != MODE_HANG && store->mode != MODE_SILENT)
     serve (request, store);
 }
 
--- a/tests/platform_scene.c
+++ b/tests/platform_scene.c
@@ -184,6 +184,21 @@
   return exchange;
 }
 
+gboolean
+platform_serves (const PlatformScene *scene, const char *prefix)
+{
+  const char *headers[] = { "Host", PLATFORM_HOST, NULL };
+  Exchange *exchange
+      = harness_call_with (scene->harness, scene->entries[scene->n_entries - 1]->http,
+                           EVHTTP_REQ_GET, prefix, headers, "");
+  gboolean served;
+
+  harness_wait_exchange (scene->harness, exchange);
+  served = exchange->status == 200;
+  exchange_free (exchange);
+  return served;
+}
+
 gboolean
 platform_is_ready (gpointer ctx)
 {
--- a/tests/test-spread.c
+++ b/tests/test-spread.c
@@ -31,22 +31,6 @@
 /* The aim is one copy of a version for each entry; one more if a source falls silent. */
 #define COPIES_MOST ((guint64)2)
 
-/* Whether the last entry knows the queue of that prefix. */
-static gboolean
-is_served (const PlatformScene *scene, const char *prefix)
-{
-  const char *headers[] = { "Host", PLATFORM_HOST, NULL };
-  Exchange *exchange
-      = harness_call_with (scene->harness, scene->entries[scene->n_entries - 1]->http,
-                           EVHTTP_REQ_GET, prefix, headers, "");
-  gboolean served;
-
-  harness_wait_exchange (scene->harness, exchange);
-  served = exchange->status == 200;
-  exchange_free (exchange);
-  return served;
-}
-
 static void
 check_in_time (gint64 since_ms, gint64 most_ms)
 {
@@ -59,13 +43,13 @@
 static gboolean
 first_is_in_force (gpointer ctx)
 {
-  return is_served (ctx, "/first/");
+  return platform_serves (ctx, "/first/");
 }
 
 static gboolean
 second_is_in_force (gpointer ctx)
 {
-  return is_served (ctx, "/second/");
+  return platform_serves (ctx, "/second/");
 }
 
 static guint64
