--- a/src/counters.h
+++ b/src/counters.h
@@ -58,6 +58,8 @@
   X (TABLE_ERRORS, "table_errors", "requests to the table that failed")                  \
   X (TABLE_TIMEOUTS, "table_timeouts",                                                   \
      "requests to the table ended by their time limit")                                  \
+  X (TABLE_REPEATS, "table_repeats",                                                     \
+     "requests to the table made again before the first was answered")                   \
   X (CONFIG_ADOPTED, "config_adopted", "configuration versions adopted")                 \
   X (CONFIG_STALE, "config_stale", "configurations received that were no newer")         \
   X (CONFIG_FRAMES, "config_frames", "frames sent that carry a configuration")           \
--- a/src/http.c
+++ b/src/http.c
@@ -22,7 +22,7 @@
 
 typedef struct HttpConn HttpConn;
 
-typedef struct HttpJob
+struct HttpJob
 {
   TAILQ_ENTRY (HttpJob) link;
   HttpPool *pool;
@@ -39,9 +39,11 @@
   gint64 called_ms;
   gint64 begun_ms; /* when the answer's first byte came; 0: none has */
   gint64 heard_ms;
+  gboolean fresh;
+  void (*heard) (gpointer ctx);
   gboolean sent;
   gboolean finished;
-} HttpJob;
+};
 
 struct HttpConn
 {
@@ -134,10 +136,13 @@
   job->heard_ms = clock_now_ms ();
   if (job->begun_ms == 0)
     job->begun_ms = job->heard_ms;
-  if (job->silence_ms == 0)
-    return;
-  silence = timeval_from_ms (job->silence_ms);
-  event_add (job->timer, &silence);
+  if (job->silence_ms > 0)
+    {
+      silence = timeval_from_ms (job->silence_ms);
+      event_add (job->timer, &silence);
+    }
+  if (job->heard != NULL)
+    job->heard (job->ctx);
 }
 
 static void
@@ -178,8 +183,10 @@
   return conn;
 }
 
+/* Return: a connection to use, new if need be, or NULL if as many as may be are in use.
+ */
 static HttpConn *
-conn_take_idle (HttpPool *pool)
+conn_take (HttpPool *pool, const HttpJob *job)
 {
   gint64 now = clock_now_ms ();
   HttpConn *conn;
@@ -190,9 +197,10 @@
       next = TAILQ_NEXT (conn, link);
       if (conn->job != NULL || conn->doomed)
         continue;
-      if (now - conn->idle_ms <= pool->idle_ms)
+      if (!job->fresh && now - conn->idle_ms <= pool->idle_ms)
         return conn;
-      conn_free (conn);
+      if (!job->fresh || pool->open >= pool->limit)
+        conn_free (conn);
     }
   return pool->open < pool->limit ? conn_new (pool) : NULL;
 }
@@ -288,7 +296,7 @@
 
   while ((job = TAILQ_FIRST (&pool->waiting)) != NULL)
     {
-      HttpConn *conn = conn_take_idle (pool);
+      HttpConn *conn = conn_take (pool, job);
 
       if (conn == NULL)
         return;
@@ -334,30 +342,43 @@
     }
 }
 
+/* Take a job that has not ended from its connection, or from those that wait for one. */
 static void
-on_timeout (evutil_socket_t fd, short what, void *ctx)
+detach (HttpJob *job)
 {
-  HttpJob *job = ctx;
-  HttpAnswer answer = answer_of (job);
   HttpConn *conn = job->conn;
   HttpPool *pool = job->pool;
 
-  answer.timed_out = TRUE;
   if (conn == NULL)
     {
       TAILQ_REMOVE (&pool->waiting, job, link);
+      return;
     }
-  else
-    {
-      /* Freeing the connection drops its request without a callback. */
-      conn->job = NULL;
-      conn_free (conn);
-      event_active (pool->kick, EV_TIMEOUT, 0);
-    }
+  /* Freeing the connection drops its request without a callback. */
+  conn->job = NULL;
+  conn_free (conn);
+  event_active (pool->kick, EV_TIMEOUT, 0);
+}
+
+static void
+on_timeout (evutil_socket_t fd, short what, void *ctx)
+{
+  HttpJob *job = ctx;
+  HttpAnswer answer = answer_of (job);
+
+  answer.timed_out = TRUE;
+  detach (job);
   job_end (job, &answer);
   job_free (job);
 }
 
+void
+http_job_drop (HttpJob *job)
+{
+  detach (job);
+  job_free (job);
+}
+
 HttpPool *
 http_pool_new (struct event_base *base, const char *address, guint connections)
 {
@@ -432,7 +453,7 @@
   g_free (pool);
 }
 
-void
+HttpJob *
 http_pool_call (HttpPool *pool, const HttpCall *call)
 {
   HttpJob *job = g_new0 (HttpJob, 1);
@@ -444,6 +465,8 @@
   job->headers = g_strdupv ((char **)call->headers);
   job->body = g_bytes_new (call->body, call->size);
   job->silence_ms = call->silence_ms;
+  job->fresh = call->fresh;
+  job->heard = call->heard;
   job->done = call->done;
   job->ctx = call->ctx;
   job->called_ms = clock_now_ms ();
@@ -451,4 +474,5 @@
   event_add (job->timer, &timeout);
   TAILQ_INSERT_TAIL (&pool->waiting, job, link);
   event_active (pool->kick, EV_TIMEOUT, 0);
+  return job;
 }
--- a/src/http.h
+++ b/src/http.h
@@ -6,6 +6,8 @@
 #include <glib.h>
 
 typedef struct HttpPool HttpPool;
+/* A call under way. */
+typedef struct HttpJob HttpJob;
 
 typedef enum
 {
@@ -38,7 +40,9 @@
   guint timeout_ms; /* from call to whole answer; with @silence_ms, to its first byte */
   guint silence_ms; /* 0, or the longest between two pieces of an answer that has begun: a
                      * large one over a slow link is not ended while it arrives */
-  HttpDone done;    /* called once, never before http_pool_call () has returned */
+  gboolean fresh;   /* not over a connection that served another call: it may be dead */
+  void (*heard) (gpointer ctx); /* NULL, or called with each piece of the answer */
+  HttpDone done; /* called once, never before http_pool_call () has returned */
   gpointer ctx;
 } HttpCall;
 
@@ -59,7 +63,13 @@
 
 /** http_pool_free - calls under way end as broken or not sent. */
 void http_pool_free (HttpPool *pool);
-void http_pool_call (HttpPool *pool, const HttpCall *call);
+
+/** http_pool_call - Return: the call, valid until its done () is called or it is dropped.
+ */
+HttpJob *http_pool_call (HttpPool *pool, const HttpCall *call);
+
+/** http_job_drop - end a call without its done (), and close its connection. */
+void http_job_drop (HttpJob *job);
 
 /** http_split_address - "ip:port" into its parts; FALSE if it is not one. */
 gboolean http_split_address (const char *address, char **ip, guint16 *port);
