Rows in the store: a write that hangs does not delay the next one

Entries that started while the store was silent found each other up to 4.6 s after its return: an entry's own row, the list of entries and an agent's kept report had the same doubled limit, one call at a time, and 0.8 s more between writes.

--- a/standins/store.c
+++ b/standins/store.c
@@ -5,7 +5,7 @@
  * done); "silent" (the same, and feeds that wait are never answered); "lose" (writes are
  * done, their answers are lost); "forget" (the history is dropped: feeds answer 410
  * once); "slow" (every call is looked at a second later). GET /counters: reads of
- * the operator's table. */
+ * the operator's table, and writes. */
 #include "clock.h"
 #include "hold.h"
 #include "http.h"
@@ -61,6 +61,7 @@
   gint64 oldest; /* feeds from before this version are refused */
   Mode mode;
   guint64 config_reads;
+  guint64 writes;
 } Store;
 
 static void
@@ -299,8 +300,9 @@
 static void
 serve_counters (const Store *store, struct evhttp_request *request)
 {
-  char *text
-      = g_strdup_printf ("config_reads %" G_GUINT64_FORMAT "\n", store->config_reads);
+  char *text = g_strdup_printf ("config_reads %" G_GUINT64_FORMAT
+                                "\nwrites %" G_GUINT64_FORMAT "\n",
+                                store->config_reads, store->writes);
 
   http_reply (request, 200, "text/plain", text, strlen (text), 0);
   g_free (text);
@@ -369,6 +371,7 @@
       return;
     }
   store->config_reads += is_config_read (request);
+  store->writes += strcmp (path, "/rows-tx") == 0;
   if (store->mode == MODE_DOWN)
     reply_empty (request, 503);
   else if (store->mode == MODE_SLOW)
--- a/tests/test-hedge.c
+++ b/tests/test-hedge.c
@@ -136,6 +136,7 @@
   { "configuration", &store_follow_policy, STORE_FEED_WAIT_MS, 5, BACK_MOST_MS },
   { "configuration-of-a-slow-store", &store_follow_policy, STORE_FEED_WAIT_MS, 2400,
     BACK_MOST_MS + 2400 },
+  { "rows", &store_row_policy, 0, 5, BACK_MOST_MS + 500 },
 };
 
 /* Silences of 0.1 to 30 s, each reader in another phase of its calls. */
--- a/tests/test-silence.c
+++ b/tests/test-silence.c
@@ -4,39 +4,40 @@
 #include "clock.h"
 #include "platform_scene.h"
 
+#include <string.h>
+
 /* The operator's aim for a version confirmed right after the return. */
 #define APPLIED_MS 1000
-/* The store falls silent, and returns, this much after it has taken a read that it never
+/* The aim for what an entry leaves in the store, and finds there. */
+#define ROWS_MS 2000
+/* The store falls silent, and returns, this much after it has taken a call that it never
  * answers: the worst moments for who waits for that answer. */
-#define AFTER_READ_MS 50
-
-static guint64
-reads_of (PlatformScene *scene)
-{
-  return harness_counter (scene->harness, scene->store->http, "config_reads");
-}
+#define AFTER_CALL_MS 50
 
 typedef struct
 {
   PlatformScene *scene;
-  guint64 reads;
-} ReadWait;
+  const char *counter; /* of the store */
+  guint64 before;
+} CallWait;
 
 static gboolean
-was_read (gpointer ctx)
+was_called (gpointer ctx)
 {
-  ReadWait *wait = ctx;
+  CallWait *wait = ctx;
 
-  return reads_of (wait->scene) > wait->reads;
+  return harness_counter (wait->scene->harness, wait->scene->store->http, wait->counter)
+         > wait->before;
 }
 
 static void
-wait_for_read (PlatformScene *scene)
+wait_for_call (PlatformScene *scene, const char *counter)
 {
-  ReadWait wait = { scene, reads_of (scene) };
+  CallWait wait
+      = { scene, counter, harness_counter (scene->harness, scene->store->http, counter) };
 
-  harness_wait (scene->harness, was_read, &wait, "a read of the configuration");
-  harness_run_ms (scene->harness, AFTER_READ_MS);
+  harness_wait (scene->harness, was_called, &wait, counter);
+  harness_run_ms (scene->harness, AFTER_CALL_MS);
 }
 
 static gboolean
@@ -64,7 +65,7 @@
 {
   const char *name;
   guint silent_ms;
-  gboolean until_read; /* and until a read has begun in it */
+  gboolean until_call; /* and until a call has begun in it */
 } Silence;
 
 static const Silence silences[] = { { "0.1-s", 100, FALSE },
@@ -84,11 +85,11 @@
   platform_scene_open (&scene, &init);
   platform_put_config (&scene, "/first/");
   harness_wait (scene.harness, first_is_in_force, &scene, "the first version");
-  wait_for_read (&scene);
+  wait_for_call (&scene, "config_reads");
   harness_fault (scene.harness, scene.store, "silent");
   harness_run_ms (scene.harness, silence->silent_ms);
-  if (silence->until_read)
-    wait_for_read (&scene);
+  if (silence->until_call)
+    wait_for_call (&scene, "config_reads");
   harness_fault (scene.harness, scene.store, "ok");
   platform_put_config (&scene, "/second/");
   confirmed_ms = clock_now_ms ();
@@ -97,11 +98,93 @@
   platform_scene_close (&scene);
 }
 
+static void
+restart_entries (PlatformScene *scene)
+{
+  for (guint i = 0; i < scene->n_entries; i++)
+    {
+      process_kill (scene->harness, scene->entries[i]);
+      platform_restart_entry (scene, i);
+    }
+}
+
+static gboolean
+is_row_kept (gpointer ctx)
+{
+  PlatformScene *scene = ctx;
+  Exchange *exchange
+      = harness_get (scene->harness, scene->store->http, "/rows-get?table=entries&part=");
+  const char *address = scene->entries[0]->frames;
+  char *value = g_base64_encode ((const guchar *)address, strlen (address));
+  gboolean is_kept = strstr (exchange->body, value) != NULL;
+
+  g_free (value);
+  exchange_free (exchange);
+  return is_kept;
+}
+
+/* A write that hangs since before the store's return must not delay the next one. */
+static void
+test_row (gconstpointer data)
+{
+  static const PlatformInit init = { .entries = 1 };
+  const Silence *silence = data;
+  PlatformScene scene;
+  gint64 returned_ms;
+
+  platform_scene_open (&scene, &init);
+  harness_wait (scene.harness, is_row_kept, &scene, "the first row");
+  harness_fault (scene.harness, scene.store, "silent");
+  restart_entries (&scene);
+  harness_run_ms (scene.harness, silence->silent_ms);
+  if (silence->until_call)
+    wait_for_call (&scene, "writes");
+  harness_fault (scene.harness, scene.store, "ok");
+  returned_ms = clock_now_ms ();
+  harness_wait (scene.harness, is_row_kept, &scene, "the row");
+  check_in_time (returned_ms, ROWS_MS);
+  platform_scene_close (&scene);
+}
+
+static gboolean
+are_linked (gpointer ctx)
+{
+  PlatformScene *scene = ctx;
+
+  return harness_counter (scene->harness, scene->entries[0]->metrics, "frames_received")
+         > 0;
+}
+
+/* Entries that know of each other by the store alone. */
+static void
+test_link (gconstpointer data)
+{
+  static const PlatformInit init = { .entries = 2 };
+  const Silence *silence = data;
+  PlatformScene scene;
+  gint64 returned_ms;
+
+  platform_scene_open (&scene, &init);
+  harness_wait (scene.harness, are_linked, &scene, "the first link");
+  harness_fault (scene.harness, scene.store, "silent");
+  restart_entries (&scene);
+  harness_run_ms (scene.harness, silence->silent_ms);
+  if (silence->until_call)
+    wait_for_call (&scene, "writes");
+  harness_fault (scene.harness, scene.store, "ok");
+  returned_ms = clock_now_ms ();
+  harness_wait (scene.harness, are_linked, &scene, "the link");
+  check_in_time (returned_ms, ROWS_MS);
+  platform_scene_close (&scene);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_set_nonfatal_assertions ();
   ADD_CASES ("/silence/configuration-is-read-after", silences, test_configuration);
+  ADD_CASES ("/silence/row-is-written-after", silences, test_row);
+  ADD_CASES ("/silence/entries-link-after", silences, test_link);
   return g_test_run ();
 }
