Claims: a keyed request is refused after 3 s, not when its calls have ended

Cause: the limit was looked at when a call had ended, and the longest path is a write (2 s), 0.1 s and a read (4 s). Ruled out: the caller's side, answered in the same millisecond. Change: each claim has a timer. One that waits its turn ends at once; one that is in a call ends for its caller, and is freed when that call ends, since its place in the batch counts. Should its write land, the row names a job that never ran, which the next submission takes over (as /keys/late-claim-taken-over has it). /keys/refused-in-time: 5102 -> 3004 ms, bound 3500; it failed before.

--- a/src/claims.c
+++ b/src/claims.c
@@ -20,8 +20,10 @@
   gboolean takes_over;
   JobKey instead_of;
   gint64 if_version;
-  gint64 begun_ms;
   struct event *timer;
+  struct event *limit;
+  gboolean is_waiting; /* for its turn to be written */
+  gboolean expired;    /* ended, and freed once the call that it is in has ended */
   ClaimDone done;
   gpointer ctx;
 } Claim;
@@ -46,28 +48,59 @@
 claim_free (Claim *claim)
 {
   event_free (claim->timer);
+  event_free (claim->limit);
   g_free (claim->row_key);
   g_free (claim->value);
   g_free (claim);
 }
 
 static void
-claim_end (Claim *claim, ClaimResult result, const JobKey *other)
+claim_tell (Claim *claim, ClaimResult result, const JobKey *other)
 {
   if (result == CLAIM_UNREACHABLE)
     counter_add (COUNTER_CLAIMS_REFUSED, 1);
   if (result == CLAIM_REPEATED)
     counter_add (COUNTER_CLAIMS_REPEATED, 1);
   claim->done (result, other, claim->ctx);
+}
+
+static void
+claim_end (Claim *claim, ClaimResult result, const JobKey *other)
+{
+  claim_tell (claim, result, other);
   claim_free (claim);
 }
 
 static void
 claim_queue (Claim *claim)
 {
+  claim->is_waiting = TRUE;
   TAILQ_INSERT_TAIL (&claim->claims->waiting, claim, link_entry);
 }
 
+static void
+claim_unqueue (Claim *claim)
+{
+  claim->is_waiting = FALSE;
+  TAILQ_REMOVE (&claim->claims->waiting, claim, link_entry);
+}
+
+/* A call that is under way goes on: its place in the write counts. */
+static void
+on_limit (evutil_socket_t fd, short what, void *ctx)
+{
+  Claim *claim = ctx;
+
+  if (claim->is_waiting)
+    {
+      claim_unqueue (claim);
+      claim_end (claim, CLAIM_UNREACHABLE, NULL);
+      return;
+    }
+  claim_tell (claim, CLAIM_UNREACHABLE, NULL);
+  claim->expired = TRUE;
+}
+
 /* What stands in the row decides: our own id if an earlier answer was lost, a job that we
  * may take over from, or the job that was first. Takes the claim. */
 static void
@@ -81,8 +114,7 @@
       claim_end (claim, CLAIM_TAKEN, NULL);
       return;
     }
-  if (claim->takes_over && job_key_equal (&other, &claim->instead_of)
-      && clock_now_ms () - claim->begun_ms <= claim->claims->limit_ms)
+  if (claim->takes_over && job_key_equal (&other, &claim->instead_of))
     {
       claim->if_version = version;
       claim_queue (claim);
@@ -107,10 +139,10 @@
   Claims *claims = claim->claims;
 
   TAILQ_REMOVE (&claims->reading, claim, link_entry);
-  if (status == TABLE_OK)
+  if (claim->expired)
+    claim_free (claim);
+  else if (status == TABLE_OK)
     claim_decide (claim, row->value, row->version);
-  else if (clock_now_ms () - claim->begun_ms > claims->limit_ms)
-    claim_end (claim, CLAIM_UNREACHABLE, NULL);
   else if (status == TABLE_MISSING)
     claim_queue (claim);
   else
@@ -123,13 +155,21 @@
 {
   Claim *claim = ctx;
 
+  if (claim->expired)
+    {
+      TAILQ_REMOVE (&claim->claims->reading, claim, link_entry);
+      claim_free (claim);
+      return;
+    }
   table_read (claim->claims->table, claim->row_key, on_read_back, claim);
 }
 
 static void
 claim_written (Claim *claim, TableStatus status, const TableWrite *write)
 {
-  if (status == TABLE_NOT_SENT)
+  if (claim->expired)
+    claim_free (claim);
+  else if (status == TABLE_NOT_SENT)
     claim_end (claim, CLAIM_UNREACHABLE, NULL);
   else if (status != TABLE_OK)
     /* It may have taken effect: only the row can tell. */
@@ -189,7 +229,7 @@
   writes = table_writes_new ();
   while (writes->len < BATCH_MAX && (claim = TAILQ_FIRST (&claims->waiting)) != NULL)
     {
-      TAILQ_REMOVE (&claims->waiting, claim, link_entry);
+      claim_unqueue (claim);
       TAILQ_INSERT_TAIL (&claims->written, claim, link_entry);
       table_writes_add (writes, claim->row_key, claim->value, claim->if_version,
                         ROW_TTL_S);
@@ -233,7 +273,7 @@
     return;
   while ((claim = TAILQ_FIRST (&claims->waiting)) != NULL)
     {
-      TAILQ_REMOVE (&claims->waiting, claim, link_entry);
+      claim_unqueue (claim);
       claim_free (claim);
     }
   while ((claim = TAILQ_FIRST (&claims->reading)) != NULL)
@@ -261,6 +301,7 @@
              gpointer ctx)
 {
   Claim *claim = g_new0 (Claim, 1);
+  struct timeval limit = timeval_from_ms (claims->limit_ms);
   char text[JOB_TEXT_SIZE];
 
   claim->claims = claims;
@@ -270,8 +311,9 @@
   claim->takes_over = instead_of != NULL;
   if (instead_of != NULL)
     claim->instead_of = *instead_of;
-  claim->begun_ms = clock_now_ms ();
   claim->timer = evtimer_new (claims->base, on_timer, claim);
+  claim->limit = evtimer_new (claims->base, on_limit, claim);
+  event_add (claim->limit, &limit);
   claim->done = done;
   claim->ctx = ctx;
   claim_queue (claim);
--- a/tests/test-keys.c
+++ b/tests/test-keys.c
@@ -7,6 +7,11 @@
 
 #define KEYED "\"key\":\"claim-7\",\"team\":\"food-bank\","
 
+/* Long enough for every limit of a call to have grown as far as it does. */
+#define SILENT_MS 8000
+/* A keyed request whose claim cannot be written is refused after 3 s. */
+#define REFUSED_MS 3500
+
 typedef struct
 {
   Harness *harness;
@@ -248,6 +253,28 @@
   harness_free (harness);
 }
 
+/* While no call to the table is answered, a keyed request is refused in time. */
+static void
+test_refused_in_time (void)
+{
+  Scene scene = scene_new (1);
+  gint64 submitted_ms;
+  Exchange *exchange;
+
+  harness_fault (scene.harness, scene.harness->platform, "hang");
+  harness_run_ms (scene.harness, SILENT_MS);
+  submitted_ms = clock_now_ms ();
+  exchange = submit (&scene, 0);
+  harness_wait_exchange (scene.harness, exchange);
+  g_test_message ("%d after %" G_GINT64_FORMAT " ms", exchange->status,
+                  clock_now_ms () - submitted_ms);
+  g_assert_cmpint (exchange->status, ==, 503);
+  g_assert_nonnull (strstr (exchange->body, "not run"));
+  g_assert_cmpint (clock_now_ms () - submitted_ms, <=, REFUSED_MS);
+  exchange_free (exchange);
+  scene_free (&scene, 0);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -257,6 +284,7 @@
   g_test_add_func ("/keys/answer-lost", test_answer_lost);
   g_test_add_func ("/keys/store-down", test_store_down);
   g_test_add_func ("/keys/late-claim-taken-over", test_late_claim_taken_over);
+  g_test_add_func ("/keys/refused-in-time", test_refused_in_time);
   g_test_add_func ("/keys/race", test_race);
   g_test_add_func ("/keys/paced", test_paced);
   g_test_add_func ("/keys/grouped", test_grouped);
