Table: a call that hangs does not delay the next ones

Keyed requests that came just before the table answered again, and those after it, waited up to 3.0 s for its first answer.

Class and cause as of the late configuration: reads and writes of the native table had a limit that doubled with silence (to 4 and 2 times table.timeout_ms), claims have one write at a time, and two reads that hung held both connections that all reads share. Ruled out: the pace of writes (50 a second). Change: calls to the table are made again after table.timeout_ms without a byte, on fresh connections, and have a fixed limit for the whole; two reads and four writes are under way at once and the others wait their turn (table_calls.c), so that a connection that hangs holds up one call for one interval.

--- a/src/hedged_call.c
+++ b/src/hedged_call.c
@@ -30,6 +30,7 @@
   TAILQ_HEAD (, Attempt) attempts;
   HedgeView view;
   gint64 heard_ms;
+  gboolean sent; /* by an attempt that has ended: it may have been carried out */
 };
 
 static void
@@ -106,6 +107,24 @@
   schedule (call);
 }
 
+static void
+fail (HedgedCall *call, const HttpAnswer *answer)
+{
+  HttpAnswer last = *answer;
+
+  call->sent |= answer->end == HTTP_BROKEN;
+  call->ops->attempt_failed (answer, call->ctx);
+  call->view.is_arriving = is_any_arriving (call);
+  if (!TAILQ_EMPTY (&call->attempts))
+    {
+      schedule (call);
+      return;
+    }
+  last.end = call->sent ? HTTP_BROKEN : HTTP_NOT_SENT;
+  call->ops->done (&last, call->ctx);
+  hedged_call_drop (call);
+}
+
 static void
 on_done (const HttpAnswer *answer, gpointer ctx)
 {
@@ -115,13 +134,8 @@
   attempt_free (attempt);
   if (answer->end != HTTP_ANSWERED)
     {
-      call->ops->attempt_failed (answer, call->ctx);
-      call->view.is_arriving = is_any_arriving (call);
-      if (!TAILQ_EMPTY (&call->attempts))
-        {
-          schedule (call);
-          return;
-        }
+      fail (call, answer);
+      return;
     }
   call->ops->done (answer, call->ctx);
   hedged_call_drop (call);
--- a/src/hedged_call.h
+++ b/src/hedged_call.h
@@ -12,7 +12,8 @@
   HttpDone attempt_failed;
   /* Another attempt is made, since nothing was heard for that long. */
   void (*repeated) (gint64 silent_ms, gpointer ctx);
-  /* Once: an answer, or the end of the last attempt under way. */
+  /* Once: an answer, or the end of the last attempt under way; "not sent" only if none of
+   * the attempts was. */
   HttpDone done;
 } HedgedOps;
 
--- a/src/settings.c
+++ b/src/settings.c
@@ -68,7 +68,9 @@
   { "table.address", KIND_ADDRESS_OR_EMPTY, SETTINGS_ENTRY | LEASED, AT (table_address),
     "", 0, 0, "The platform's table service." },
   { "table.timeout_ms", KIND_NUMBER, SETTINGS_ENTRY, AT (table_timeout_ms), "1000", 10,
-    60000, "Wait for one of its answers; while it is slow up to four times that." },
+    60000,
+    "A call without an answer is made again after that long; a read is given up "
+    "after four times that, a write after two." },
   { "table.writes_per_s", KIND_NUMBER, SETTINGS_ENTRY, AT (table_writes_per_s), "50", 1,
     10000, "Most writes of callers' keys a second; what arrives meanwhile shares one." },
   { "entries.peers", KIND_ADDRESSES, SETTINGS_ENTRY | LEASED, AT (peers), "", 0, 0,
--- a/src/table.c
+++ b/src/table.c
@@ -1,36 +1,29 @@
 #include "table.h"
 #include "counters.h"
-#include "http.h"
-#include "time_limit.h"
+#include "table_calls.h"
 
 #include <json-glib/json-glib.h>
 #include <string.h>
 
-#define WRITE_CONNECTIONS 4
+#define WRITES_AT_ONCE 4
 /* Apart from the writes: many claims that wait for a slow table would keep the entry from
  * seeing a new configuration. */
-#define READ_CONNECTIONS 2
-/* While the table is slow a call is given up to this many times the operator's limit; a
- * write fewer, since a keyed job is refused after three seconds without its claim. */
-#define READ_FACTOR_MOST 4
-#define WRITE_FACTOR_MOST 2
-/* Between two pieces of an answer: a lost packet comes again after about a second. */
-#define SILENCE_MS 1500
+#define READS_AT_ONCE 2
+/* A call is given up after this many times the operator's limit; a write fewer, since a
+ * keyed job is refused after three seconds without its claim. */
+#define READ_FACTOR 4
+#define WRITE_FACTOR 2
 #define ROWS_PATH "/v1/tables/godwitspar/rows"
 #define COMMIT_PATH "/v1/tables/godwitspar/commit"
 
 struct Table
 {
-  struct event_base *base;
-  HttpPool *writes;
-  HttpPool *reads;
-  TimeLimit read_limit;
-  TimeLimit write_limit;
+  TableCalls *writes;
+  TableCalls *reads;
 };
 
 typedef struct
 {
-  Table *table;
   TableRowDone row_done;
   TableListDone list_done;
   TableWriteDone write_done;
@@ -84,14 +77,13 @@
 Table *
 table_new (struct event_base *base, const char *address, guint timeout_ms)
 {
+  TableCallsInit reads = { READS_AT_ONCE, timeout_ms, READ_FACTOR * timeout_ms };
+  TableCallsInit writes = { WRITES_AT_ONCE, timeout_ms, WRITE_FACTOR * timeout_ms };
   Table *table = g_new0 (Table, 1);
 
-  table->base = base;
-  time_limit_init (&table->read_limit, timeout_ms, READ_FACTOR_MOST * timeout_ms);
-  time_limit_init (&table->write_limit, timeout_ms, WRITE_FACTOR_MOST * timeout_ms);
   address = address != NULL ? address : "127.0.0.1:1";
-  table->writes = http_pool_new (base, address, WRITE_CONNECTIONS);
-  table->reads = http_pool_new (base, address, READ_CONNECTIONS);
+  table->writes = table_calls_new (base, address, &writes);
+  table->reads = table_calls_new (base, address, &reads);
   return table;
 }
 
@@ -100,8 +92,8 @@
 {
   if (table == NULL)
     return;
-  http_pool_free (table->writes);
-  http_pool_free (table->reads);
+  table_calls_free (table->writes);
+  table_calls_free (table->reads);
   g_free (table);
 }
 
@@ -150,13 +142,6 @@
     counter_add (COUNTER_TABLE_ERRORS, 1);
 }
 
-static void
-note_pace (TimeLimit *limit, const HttpAnswer *answer)
-{
-  counter_add (COUNTER_TABLE_TIMEOUTS, answer->timed_out);
-  time_limit_note (limit, answer, 0);
-}
-
 static void
 on_row (const HttpAnswer *answer, gpointer ctx)
 {
@@ -169,7 +154,6 @@
     row = row_from_object (json_node_get_object (root));
   else if (status == TABLE_OK)
     status = TABLE_UNKNOWN;
-  note_pace (&call->table->read_limit, answer);
   count_answer (status);
   call->row_done (status, row, call->ctx);
 
@@ -193,7 +177,6 @@
     status = TABLE_UNKNOWN;
   for (guint i = 0; array != NULL && i < json_array_get_length (array); i++)
     g_ptr_array_add (rows, row_from_object (json_array_get_object_element (array, i)));
-  note_pace (&call->table->read_limit, answer);
   count_answer (status);
   call->list_done (status, rows, call->ctx);
 
@@ -227,7 +210,6 @@
   for (guint i = 0; status == TABLE_OK && i < call->writes->len; i++)
     write_fill (g_ptr_array_index (call->writes, i),
                 json_array_get_object_element (results, i));
-  note_pace (&call->table->write_limit, answer);
   count_answer (status);
   call->write_done (status, call->writes, call->ctx);
 
@@ -237,18 +219,10 @@
 }
 
 static void
-start_read (Table *table, const char *path, HttpDone done, TableCall *table_call)
+start_read (Table *table, const char *path, HttpDone done, TableCall *call)
 {
-  HttpCall call = { .method = EVHTTP_REQ_GET,
-                    .path = path,
-                    .timeout_ms = table->read_limit.now_ms,
-                    .silence_ms = SILENCE_MS,
-                    .done = done,
-                    .ctx = table_call };
-
-  table_call->table = table;
   counter_add (COUNTER_TABLE_READS, 1);
-  http_pool_call (table->reads, &call);
+  table_calls_make (table->reads, EVHTTP_REQ_GET, path, NULL, done, call);
 }
 
 void
@@ -319,23 +293,13 @@
 void
 table_write (Table *table, GPtrArray *writes, TableWriteDone done, gpointer ctx)
 {
-  TableCall *table_call = g_new0 (TableCall, 1);
+  TableCall *call = g_new0 (TableCall, 1);
   char *body = writes_to_json (writes);
-  const char *headers[] = { "Content-Type", "application/json", NULL };
-  HttpCall call = { .method = EVHTTP_REQ_POST,
-                    .path = COMMIT_PATH,
-                    .headers = headers,
-                    .body = body,
-                    .size = strlen (body),
-                    .timeout_ms = table->write_limit.now_ms,
-                    .done = on_write,
-                    .ctx = table_call };
-
-  table_call->table = table;
-  table_call->write_done = done;
-  table_call->writes = writes;
-  table_call->ctx = ctx;
+
+  call->write_done = done;
+  call->writes = writes;
+  call->ctx = ctx;
   counter_add (COUNTER_TABLE_WRITES, 1);
-  http_pool_call (table->writes, &call);
+  table_calls_make (table->writes, EVHTTP_REQ_POST, COMMIT_PATH, body, on_write, call);
   g_free (body);
 }
