Spread: an entry that froze is not waited for as one with a full link is

An entry that could not reach the store had a confirmed version 2.3 s after it, when the two peers that it asked first had frozen.

Class and cause as of the late configuration: one patience (1, 2, 4, 8 s) for a peer that answers slowly and for one that is silent. Links between entries are found silent after 2 s. Ruled out: the version not being heard of (config-wanted 0.27 s after it was). Change: the patience holds only while the peer that was asked is heard; nothing heard of it for 0.6 s, more than a heartbeat between entries, counts as lost.

--- a/src/leased_entry_config.c
+++ b/src/leased_entry_config.c
@@ -119,7 +119,11 @@
 
   for (MeshPeer *peer = mesh_first (entry->mesh); peer != NULL; peer = mesh_next (peer))
     if (is_linked_entry (peer))
-      view.heard_version = MAX (view.heard_version, peer->config_version);
+      {
+        view.heard_version = MAX (view.heard_version, peer->config_version);
+        if (peer->config_asked_ms == entry->spread.asked_ms)
+          view.asked_heard_ms = link_heard_ms (peer->link);
+      }
   view.arriving
       = view.heard_version > view.own_version && entry->ops->config_arriving (entry->ctx);
   if (spread_due (&entry->spread, &view, now_ms))
--- a/src/spread.c
+++ b/src/spread.c
@@ -11,6 +11,8 @@
  * its answer is not cut, so that a copy more only takes from a link that is full. */
 #define PATIENCE_FIRST_MS 1000
 #define PATIENCE_MOST_MS 8000
+/* Of that patience: who lives has been heard by then, however late its answer is. */
+#define SILENT_MS 600
 
 gboolean
 spread_due (Spread *spread, const SpreadView *view, gint64 now_ms)
@@ -26,6 +28,9 @@
   if (spread->behind_ms == 0)
     spread->behind_ms = now_ms;
   behind_for_ms = now_ms - spread->behind_ms;
+  if (spread->asked_ms > 0
+      && now_ms - MAX (spread->asked_ms, view->asked_heard_ms) >= SILENT_MS)
+    spread_lost (spread);
   if (spread->asked_ms > 0)
     return now_ms - spread->asked_ms >= spread->patience_ms;
   if (view->arriving && behind_for_ms < ARRIVING_MOST_MS)
--- a/src/spread.h
+++ b/src/spread.h
@@ -5,7 +5,8 @@
  * have the new version within 0.1 s, one has a link of 25 Mbit/s. A copy from each of
  * them takes that link for 3 s, one with each heartbeat for good, and what it does not
  * carry fills the senders' memory. So a configuration is sent only to who asks for it,
- * one entry is asked at a time, and none while the store's own answer arrives. */
+ * one entry is asked at a time, and none while the store's own answer arrives. An entry
+ * that froze is not one with a full link: nothing at all is heard of it. */
 #include <glib.h>
 
 typedef struct
@@ -28,6 +29,7 @@
   guint64 own_version;   /* 0: none is known */
   guint64 heard_version; /* the newest that a linked entry has */
   gboolean arriving;     /* the store's answer is coming in */
+  gint64 asked_heard_ms; /* when the entry that was asked was last heard; 0: never */
 } SpreadView;
 
 /** spread_due - whether to ask an entry now. Call it often: it notes what it sees. */
--- a/tests/test-spread.c
+++ b/tests/test-spread.c
@@ -14,6 +14,7 @@
 #include "cases.h"
 #include "clock.h"
 #include "platform_scene.h"
+#include "spread.h"
 
 /* 300 kB of configuration, 400 kB in the store's encoding. */
 #define ROUTES 1600
@@ -24,6 +25,11 @@
 #define SLOWER_BYTES_PER_S 700000
 /* The operator's aim: a confirmed version is in force everywhere this much later. */
 #define APPLIED_MS 3000
+/* The others' next frames say which version they have. */
+#define TOLD_MS 150
+#define FROZEN 2
+/* The aim for an entry whose store and first choices of peers are silent. */
+#define FROZEN_PEERS_MS 2000
 /* What the stand-in adds to each answer when it is slow. */
 #define SLOW_STORE_MS 1000
 /* Entries that know of no other look each other up in the store after 0.7 s. */
@@ -138,6 +144,50 @@
   g_assert_cmpuint (sum (scene, "config_frames"), <=, 2 * COPIES_MOST);
 }
 
+/* Stop those of the others that the last entry asks first. */
+static void
+freeze_asked (PlatformScene *scene)
+{
+  SpreadPeer peers[PLATFORM_MOST];
+  guint n = scene->n_entries - 1;
+
+  for (guint i = 0; i < n; i++)
+    peers[i] = (SpreadPeer){ scene->entries[i]->name, 1, 0 };
+  for (guint i = 0; i < FROZEN; i++)
+    {
+      int asked = spread_choose (peers, n, scene->entries[n]->name, 0);
+
+      peers[asked].asked_ms = 1;
+      process_signal (scene->entries[asked], SIGSTOP);
+    }
+}
+
+static void
+wake_all (PlatformScene *scene)
+{
+  for (guint i = 0; i < scene->n_entries; i++)
+    process_signal (scene->entries[i], SIGCONT);
+}
+
+/* An entry that the store is silent to asks peers that have just frozen. */
+static void
+asked_peers_freeze (PlatformScene *scene)
+{
+  gint64 confirmed_ms;
+
+  platform_put_config (scene, "/first/");
+  harness_wait (scene->harness, first_is_in_force, scene, "the first version");
+  relay_set_mode (scene->store_relay, RELAY_VANISH, TRUE);
+  platform_put_config (scene, "/second/");
+  confirmed_ms = clock_now_ms ();
+  harness_run_ms (scene->harness, TOLD_MS);
+  freeze_asked (scene);
+  harness_wait (scene->harness, second_is_in_force, scene, "the second version");
+  check_in_time (confirmed_ms, FROZEN_PEERS_MS);
+  wake_all (scene);
+  g_assert_cmpuint (sum (scene, "config_frames"), <=, FROZEN + COPIES_MOST);
+}
+
 typedef struct
 {
   const char *name;
@@ -152,6 +202,9 @@
   { "store-out-of-reach",
     { .entries = 5, .relayed = TRUE, .line_bytes_per_s = LINE_BYTES_PER_S },
     store_out_of_reach },
+  { "asked-peers-freeze",
+    { .entries = 5, .relayed = TRUE, .line_bytes_per_s = LINE_BYTES_PER_S },
+    asked_peers_freeze },
   { "one-large-version",
     { .entries = 1, .line_bytes_per_s = SLOWER_BYTES_PER_S },
     one_large_version },
