--- a/tests/test-silence.c
+++ b/tests/test-silence.c
@@ -8,6 +8,10 @@
 
 /* The operator's aim for a version confirmed right after the return. */
 #define APPLIED_MS 1000
+/* 300 kB of configuration, 400 kB in the store's encoding, which take the line 0.4 s. */
+#define ROUTES 1600
+#define LINE_BYTES_PER_S 1000000
+#define LINE_MS 400
 /* The aim for what an entry leaves in the store, and finds there. */
 #define ROWS_MS 2000
 /* The store falls silent, and returns, this much after it has taken a call that it never
@@ -98,6 +102,46 @@
   platform_scene_close (&scene);
 }
 
+/* The connections to the store go silent for good, new ones work. */
+static void
+test_dead_connection (void)
+{
+  static const PlatformInit init = { .entries = 1, .line_bytes_per_s = LINE_BYTES_PER_S };
+  PlatformScene scene;
+  gint64 confirmed_ms;
+
+  platform_scene_open (&scene, &init);
+  platform_put_config (&scene, "/first/");
+  harness_wait (scene.harness, first_is_in_force, &scene, "the first version");
+  wait_for_call (&scene, "config_reads");
+  relay_set_mode (scene.store_relay, RELAY_VANISH, FALSE);
+  platform_put_config (&scene, "/second/");
+  confirmed_ms = clock_now_ms ();
+  harness_wait (scene.harness, second_is_in_force, &scene, "the second version");
+  check_in_time (confirmed_ms, APPLIED_MS);
+  platform_scene_close (&scene);
+}
+
+/* The same in the middle of an answer. */
+static void
+test_half_an_answer (void)
+{
+  static const PlatformInit init = { .entries = 1, .line_bytes_per_s = LINE_BYTES_PER_S };
+  PlatformScene scene;
+  gint64 confirmed_ms;
+
+  platform_scene_open (&scene, &init);
+  platform_put_config (&scene, "/first/");
+  harness_wait (scene.harness, first_is_in_force, &scene, "the first version");
+  platform_put_routes (&scene, "/second/", ROUTES);
+  confirmed_ms = clock_now_ms ();
+  harness_run_ms (scene.harness, AFTER_CALL_MS);
+  relay_set_mode (scene.store_relay, RELAY_VANISH, FALSE);
+  harness_wait (scene.harness, second_is_in_force, &scene, "the second version");
+  check_in_time (confirmed_ms, APPLIED_MS + LINE_MS);
+  platform_scene_close (&scene);
+}
+
 static void
 restart_entries (PlatformScene *scene)
 {
@@ -184,6 +228,8 @@
   g_test_init (&argc, &argv, NULL);
   g_test_set_nonfatal_assertions ();
   ADD_CASES ("/silence/configuration-is-read-after", silences, test_configuration);
+  g_test_add_func ("/silence/connection-that-died", test_dead_connection);
+  g_test_add_func ("/silence/half-an-answer", test_half_an_answer);
   ADD_CASES ("/silence/row-is-written-after", silences, test_row);
   ADD_CASES ("/silence/entries-link-after", silences, test_link);
   return g_test_run ();
