Soak: a store that falls silent, and a version put once all faults are over

The soak had a hanging store and never looked at the configuration, so that the late one after a silence could not show. Now feeds may be lost too (silence-store), and once the faults are over a version has to be in force at all entries within 2 s.

--- a/tests/platform_scene.c
+++ b/tests/platform_scene.c
@@ -185,12 +185,11 @@
 }
 
 gboolean
-platform_serves (const PlatformScene *scene, const char *prefix)
+platform_serves_at (const PlatformScene *scene, guint entry, const char *prefix)
 {
   const char *headers[] = { "Host", PLATFORM_HOST, NULL };
-  Exchange *exchange
-      = harness_call_with (scene->harness, scene->entries[scene->n_entries - 1]->http,
-                           EVHTTP_REQ_GET, prefix, headers, "");
+  Exchange *exchange = harness_call_with (scene->harness, scene->entries[entry]->http,
+                                          EVHTTP_REQ_GET, prefix, headers, "");
   gboolean served;
 
   harness_wait_exchange (scene->harness, exchange);
@@ -199,6 +198,12 @@
   return served;
 }
 
+gboolean
+platform_serves (const PlatformScene *scene, const char *prefix)
+{
+  return platform_serves_at (scene, scene->n_entries - 1, prefix);
+}
+
 gboolean
 platform_is_ready (gpointer ctx)
 {
--- a/tests/platform_scene.h
+++ b/tests/platform_scene.h
@@ -56,6 +56,7 @@
 
 /** platform_serves - whether the last entry knows the queue of that prefix. */
 gboolean platform_serves (const PlatformScene *scene, const char *prefix);
+gboolean platform_serves_at (const PlatformScene *scene, guint entry, const char *prefix);
 
 /** platform_job - the body of a job. Free with g_free. */
 char *platform_job (const char *spec, guint tasks);
--- a/tests/test-soak.c
+++ b/tests/test-soak.c
@@ -20,6 +20,9 @@
 #define FAULT_EVERY_MS 250
 #define FAULT_LEAST_MS 100
 #define FAULT_MOST_MS 2000
+/* The operator's aim for a version that is confirmed once all faults are over. */
+#define APPLIED_MS 2000
+#define ADDED_PREFIX "/more/0/"
 /* At least this part of the jobs must complete, whatever happens. */
 #define SERVED_PART 0.1
 
@@ -231,6 +234,7 @@
   { "restart-server", ON_SERVER, switch_standin, nothing, "restart" },
   { "stop-store", ON_STORE, switch_standin, mend_standin, "down" },
   { "hang-store", ON_STORE, switch_standin, mend_standin, "hang" },
+  { "silence-store", ON_STORE, switch_standin, mend_standin, "silent" },
   { "forget-store", ON_STORE, switch_standin, mend_standin, "forget" },
   { "change-config", ON_OPERATOR, change_config, nothing },
 };
@@ -439,6 +443,28 @@
   return ready == scene->n_entries;
 }
 
+static gboolean
+is_added_in_force (gpointer ctx)
+{
+  PlatformScene *scene = ctx;
+
+  for (guint i = 0; i < scene->n_entries; i++)
+    if (!platform_serves_at (scene, i, ADDED_PREFIX))
+      return FALSE;
+  return TRUE;
+}
+
+static void
+check_configuration (PlatformScene *scene)
+{
+  gint64 confirmed_ms;
+
+  platform_put_routes (scene, PLATFORM_PREFIX, 1);
+  confirmed_ms = clock_now_ms ();
+  harness_wait (scene->harness, is_added_in_force, scene, "the last configuration");
+  g_assert_cmpint (clock_now_ms () - confirmed_ms, <=, APPLIED_MS);
+}
+
 static void
 play (Soak *soak, guint seconds)
 {
@@ -481,6 +507,7 @@
   soak.done = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   play (&soak, seconds);
   mend (&soak, TRUE);
+  check_configuration (&soak.scene);
   harness_wait (soak.scene.harness, all_are_answered, &soak, "answers");
   harness_wait (soak.scene.harness, is_calm, &soak.scene, "service as before");
   check_all (&soak);
