--- a/tests/harness.h
+++ b/tests/harness.h
@@ -144,6 +144,10 @@
                    const char *what);
 void harness_wait_exchange (Harness *harness, Exchange *exchange);
 
+/** harness_assert_within - no more than @most_ms have passed since then; prints the time.
+ */
+void harness_assert_within (gint64 since_ms, gint64 most_ms);
+
 /** harness_run_ms - let time pass; only where the passing of time is the point. */
 void harness_run_ms (Harness *harness, guint ms);
 
--- a/tests/test-silence.c
+++ b/tests/test-silence.c
@@ -56,15 +56,6 @@
   return platform_serves (ctx, "/second/");
 }
 
-static void
-check_in_time (gint64 since_ms, gint64 most_ms)
-{
-  gint64 took_ms = clock_now_ms () - since_ms;
-
-  g_test_message ("after %" G_GINT64_FORMAT " ms", took_ms);
-  g_assert_cmpint (took_ms, <=, most_ms);
-}
-
 typedef struct
 {
   const char *name;
@@ -98,7 +89,7 @@
   platform_put_config (&scene, "/second/");
   confirmed_ms = clock_now_ms ();
   harness_wait (scene.harness, second_is_in_force, &scene, "the second version");
-  check_in_time (confirmed_ms, APPLIED_MS);
+  harness_assert_within (confirmed_ms, APPLIED_MS);
   platform_scene_close (&scene);
 }
 
@@ -118,7 +109,7 @@
   platform_put_config (&scene, "/second/");
   confirmed_ms = clock_now_ms ();
   harness_wait (scene.harness, second_is_in_force, &scene, "the second version");
-  check_in_time (confirmed_ms, APPLIED_MS);
+  harness_assert_within (confirmed_ms, APPLIED_MS);
   platform_scene_close (&scene);
 }
 
@@ -138,7 +129,7 @@
   harness_run_ms (scene.harness, AFTER_CALL_MS);
   relay_set_mode (scene.store_relay, RELAY_VANISH, FALSE);
   harness_wait (scene.harness, second_is_in_force, &scene, "the second version");
-  check_in_time (confirmed_ms, APPLIED_MS + LINE_MS);
+  harness_assert_within (confirmed_ms, APPLIED_MS + LINE_MS);
   platform_scene_close (&scene);
 }
 
@@ -167,17 +158,16 @@
   return is_kept;
 }
 
-/* A write that hangs since before the store's return must not delay the next one. */
+/* Entries start while the store is silent; @condition holds in time once it is back. */
 static void
-test_row (gconstpointer data)
+play_restart (guint entries, const Silence *silence, HarnessCondition condition)
 {
-  static const PlatformInit init = { .entries = 1 };
-  const Silence *silence = data;
+  PlatformInit init = { .entries = entries };
   PlatformScene scene;
   gint64 returned_ms;
 
   platform_scene_open (&scene, &init);
-  harness_wait (scene.harness, is_row_kept, &scene, "the first row");
+  harness_wait (scene.harness, condition, &scene, "the first time");
   harness_fault (scene.harness, scene.store, "silent");
   restart_entries (&scene);
   harness_run_ms (scene.harness, silence->silent_ms);
@@ -185,11 +175,18 @@
     wait_for_call (&scene, "writes");
   harness_fault (scene.harness, scene.store, "ok");
   returned_ms = clock_now_ms ();
-  harness_wait (scene.harness, is_row_kept, &scene, "the row");
-  check_in_time (returned_ms, ROWS_MS);
+  harness_wait (scene.harness, condition, &scene, "the second time");
+  harness_assert_within (returned_ms, ROWS_MS);
   platform_scene_close (&scene);
 }
 
+/* A write that hangs since before the store's return must not delay the next one. */
+static void
+test_row (gconstpointer data)
+{
+  play_restart (1, data, is_row_kept);
+}
+
 static gboolean
 are_linked (gpointer ctx)
 {
@@ -203,23 +200,7 @@
 static void
 test_link (gconstpointer data)
 {
-  static const PlatformInit init = { .entries = 2 };
-  const Silence *silence = data;
-  PlatformScene scene;
-  gint64 returned_ms;
-
-  platform_scene_open (&scene, &init);
-  harness_wait (scene.harness, are_linked, &scene, "the first link");
-  harness_fault (scene.harness, scene.store, "silent");
-  restart_entries (&scene);
-  harness_run_ms (scene.harness, silence->silent_ms);
-  if (silence->until_call)
-    wait_for_call (&scene, "writes");
-  harness_fault (scene.harness, scene.store, "ok");
-  returned_ms = clock_now_ms ();
-  harness_wait (scene.harness, are_linked, &scene, "the link");
-  check_in_time (returned_ms, ROWS_MS);
-  platform_scene_close (&scene);
+  play_restart (2, data, are_linked);
 }
 
 int
--- a/tests/test-spread.c
+++ b/tests/test-spread.c
@@ -37,15 +37,6 @@
 /* The aim is one copy of a version for each entry; one more if a source falls silent. */
 #define COPIES_MOST ((guint64)2)
 
-static void
-check_in_time (gint64 since_ms, gint64 most_ms)
-{
-  gint64 took_ms = clock_now_ms () - since_ms;
-
-  g_test_message ("in force after %" G_GINT64_FORMAT " ms", took_ms);
-  g_assert_cmpint (took_ms, <=, most_ms);
-}
-
 static gboolean
 first_is_in_force (gpointer ctx)
 {
@@ -82,7 +73,7 @@
   harness_wait (scene->harness, second_is_in_force, scene, "the second version");
   g_test_message ("%" G_GUINT64_FORMAT " copies, %" G_GUINT64_FORMAT " of no use",
                   sum (scene, "config_frames"), sum (scene, "config_stale"));
-  check_in_time (confirmed_ms, APPLIED_MS);
+  harness_assert_within (confirmed_ms, APPLIED_MS);
   g_assert_cmpuint (sum (scene, "config_frames"), <=, 2 * COPIES_MOST * scene->n_entries);
 }
 
@@ -94,7 +85,7 @@
   platform_put_routes (scene, "/first/", MANY_ROUTES);
   confirmed_ms = clock_now_ms ();
   harness_wait (scene->harness, first_is_in_force, scene, "the version");
-  check_in_time (confirmed_ms, APPLIED_MS);
+  harness_assert_within (confirmed_ms, APPLIED_MS);
 }
 
 /* A process that starts knows nothing and reads the whole row from a store that answers
@@ -111,7 +102,7 @@
   platform_restart_entry (scene, 0);
   started_ms = clock_now_ms ();
   harness_wait (scene->harness, first_is_in_force, scene, "the version once more");
-  check_in_time (started_ms, APPLIED_MS + SLOW_STORE_MS);
+  harness_assert_within (started_ms, APPLIED_MS + SLOW_STORE_MS);
 }
 
 /* Symptom: callers of an entry that has just started are refused, though it could serve
@@ -140,7 +131,7 @@
   platform_put_routes (scene, "/second/", ROUTES);
   confirmed_ms = clock_now_ms ();
   harness_wait (scene->harness, second_is_in_force, scene, "the second version");
-  check_in_time (confirmed_ms, APPLIED_MS);
+  harness_assert_within (confirmed_ms, APPLIED_MS);
   g_assert_cmpuint (sum (scene, "config_frames"), <=, 2 * COPIES_MOST);
 }
 
@@ -183,7 +174,7 @@
   harness_run_ms (scene->harness, TOLD_MS);
   freeze_asked (scene);
   harness_wait (scene->harness, second_is_in_force, scene, "the second version");
-  check_in_time (confirmed_ms, FROZEN_PEERS_MS);
+  harness_assert_within (confirmed_ms, FROZEN_PEERS_MS);
   wake_all (scene);
   g_assert_cmpuint (sum (scene, "config_frames"), <=, FROZEN + COPIES_MOST);
 }
