--- a/standins/server.c
+++ b/standins/server.c
@@ -1,6 +1,7 @@
 /* A stand-in for a back end of the users' platform that runs tasks under leases, by its
  * published protocol: run-start, run-stop, hold, heartbeats. A task whose spec is "MS"
- * takes MS milliseconds; "fail:MS" ends as failed after that.
+ * takes MS milliseconds; "fail:MS" ends as failed after that; under the first task of
+ * "crash:MS" the back end crashes after that, and is back a while later.
  *
  * GET /runs lists all starts and ends: "start|HOW MILLISECONDS TASK RUN" a line.
  * POST /faults?mode=MODE switches: "ok"; "mute" (nothing is answered); "late" (orders are
@@ -22,6 +23,7 @@
 #define HEARTBEAT_MS 300
 #define CPU_EACH 1000
 #define WATCH_MOST_MS 2000
+#define DOWN_MS 500 /* after a crash */
 
 typedef enum
 {
@@ -40,6 +42,7 @@
   gint64 done;     /* milliseconds of its work */
   gint64 stops_at; /* 0: not being stopped */
   gboolean fails;
+  gboolean crashes;
 } Task;
 
 typedef struct
@@ -79,6 +82,7 @@
   gint64 sequence;
   guint cpu;
   Mode mode;
+  gint64 down_until;
   gboolean draining;
   GPtrArray *tasks;
   GPtrArray *ended;
@@ -249,6 +253,18 @@
   return -1;
 }
 
+/* Return: how long the task takes. */
+static gint64
+read_spec (Task *task, const char *spec)
+{
+  const char *colon = strchr (spec, ':');
+
+  task->fails = g_str_has_prefix (spec, "fail:");
+  task->crashes
+      = g_str_has_prefix (spec, "crash:") && g_str_has_suffix (task->name, ".0");
+  return atoi (colon != NULL ? colon + 1 : spec);
+}
+
 static const char *
 start_task (Server *server, JsonObject *body)
 {
@@ -265,8 +281,7 @@
   task = g_new0 (Task, 1);
   task->name = g_strdup (name);
   task->run = json_object_get_int_member (body, "run_id");
-  task->fails = g_str_has_prefix (spec, "fail:");
-  task->length = atoi (task->fails ? spec + strlen ("fail:") : spec);
+  task->length = read_spec (task, spec);
   task->begun = clock_now_ms ();
   g_ptr_array_add (server->tasks, task);
   note (server, "start", name, task->run);
@@ -411,6 +426,19 @@
   g_free (body);
 }
 
+static void
+crash (Server *server)
+{
+  begin_life (server);
+  server->down_until = clock_now_ms () + DOWN_MS;
+}
+
+static gboolean
+is_deaf (const Server *server)
+{
+  return server->mode == MODE_MUTE || clock_now_ms () < server->down_until;
+}
+
 static void
 work (Server *server)
 {
@@ -426,6 +454,11 @@
         end_task (server, i - 1, "stopped");
       else if (server_ms (server) > server->lease)
         end_task (server, i - 1, "lapsed");
+      else if (task->done >= task->length && task->crashes)
+        {
+          crash (server);
+          return;
+        }
       else if (task->done >= task->length)
         end_task (server, i - 1, task->fails ? "failed" : "done");
     }
@@ -471,7 +504,7 @@
 
   carry_out_late (server);
   work (server);
-  if (server->mode == MODE_MUTE)
+  if (is_deaf (server))
     return;
   answer_waiters (server);
   if (server->agent != NULL && clock_now_ms () - server->beat_ms > HEARTBEAT_MS)
@@ -493,7 +526,7 @@
     server->draining = TRUE;
   if (g_strcmp0 (mode, "leave") == 0)
     beat (server, "Leave");
-  else if (server->mode != MODE_MUTE && server->agent != NULL)
+  else if (!is_deaf (server) && server->agent != NULL)
     beat (server, "Heartbeat");
   reply_short (server, request, 200, NULL);
   g_free (mode);
@@ -525,7 +558,7 @@
     serve_faults (server, request);
   else if (strcmp (path, "/agent") == 0)
     serve_agent (server, request);
-  else if (server->mode == MODE_MUTE)
+  else if (is_deaf (server))
     return;
   else
     serve_order (server, request, path);
--- a/tests/test-soak.c
+++ b/tests/test-soak.c
@@ -16,10 +16,13 @@
 #define JOB_EVERY_MS 40
 #define TASKS_MOST 8
 #define RUN_MOST_MS 400
+#define CRASHING_PART 0.01
 #define TRIES_MOST 3
 #define FAULT_EVERY_MS 250
 #define FAULT_LEAST_MS 100
 #define FAULT_MOST_MS 2000
+/* Calls to the store that end late tell of a fault only after a long one. */
+#define STORE_FAULT_MOST_MS 8000
 /* The operator's aim for a version that is confirmed once all faults are over. */
 #define APPLIED_MS 2000
 #define ADDED_PREFIX "/more/0/"
@@ -75,6 +78,7 @@
   gint64 again_ms;    /* when it is sent again */
   int status;         /* of the last try */
   gboolean completed;
+  gboolean crashes; /* ends the back ends that start its first task */
 } Request;
 
 struct Soak
@@ -261,7 +265,9 @@
   const Fault *fault = &faults[g_rand_int_range (soak->random, 0, G_N_ELEMENTS (faults))];
   guint target = (guint)g_rand_int_range (soak->random, 0,
                                           (gint32)targets_at (soak, fault->place));
-  gint64 length = g_rand_int_range (soak->random, FAULT_LEAST_MS, FAULT_MOST_MS);
+  gint64 length
+      = g_rand_int_range (soak->random, FAULT_LEAST_MS,
+                          fault->place == ON_STORE ? STORE_FAULT_MOST_MS : FAULT_MOST_MS);
   Struck *struck = &soak->struck[fault->place][target];
 
   if (struck->fault != NULL)
@@ -308,8 +314,11 @@
 new_request (Soak *soak)
 {
   Request *request = g_new0 (Request, 1);
-  char *spec = g_strdup_printf ("%d", g_rand_int_range (soak->random, 5, RUN_MOST_MS));
+  char *spec;
 
+  request->crashes = g_rand_double (soak->random) < CRASHING_PART;
+  spec = g_strdup_printf ("%s%d", request->crashes ? "crash:" : "",
+                          g_rand_int_range (soak->random, 5, RUN_MOST_MS));
   request->number = ++soak->scene.jobs;
   request->tasks = (guint)g_rand_int_range (soak->random, 1, TASKS_MOST + 1);
   request->body = platform_job (spec, request->tasks);
@@ -389,6 +398,8 @@
 {
   char *job = g_strdup_printf ("%016x", request->number);
 
+  if (request->completed && request->crashes)
+    g_error ("job %s is complete, though its first task never ends", job);
   if (request->tries > 0 && request->not_run == request->tries
       && g_hash_table_contains (soak->starts, job))
     g_error ("job %s was refused as not run, and ran", job);
