Room that shrinks on stand-ins and in the soak

The stand-in of a back end can tell half of its capacity; it marks starts above what an acknowledged heartbeat has told, one second on. /crashes/shrunk-room-is-kept: two of four back ends shrink while all room is in use, no start above it, all 24 jobs complete, and all of the room is used again afterwards. With an agent that takes over only a larger capacity it fails (OVER-CAPACITY).

--- a/standins/server.c
+++ b/standins/server.c
@@ -5,8 +5,8 @@
  *
  * GET /runs lists all starts and ends: "start|HOW MILLISECONDS TASK RUN" a line.
  * POST /faults?mode=MODE switches: "ok"; "mute" (nothing is answered); "late" (orders are
- * carried out after two seconds, unanswered); "hang" (tasks stand still); "restart" (a
- * new life); "drain" and "leave". */
+ * carried out after two seconds, unanswered); "hang" (tasks stand still); "shrink" (half
+ * of its capacity); "restart" (a new life); "drain" and "leave". */
 #include "clock.h"
 #include "http.h"
 #include "listen.h"
@@ -24,6 +24,8 @@
 #define CPU_EACH 1000
 #define WATCH_MOST_MS 2000
 #define DOWN_MS 500 /* after a crash */
+/* Orders that were given before the agent knew what has shrunk may be under way. */
+#define SHRINK_GRACE_MS 1000
 
 typedef enum
 {
@@ -31,6 +33,7 @@
   MODE_MUTE,
   MODE_LATE,
   MODE_HANG,
+  MODE_SHRUNK,
 } Mode;
 
 typedef struct
@@ -83,6 +86,10 @@
   guint cpu;
   Mode mode;
   gint64 down_until;
+  guint beat_cpu;    /* in the last heartbeat sent */
+  guint told_cpu;    /* in the last one acknowledged */
+  gint64 told_ms;    /* since when that is so */
+  guint told_before; /* before that */
   gboolean draining;
   GPtrArray *tasks;
   GPtrArray *ended;
@@ -253,6 +260,21 @@
   return -1;
 }
 
+static guint
+capacity_told (const Server *server)
+{
+  return server->mode == MODE_SHRUNK ? server->cpu / 2 : server->cpu;
+}
+
+static gboolean
+is_over_capacity (const Server *server)
+{
+  gboolean is_new = clock_now_ms () - server->told_ms < SHRINK_GRACE_MS;
+  guint cpu = is_new ? MAX (server->told_cpu, server->told_before) : server->told_cpu;
+
+  return server->tasks->len * CPU_EACH > cpu;
+}
+
 /* Return: how long the task takes. */
 static gint64
 read_spec (Task *task, const char *spec)
@@ -285,7 +307,7 @@
   task->begun = clock_now_ms ();
   g_ptr_array_add (server->tasks, task);
   note (server, "start", name, task->run);
-  if (server->tasks->len * CPU_EACH > server->cpu)
+  if (is_over_capacity (server))
     note (server, "OVER-CAPACITY", name, task->run);
   return NULL;
 }
@@ -400,6 +422,13 @@
 static void
 on_beaten (const HttpAnswer *answer, gpointer ctx)
 {
+  Server *server = ctx;
+
+  if (answer->end != HTTP_ANSWERED || server->beat_cpu == server->told_cpu)
+    return;
+  server->told_before = server->told_cpu;
+  server->told_cpu = server->beat_cpu;
+  server->told_ms = clock_now_ms ();
 }
 
 static void
@@ -411,16 +440,18 @@
       "\"slots\":8,\"state\":\"%s\",\"capacity\":{\"cpu\":%u,\"mem_mb\":65536,\"gpu\":0},"
       "\"labels\":[\"a\",\"r1-1\"],\"clock_ms\":%" G_GINT64_FORMAT
       ",\"seq\":%" G_GINT64_FORMAT "}",
-      server->address, server->draining ? "draining" : "ready", server->cpu,
+      server->address, server->draining ? "draining" : "ready", capacity_told (server),
       server_ms (server), ++server->sequence);
   HttpCall call = { .method = EVHTTP_REQ_POST,
                     .path = path,
                     .body = body,
                     .size = strlen (body),
                     .timeout_ms = 1000,
-                    .done = on_beaten };
+                    .done = on_beaten,
+                    .ctx = server };
 
   server->beat_ms = clock_now_ms ();
+  server->beat_cpu = capacity_told (server);
   http_pool_call (server->agent, &call);
   g_free (path);
   g_free (body);
@@ -514,7 +545,7 @@
 static void
 serve_faults (Server *server, struct evhttp_request *request)
 {
-  static const char *const names[] = { "ok", "mute", "late", "hang" };
+  static const char *const names[] = { "ok", "mute", "late", "hang", "shrink" };
   char *mode = http_query_value (request, "mode");
 
   for (guint i = 0; i < G_N_ELEMENTS (names); i++)
@@ -580,6 +611,7 @@
       return EXIT_FAILURE;
     }
   server.cpu = argc > 1 ? (guint)atoi (argv[1]) : 4 * CPU_EACH;
+  server.told_cpu = server.cpu;
   server.tasks = g_ptr_array_new_with_free_func (task_free);
   server.ended = g_ptr_array_new_with_free_func (end_free);
   server.waiters = g_ptr_array_new_with_free_func (g_free);
--- a/tests/test-crashes.c
+++ b/tests/test-crashes.c
@@ -1,4 +1,5 @@
-/* Tasks that end the back ends which start them, and back ends that end by themselves. */
+/* Tasks that end the back ends which start them, and back ends that end or shrink by
+ * themselves. */
 #include "cases.h"
 #include "clock.h"
 #include "platform_scene.h"
@@ -12,6 +13,9 @@
 /* A back end that ended is served again this much later, with a margin. */
 #define BACK_MS 800
 
+/* By then each entry and agent knows what has shrunk. */
+#define SHRUNK_MS 1500
+
 static const PlatformInit fleet = { .entries = 3, .servers = 4, .configured = TRUE };
 
 typedef struct
@@ -149,6 +153,25 @@
   check_sound (play);
 }
 
+/* Half of the room goes while all of it is in use: the back ends themselves check that
+ * nothing starts above what they tell. */
+static void
+shrunk_room_is_kept (Play *play)
+{
+  PlatformScene *scene = play->scene;
+
+  start_sound (play, 8);
+  for (guint i = 0; i < scene->n_servers; i += 2)
+    harness_fault (scene->harness, scene->servers[i], "shrink");
+  start_sound (play, 8);
+  harness_run_ms (scene->harness, SHRUNK_MS);
+  start_sound (play, 8);
+  check_sound (play);
+  for (guint i = 0; i < scene->n_servers; i += 2)
+    harness_fault (scene->harness, scene->servers[i], "ok");
+  harness_wait (scene->harness, platform_is_ready, scene, "all of the room again");
+}
+
 typedef struct
 {
   const char *name;
@@ -160,6 +183,7 @@
   { "several-are-given-up", several_are_given_up },
   { "given-up-at-another-entry", is_given_up_at_another_entry },
   { "innocent-are-kept", innocent_are_kept },
+  { "shrunk-room-is-kept", shrunk_room_is_kept },
 };
 
 static void
--- a/tests/test-soak.c
+++ b/tests/test-soak.c
@@ -235,6 +235,7 @@
   { "mute-server", ON_SERVER, switch_standin, mend_standin, "mute" },
   { "late-server", ON_SERVER, switch_standin, mend_standin, "late" },
   { "hang-server", ON_SERVER, switch_standin, mend_standin, "hang" },
+  { "shrink-server", ON_SERVER, switch_standin, mend_standin, "shrink" },
   { "restart-server", ON_SERVER, switch_standin, nothing, "restart" },
   { "stop-store", ON_STORE, switch_standin, mend_standin, "down" },
   { "hang-store", ON_STORE, switch_standin, mend_standin, "hang" },
