--- a/tests/test-crashes.c
+++ b/tests/test-crashes.c
@@ -172,6 +172,40 @@
   harness_wait (scene->harness, platform_is_ready, scene, "all of the room again");
 }
 
+static gboolean
+is_remembered (gpointer ctx)
+{
+  PlatformScene *scene = ctx;
+  Exchange *exchange
+      = harness_get (scene->harness, scene->store->http, "/rows-get?table=agents&part=");
+  char **parts = g_strsplit (exchange->body, "\"value\":\"", -1);
+  gboolean found = FALSE;
+
+  for (char **part = parts + 1; *parts != NULL && *part != NULL; part++)
+    {
+      char *value = g_strndup (*part, strcspn (*part, "\""));
+      gsize size = 0;
+      char *text = (char *)g_base64_decode (value, &size);
+
+      found |= g_strstr_len (text, (gssize)size, "\"cpu\":2000") != NULL;
+      g_free (text);
+      g_free (value);
+    }
+  g_strfreev (parts);
+  exchange_free (exchange);
+  return found;
+}
+
+/* An agent that is restarted goes by the report that is kept until its server's next. */
+static void
+shrunk_room_is_remembered (Play *play)
+{
+  PlatformScene *scene = play->scene;
+
+  harness_fault (scene->harness, scene->servers[0], "shrink");
+  harness_wait (scene->harness, is_remembered, scene, "the report that is kept");
+}
+
 typedef struct
 {
   const char *name;
@@ -184,6 +218,7 @@
   { "given-up-at-another-entry", is_given_up_at_another_entry },
   { "innocent-are-kept", innocent_are_kept },
   { "shrunk-room-is-kept", shrunk_room_is_kept },
+  { "shrunk-room-is-remembered", shrunk_room_is_remembered },
 };
 
 static void
