--- a/src/hedge.h
+++ b/src/hedge.h
@@ -19,9 +19,8 @@
 {
   guint attempts;       /* under way */
   gboolean is_arriving; /* an answer to one of them has begun */
-  gint64
-      progress_ms; /* when the last byte came, or the last attempt's answer could come */
-  double jitter;   /* 0 to 1, drawn for each attempt */
+  gint64 progress_ms; /* the last byte, or the last attempt with the wait it asked for */
+  double jitter;      /* 0 to 1, drawn for each attempt */
 } HedgeView;
 
 /** hedge_due - when to make another attempt. Return: monotonic ms, -1: while none of
--- a/tests/test-silence.c
+++ b/tests/test-silence.c
@@ -3,6 +3,7 @@
 #include "cases.h"
 #include "clock.h"
 #include "platform_scene.h"
+#include "store.h"
 
 #include <string.h>
 
@@ -12,6 +13,9 @@
 #define ROUTES 1600
 #define LINE_BYTES_PER_S 1000000
 #define LINE_MS 400
+/* A slow store answers after a second. */
+#define BEFORE_ANSWER_MS 300
+#define ANSWERED_MS 900
 /* The aim for what an entry leaves in the store, and finds there. */
 #define ROWS_MS 2000
 /* The store falls silent, and returns, this much after it has taken a call that it never
@@ -158,6 +162,12 @@
   return is_kept;
 }
 
+typedef struct
+{
+  Harness *harness;
+  Process *store;
+} Keep;
+
 /* Entries start while the store is silent; @condition holds in time once it is back. */
 static void
 play_restart (guint entries, const Silence *silence, HarnessCondition condition)
@@ -187,6 +197,43 @@
   play_restart (1, data, is_row_kept);
 }
 
+static gboolean
+is_second_kept (gpointer ctx)
+{
+  Keep *keep = ctx;
+  Exchange *exchange
+      = harness_get (keep->harness, keep->store->http, "/rows-get?table=texts&part=");
+  char *value = g_base64_encode ((const guchar *)"second", strlen ("second"));
+  gboolean is_kept = strstr (exchange->body, value) != NULL;
+
+  g_free (value);
+  exchange_free (exchange);
+  return is_kept;
+}
+
+/* The answer to a write that comes after the next text is no answer to that. */
+static void
+test_text_after_text (void)
+{
+  static const StoreOps ops = { 0 };
+  const char *argv[] = { STORE_EXE, NULL };
+  Keep keep = { harness_new_bare () };
+  Store *store;
+
+  keep.store = harness_spawn (keep.harness, "store", argv);
+  store = store_new (keep.harness->base, keep.store->http, &ops, NULL);
+  harness_fault (keep.harness, keep.store, "slow");
+  store_keep (store, "texts", "key", "first");
+  harness_run_ms (keep.harness, BEFORE_ANSWER_MS);
+  g_usleep (ANSWERED_MS * 1000); /* the answer waits in the socket */
+  store_keep (store, "texts", "key", "second");
+  harness_fault (keep.harness, keep.store, "ok");
+  harness_wait (keep.harness, is_second_kept, &keep, "the second text");
+  store_free (store);
+  process_free (keep.store);
+  harness_free (keep.harness);
+}
+
 static gboolean
 are_linked (gpointer ctx)
 {
@@ -212,6 +259,7 @@
   g_test_add_func ("/silence/connection-that-died", test_dead_connection);
   g_test_add_func ("/silence/half-an-answer", test_half_an_answer);
   ADD_CASES ("/silence/row-is-written-after", silences, test_row);
+  g_test_add_func ("/silence/text-after-text", test_text_after_text);
   ADD_CASES ("/silence/entries-link-after", silences, test_link);
   return g_test_run ();
 }
