--- a/tests/test-silence.c
+++ b/tests/test-silence.c
@@ -225,7 +225,7 @@
   harness_fault (keep.harness, keep.store, "slow");
   store_keep (store, "texts", "key", "first");
   harness_run_ms (keep.harness, BEFORE_ANSWER_MS);
-  g_usleep (ANSWERED_MS * 1000); /* the answer waits in the socket */
+  g_usleep ((gulong)ANSWERED_MS * 1000); /* the answer waits in the socket */
   store_keep (store, "texts", "key", "second");
   harness_fault (keep.harness, keep.store, "ok");
   harness_wait (keep.harness, is_second_kept, &keep, "the second text");
