--- a/completions/godwitspar.bash
+++ b/completions/godwitspar.bash
@@ -6,13 +6,13 @@
     drain | undrain) words='backend entry' ;;
     order) words='by' ;;
     if) words='version' ;;
-    submit | explain | -f | --file | -c | --config)
+    submit | explain | zones | -f | --file | -c | --config)
       mapfile -t COMPREPLY < <(compgen -f -- "$word")
       return
       ;;
     *)
       case ${COMP_WORDS[0]##*/} in
-        godwitspar) words='show set unset drain undrain submit cancel timeline explain help
+        godwitspar) words='show set unset drain undrain submit cancel timeline explain zones help
           --entry --file --json --chrome --timeout --version --help' ;;
         *) words='--config --check --print-sample --print-counters --version --help' ;;
       esac
--- a/proto/godwitspar.pb-c.c
+++ b/proto/godwitspar.pb-c.c
@@ -862,6 +862,96 @@
   assert(message->base.descriptor == &gw__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gw__closures__init
+                     (Gw__Closures         *message)
+{
+  static const Gw__Closures init_value = GW__CLOSURES__INIT;
+  *message = init_value;
+}
+size_t gw__closures__get_packed_size
+                     (const Gw__Closures *message)
+{
+  assert(message->base.descriptor == &gw__closures__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__closures__pack
+                     (const Gw__Closures *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__closures__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__closures__pack_to_buffer
+                     (const Gw__Closures *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__closures__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__Closures *
+       gw__closures__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__Closures *)
+     protobuf_c_message_unpack (&gw__closures__descriptor,
+                                allocator, len, data);
+}
+void   gw__closures__free_unpacked
+                     (Gw__Closures *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__closures__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gw__closed_zone__init
+                     (Gw__ClosedZone         *message)
+{
+  static const Gw__ClosedZone init_value = GW__CLOSED_ZONE__INIT;
+  *message = init_value;
+}
+size_t gw__closed_zone__get_packed_size
+                     (const Gw__ClosedZone *message)
+{
+  assert(message->base.descriptor == &gw__closed_zone__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__closed_zone__pack
+                     (const Gw__ClosedZone *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__closed_zone__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__closed_zone__pack_to_buffer
+                     (const Gw__ClosedZone *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__closed_zone__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__ClosedZone *
+       gw__closed_zone__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__ClosedZone *)
+     protobuf_c_message_unpack (&gw__closed_zone__descriptor,
+                                allocator, len, data);
+}
+void   gw__closed_zone__free_unpacked
+                     (Gw__ClosedZone *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__closed_zone__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gw__demand__init
                      (Gw__Demand         *message)
 {
@@ -2863,7 +2953,7 @@
   (ProtobufCMessageInit) gw__config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__frame__field_descriptors[29] =
+static const ProtobufCFieldDescriptor gw__frame__field_descriptors[30] =
 {
   {
     "sequence",
@@ -3213,12 +3303,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "closures",
+    35,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Frame, closures),
+    &gw__closures__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__frame__field_indices_by_name[] = {
   11,   /* field[11] = acks */
   20,   /* field[20] = agent_group */
   19,   /* field[19] = announcements */
   12,   /* field[12] = cancels */
+  29,   /* field[29] = closures */
   7,   /* field[7] = config */
   3,   /* field[3] = config_confirmed */
   2,   /* field[2] = config_version */
@@ -3251,7 +3354,7 @@
   { 6, 4 },
   { 27, 22 },
   { 33, 27 },
-  { 0, 29 }
+  { 0, 30 }
 };
 const ProtobufCMessageDescriptor gw__frame__descriptor =
 {
@@ -3261,13 +3364,128 @@
   "Gw__Frame",
   "gw",
   sizeof(Gw__Frame),
-  29,
+  30,
   gw__frame__field_descriptors,
   gw__frame__field_indices_by_name,
   4,  gw__frame__number_ranges,
   (ProtobufCMessageInit) gw__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor gw__closures__field_descriptors[3] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Closures, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Closures, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zones",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Closures, n_zones),
+    offsetof(Gw__Closures, zones),
+    &gw__closed_zone__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__closures__field_indices_by_name[] = {
+  1,   /* field[1] = age_ms */
+  0,   /* field[0] = version */
+  2,   /* field[2] = zones */
+};
+static const ProtobufCIntRange gw__closures__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gw__closures__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.Closures",
+  "Closures",
+  "Gw__Closures",
+  "gw",
+  sizeof(Gw__Closures),
+  3,
+  gw__closures__field_descriptors,
+  gw__closures__field_indices_by_name,
+  1,  gw__closures__number_ranges,
+  (ProtobufCMessageInit) gw__closures__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__closed_zone__field_descriptors[2] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__ClosedZone, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__ClosedZone, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__closed_zone__field_indices_by_name[] = {
+  0,   /* field[0] = name */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange gw__closed_zone__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor gw__closed_zone__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.ClosedZone",
+  "ClosedZone",
+  "Gw__ClosedZone",
+  "gw",
+  sizeof(Gw__ClosedZone),
+  2,
+  gw__closed_zone__field_descriptors,
+  gw__closed_zone__field_indices_by_name,
+  1,  gw__closed_zone__number_ranges,
+  (ProtobufCMessageInit) gw__closed_zone__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor gw__demand__field_descriptors[3] =
 {
   {
@@ -3902,7 +4120,7 @@
   gw__server_state__trust__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor gw__server_state__field_descriptors[12] =
+static const ProtobufCFieldDescriptor gw__server_state__field_descriptors[13] =
 {
   {
     "instance",
@@ -4048,9 +4266,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "closed",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gw__ServerState, closed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__server_state__field_indices_by_name[] = {
   4,   /* field[4] = capacity */
+  12,   /* field[12] = closed */
   7,   /* field[7] = draining */
   9,   /* field[9] = failing_percent */
   0,   /* field[0] = instance */
@@ -4067,7 +4298,7 @@
 {
   { 1, 0 },
   { 13, 11 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor gw__server_state__descriptor =
 {
@@ -4077,7 +4308,7 @@
   "Gw__ServerState",
   "gw",
   sizeof(Gw__ServerState),
-  12,
+  13,
   gw__server_state__field_descriptors,
   gw__server_state__field_indices_by_name,
   2,  gw__server_state__number_ranges,
--- a/proto/godwitspar.pb-c.h
+++ b/proto/godwitspar.pb-c.h
@@ -34,6 +34,8 @@
 typedef struct Gw__GroupLoad Gw__GroupLoad;
 typedef struct Gw__Config Gw__Config;
 typedef struct Gw__Frame Gw__Frame;
+typedef struct Gw__Closures Gw__Closures;
+typedef struct Gw__ClosedZone Gw__ClosedZone;
 typedef struct Gw__Demand Gw__Demand;
 typedef struct Gw__LeaseTime Gw__LeaseTime;
 typedef struct Gw__TaskRun Gw__TaskRun;
@@ -489,10 +491,45 @@
    * send a configuration of this version or a newer one, once
    */
   uint64_t config_wanted;
+  Gw__Closures *closures;
 };
 #define GW__FRAME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__frame__descriptor) \
-    , 0, 0, 0, 0, 0, NULL, NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0, NULL, 0, 0 }
+    , 0, 0, 0, 0, 0, NULL, NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0, NULL, 0, 0, NULL }
+
+
+/*
+ * Availability zones that the operator has closed, all of them, as of one version of the
+ * platform's table.
+ */
+struct  Gw__Closures
+{
+  ProtobufCMessage base;
+  uint64_t version;
+  /*
+   * since the table was known to say so
+   */
+  uint32_t age_ms;
+  size_t n_zones;
+  Gw__ClosedZone **zones;
+};
+#define GW__CLOSURES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__closures__descriptor) \
+    , 0, 0, 0,NULL }
+
+
+struct  Gw__ClosedZone
+{
+  ProtobufCMessage base;
+  char *name;
+  /*
+   * of the change that closed it
+   */
+  uint64_t version;
+};
+#define GW__CLOSED_ZONE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__closed_zone__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -691,10 +728,14 @@
    * PROBE: one run at a time
    */
   Gw__ServerState__Trust trust;
+  /*
+   * its availability zone is closed: it takes no starts
+   */
+  protobuf_c_boolean closed;
 };
 #define GW__SERVER_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__server_state__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, NULL, NULL, 0, 0, 0, 0, 0, GW__SERVER_STATE__TRUST__FULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, NULL, NULL, 0, 0, 0, 0, 0, GW__SERVER_STATE__TRUST__FULL, 0 }
 
 
 /* Gw__Hello methods */
@@ -1058,6 +1099,44 @@
 void   gw__frame__free_unpacked
                      (Gw__Frame *message,
                       ProtobufCAllocator *allocator);
+/* Gw__Closures methods */
+void   gw__closures__init
+                     (Gw__Closures         *message);
+size_t gw__closures__get_packed_size
+                     (const Gw__Closures   *message);
+size_t gw__closures__pack
+                     (const Gw__Closures   *message,
+                      uint8_t             *out);
+size_t gw__closures__pack_to_buffer
+                     (const Gw__Closures   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__Closures *
+       gw__closures__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__closures__free_unpacked
+                     (Gw__Closures *message,
+                      ProtobufCAllocator *allocator);
+/* Gw__ClosedZone methods */
+void   gw__closed_zone__init
+                     (Gw__ClosedZone         *message);
+size_t gw__closed_zone__get_packed_size
+                     (const Gw__ClosedZone   *message);
+size_t gw__closed_zone__pack
+                     (const Gw__ClosedZone   *message,
+                      uint8_t             *out);
+size_t gw__closed_zone__pack_to_buffer
+                     (const Gw__ClosedZone   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__ClosedZone *
+       gw__closed_zone__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__closed_zone__free_unpacked
+                     (Gw__ClosedZone *message,
+                      ProtobufCAllocator *allocator);
 /* Gw__Demand methods */
 void   gw__demand__init
                      (Gw__Demand         *message);
@@ -1269,6 +1348,12 @@
 typedef void (*Gw__Frame_Closure)
                  (const Gw__Frame *message,
                   void *closure_data);
+typedef void (*Gw__Closures_Closure)
+                 (const Gw__Closures *message,
+                  void *closure_data);
+typedef void (*Gw__ClosedZone_Closure)
+                 (const Gw__ClosedZone *message,
+                  void *closure_data);
 typedef void (*Gw__Demand_Closure)
                  (const Gw__Demand *message,
                   void *closure_data);
@@ -1321,6 +1406,8 @@
 extern const ProtobufCMessageDescriptor gw__group_load__descriptor;
 extern const ProtobufCMessageDescriptor gw__config__descriptor;
 extern const ProtobufCMessageDescriptor gw__frame__descriptor;
+extern const ProtobufCMessageDescriptor gw__closures__descriptor;
+extern const ProtobufCMessageDescriptor gw__closed_zone__descriptor;
 extern const ProtobufCMessageDescriptor gw__demand__descriptor;
 extern const ProtobufCMessageDescriptor gw__lease_time__descriptor;
 extern const ProtobufCMessageDescriptor gw__task_run__descriptor;
--- a/src/cli_main.c
+++ b/src/cli_main.c
@@ -1,6 +1,7 @@
 /* godwitspar: a thin main over the operator's shell. */
 #include "explain.h"
 #include "shell.h"
+#include "zone_report.h"
 
 #include <fcntl.h>
 #include <stdio.h>
@@ -46,7 +47,8 @@
   g_option_context_set_summary (
       context,
       "Carries out operators' commands; without one, reads them from standard input.\n"
-      "explain ID FILE... tells a request's story from collected event lines.");
+      "explain ID FILE... tells a request's story from collected event lines,\n"
+      "zones FILE... which availability zones are closed, by which processes' word.");
   g_option_context_set_description (context, command_help ());
   g_option_context_add_main_entries (context, entries, NULL);
   ok = g_option_context_parse (context, &argc, &argv, error);
@@ -101,6 +103,63 @@
   return result;
 }
 
+static ShellResult
+tell_zones (char **words)
+{
+  GPtrArray *texts = g_ptr_array_new_with_free_func (g_free);
+  GError *error = NULL;
+  ShellResult result = SHELL_OK;
+  char *report;
+
+  if (words[1] == NULL)
+    {
+      fputs ("godwitspar: zones FILE...: the files are collected event lines\n", stderr);
+      result = SHELL_USAGE;
+      goto out;
+    }
+  for (char **path = words + 1; *path != NULL; path++)
+    {
+      char *text = NULL;
+
+      if (g_file_get_contents (*path, &text, NULL, &error))
+        {
+          g_ptr_array_add (texts, text);
+          continue;
+        }
+      fprintf (stderr, "godwitspar: %s\n", error->message);
+      g_clear_error (&error);
+      result = SHELL_USAGE;
+    }
+  g_ptr_array_add (texts, NULL);
+  report = zone_report ((const char *const *)texts->pdata);
+  fputs (report, stdout);
+  g_free (report);
+
+out:
+  g_ptr_array_unref (texts);
+  return result;
+}
+
+/* Commands over collected lines, which need no entry. */
+static const struct
+{
+  const char *name;
+  ShellResult (*run) (char **words);
+} file_commands[] = { { "explain", explain }, { "zones", tell_zones } };
+
+/* Return: FALSE if it is none of these. */
+static gboolean
+run_file_command (char **words, ShellResult *result)
+{
+  for (gsize i = 0; words != NULL && i < G_N_ELEMENTS (file_commands); i++)
+    if (strcmp (words[0], file_commands[i].name) == 0)
+      {
+        *result = file_commands[i].run (words);
+        return TRUE;
+      }
+  return FALSE;
+}
+
 static ShellResult
 run (Shell *shell, const Options *options)
 {
@@ -138,9 +197,8 @@
       puts ("godwitspar " GODWITSPAR_VERSION);
       return SHELL_OK;
     }
-  if (options.words != NULL && strcmp (options.words[0], "explain") == 0)
+  if (run_file_command (options.words, &result))
     {
-      result = explain (options.words);
       g_strfreev (options.words);
       return result;
     }
--- a/src/counters.h
+++ b/src/counters.h
@@ -77,6 +77,11 @@
   X (LEASED_GIVEN_UP, "leased_given_up", "leased jobs given up after a start")           \
   X (TASKS_ENDED_SERVERS, "tasks_ended_servers",                                         \
      "tasks given up because the servers that start them end")                           \
+  X (ZONES_CLOSED, "zones_closed", "availability zones seen to be closed")               \
+  X (ZONES_OPENED, "zones_opened", "availability zones seen to be opened again")         \
+  X (ZONES_CLOSED_NOW, "zones_closed_now", "availability zones that are closed now")     \
+  X (STARTS_ZONE_CLOSED, "starts_zone_closed",                                           \
+     "starts refused because the availability zone is closed")                           \
   X (ROWS_REJECTED, "rows_rejected", "rows and reports refused for what they say")       \
   X (RESTARTS, "restarts", "components restarted by their supervisor")
 
@@ -105,6 +110,13 @@
     counter_values[counter] = value;
 }
 
+/** counter_set - for a counter of what there is now. */
+static inline void
+counter_set (Counter counter, guint64 value)
+{
+  counter_values[counter] = value;
+}
+
 /** counters_page - all counters as "name value" lines; free with g_free. */
 char *counters_page (void);
 
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -2,6 +2,7 @@
 /* The dispatcher of an entry's leased jobs: queues them, places their tasks on backend
  * servers, runs lost tasks again and tells how each job ended. No I/O of its own:
  * messages and the time are handed in. */
+#include "closures.h"
 #include "lease.h"
 #include "quality.h"
 #include "server_calls.h"
@@ -62,6 +63,7 @@
   Demand used_by_others;
   gboolean ready;
   gboolean draining;
+  gboolean closed;  /* its availability zone is, as its agent knows */
   gboolean offered; /* its room is kept for what was last asked for here */
   Trust trust;
   guint slowness_percent; /* run times against the expected ones */
@@ -89,6 +91,7 @@
 typedef struct
 {
   guint server_lease_ms; /* a backend server lets runs go on so long without its agent */
+  const Closures *closures; /* the owner's, read only; NULL: no zone is ever closed */
 } DispatcherInit;
 
 Dispatcher *
@@ -117,6 +120,9 @@
 /** dispatcher_server_granted - the agent may let runs go on until then (its clock). */
 void dispatcher_server_granted (LeasedServer *server, gint64 until_ms);
 
+/** dispatcher_zones_changed - an availability zone was closed or opened. */
+void dispatcher_zones_changed (Dispatcher *dispatcher);
+
 /** dispatcher_servers - servers that are linked and ready. */
 guint dispatcher_servers (const Dispatcher *dispatcher);
 
--- a/src/dispatcher_order.c
+++ b/src/dispatcher_order.c
@@ -116,6 +116,12 @@
   return jobs;
 }
 
+static gboolean
+server_is_usable (const LeasedServer *server)
+{
+  return server->owner != NULL && server->status.ready && !server->closed;
+}
+
 static double
 capacity_of_servers (const Dispatcher *dispatcher)
 {
@@ -123,7 +129,7 @@
   double capacity = 0;
 
   TAILQ_FOREACH (server, &dispatcher->servers, link)
-    if (server->owner != NULL && server->status.ready)
+    if (server_is_usable (server))
       capacity += server->status.capacity.cpu_milli;
   return capacity;
 }
@@ -166,7 +172,7 @@
 
   TAILQ_FOREACH (server, &dispatcher->servers, link)
     {
-      if (server->owner == NULL || !server->status.ready)
+      if (!server_is_usable (server))
         continue;
       own += server->placed.cpu_milli;
       all += server->placed.cpu_milli + server->status.used_by_others.cpu_milli;
@@ -194,6 +200,51 @@
   return capacity_of_servers (dispatcher) * MAX (share, SHARE_LEAST);
 }
 
+/* Servers are linked one by one after a start: until all are, some other may be open. */
+#define LINKING_MS 500
+/* How long a zone stays closed is the operator's business. */
+#define RETRY_AFTER_CLOSED_MS 2000
+
+static gboolean
+is_closed_out (const Dispatcher *dispatcher, const LeasedJob *job)
+{
+  const LeasedServer *server;
+  gboolean closed = FALSE;
+
+  TAILQ_FOREACH (server, &dispatcher->servers, link)
+    {
+      if (g_strcmp0 (server->status.service, job->spec.service) != 0
+          || !server_has_label (server, job->spec.label))
+        continue;
+      if (!server->closed)
+        return FALSE;
+      closed = TRUE;
+    }
+  return closed;
+}
+
+void
+dispatcher_refuse_closed_out (Dispatcher *dispatcher)
+{
+  LeasedJob *job;
+  LeasedJob *next;
+
+  if (dispatcher->n_closed == 0
+      || dispatcher->now_ms - dispatcher->linked_ms < LINKING_MS)
+    return;
+  for (job = TAILQ_FIRST (&dispatcher->jobs); job != NULL; job = next)
+    {
+      next = TAILQ_NEXT (job, link);
+      if (job->closed || job->answered_before || job->placed > 0
+          || !is_closed_out (dispatcher, job))
+        continue;
+      job_answer (job, job->started ? LEASED_GIVEN_UP : LEASED_REFUSED,
+                  "the availability zones of its servers are closed",
+                  RETRY_AFTER_CLOSED_MS);
+      job_release_if_over (job);
+    }
+}
+
 static gboolean
 nothing_ordered (const LeasedJob *job)
 {
--- a/src/dispatcher_parts.h
+++ b/src/dispatcher_parts.h
@@ -75,6 +75,7 @@
   guint n_placed;
   TAILQ_HEAD (, LeasedTask) tasks;
   gboolean inventoried;
+  gboolean closed; /* nothing starts in its availability zone */
 };
 
 /* A job that ended a short while ago, for a caller that did not get the answer. */
@@ -108,6 +109,8 @@
   double used_here; /* thousandths of a core that own runs take, lately */
   double used_by_all;
   gint64 share_ms;  /* when these were last brought up to date */
+  guint n_closed;   /* linked servers in closed availability zones */
+  gint64 linked_ms; /* when a server was last linked */
   gboolean arrived; /* a job, since admission was last decided */
   double usual;     /* slowness of the usual server */
   gint64 now_ms;
@@ -137,6 +140,9 @@
 /** dispatcher_refuse_hopeless - end what could not be of use even if it began now. */
 void dispatcher_refuse_hopeless (Dispatcher *dispatcher);
 
+/** dispatcher_refuse_closed_out - end what only servers in closed zones could run. */
+void dispatcher_refuse_closed_out (Dispatcher *dispatcher);
+
 /** dispatcher_note_arrival - a job has been queued. */
 void dispatcher_note_arrival (LeasedJob *job);
 
--- a/src/dispatcher_place.c
+++ b/src/dispatcher_place.c
@@ -79,7 +79,7 @@
 server_is_open (const LeasedServer *server)
 {
   return server->owner != NULL && server->inventoried && server->status.ready
-         && !server->status.draining && server->late_ms < ORDER_LATE_MS
+         && !server->status.draining && !server->closed && server->late_ms < ORDER_LATE_MS
          && server->dispatcher->now_ms >= server->hold_until_ms;
 }
 
@@ -304,11 +304,14 @@
   const LeasedServer *server;
   guint distrusted = 0;
   guint slowed = 0;
+  guint closed = 0;
 
   TAILQ_FOREACH (server, &dispatcher->servers, link)
     {
       double slowness = MAX (server->status.slowness_percent, 1) / 100.0;
 
+      if (server->owner != NULL && server->closed)
+        closed++;
       if (!server_is_open (server))
         continue;
       g_array_append_val (all, slowness);
@@ -322,6 +325,7 @@
       = all->len > 0 ? MAX (g_array_index (all, double, (all->len - 1) / 2), 1) : 1;
   dispatcher->trust_all = distrusted > MAX (1, all->len * DISTRUSTED_SHARE);
   dispatcher->n_open = all->len;
+  dispatcher->n_closed = closed;
   dispatcher->saves_bytes = slowed > all->len * LATE_SHARE;
   g_array_unref (all);
 }
@@ -338,6 +342,7 @@
       return;
     }
   note_usual (dispatcher);
+  dispatcher_refuse_closed_out (dispatcher);
   dispatcher->wait_ms = dispatcher_wait_ms (dispatcher);
   jobs = dispatcher_order (dispatcher);
   dispatcher->ordered = jobs;
--- a/src/dispatcher_servers.c
+++ b/src/dispatcher_servers.c
@@ -56,6 +56,7 @@
       TAILQ_INIT (&server->tasks);
       TAILQ_INSERT_TAIL (&dispatcher->servers, server, link);
     }
+  dispatcher->linked_ms = dispatcher->now_ms;
   server->owner = owner;
   server->inventoried = FALSE;
   server->late_ms = 0;
@@ -392,6 +393,28 @@
     }
 }
 
+/* Closed if either knows: an entry that is cut off from the table learns it from the
+ * agent, and an entry that knows does not wait for the agent's word. */
+static void
+note_closed (LeasedServer *server)
+{
+  const Closures *closures = server->dispatcher->init.closures;
+  const char *zone = server->status.zone;
+
+  server->closed = server->status.closed
+                   || (closures != NULL && zone != NULL && closures_has (closures, zone));
+}
+
+void
+dispatcher_zones_changed (Dispatcher *dispatcher)
+{
+  LeasedServer *server;
+
+  TAILQ_FOREACH (server, &dispatcher->servers, link)
+    note_closed (server);
+  dispatcher->ops->pump (dispatcher->ctx);
+}
+
 void
 dispatcher_server_status (LeasedServer *server, ServerStatus *status)
 {
@@ -399,15 +422,16 @@
 
   if (other_life || server->status.ready != status->ready
       || server->status.draining != status->draining
-      || server->status.trust != status->trust)
+      || server->status.closed != status->closed || server->status.trust != status->trust)
     event_note ("server-status", "-",
-                "agent=%s server=%s ready=%d draining=%d cpu=%u trust=%d slowness=%u "
-                "failing=%u",
+                "agent=%s server=%s ready=%d draining=%d closed=%d cpu=%u trust=%d "
+                "slowness=%u failing=%u",
                 server->name, status->instance, status->ready, status->draining,
-                status->capacity.cpu_milli, status->trust, status->slowness_percent,
-                status->failing_percent);
+                status->closed, status->capacity.cpu_milli, status->trust,
+                status->slowness_percent, status->failing_percent);
   server_status_free (&server->status);
   server->status = *status;
+  note_closed (server);
   if (status->ready)
     bury_earlier_agents (server);
   server->dispatcher->ops->pump (server->dispatcher->ctx);
--- a/src/explain.c
+++ b/src/explain.c
@@ -1,4 +1,5 @@
 #include "explain.h"
+#include "event_line.h"
 
 #include <string.h>
 
@@ -10,16 +11,6 @@
 #define PROCESS_WIDTH 24
 #define EVENT_WIDTH 20
 
-typedef struct
-{
-  gint64 time_ms;
-  guint number; /* in the order of reading */
-  char *process;
-  char *event;
-  char *job;
-  char *rest;
-} Line;
-
 struct Explain
 {
   char *job;
@@ -27,26 +18,14 @@
   GPtrArray *beliefs;
 };
 
-static void
-line_free (gpointer data)
-{
-  Line *line = data;
-
-  g_free (line->process);
-  g_free (line->event);
-  g_free (line->job);
-  g_free (line->rest);
-  g_free (line);
-}
-
 Explain *
 explain_new (const char *job)
 {
   Explain *explain = g_new0 (Explain, 1);
 
   explain->job = g_strdup (job);
-  explain->lines = g_ptr_array_new_with_free_func (line_free);
-  explain->beliefs = g_ptr_array_new_with_free_func (line_free);
+  explain->lines = g_ptr_array_new_with_free_func (event_line_free);
+  explain->beliefs = g_ptr_array_new_with_free_func (event_line_free);
   return explain;
 }
 
@@ -59,68 +38,10 @@
   g_free (explain);
 }
 
-/* The value of @key, which runs to the next space, or in quotes. Free with g_free. */
-static char *
-value_of (const char *text, const char *key)
-{
-  char *mark = g_strconcat (key, "=", NULL);
-  const char *found = text;
-  char *value = NULL;
-
-  while ((found = strstr (found, mark)) != NULL && found != text && found[-1] != ' ')
-    found++;
-  if (found != NULL)
-    {
-      found += strlen (mark);
-      value = *found == '"' ? g_strndup (found + 1, strcspn (found + 1, "\""))
-                            : g_strndup (found, strcspn (found, " \n"));
-    }
-  g_free (mark);
-  return value;
-}
-
-static gboolean
-has_value (const char *text, const char *key, const char *expected)
-{
-  char *value = value_of (text, key);
-  gboolean equal = g_strcmp0 (value, expected) == 0;
-
-  g_free (value);
-  return equal;
-}
-
-/* Return: NULL if it is no event line. */
-static Line *
-line_parse (const char *text)
-{
-  char *time_ms = value_of (text, "time_ms");
-  char *process = value_of (text, "process");
-  char *event = value_of (text, "event");
-  char *job = value_of (text, "job");
-  const char *rest = strstr (text, " job=");
-  Line *line = NULL;
-
-  if (time_ms != NULL && process != NULL && event != NULL && job != NULL && rest != NULL)
-    {
-      line = g_new0 (Line, 1);
-      line->time_ms = g_ascii_strtoll (time_ms, NULL, 10);
-      line->process = g_steal_pointer (&process);
-      line->event = g_steal_pointer (&event);
-      line->job = g_steal_pointer (&job);
-      rest += strlen (" job=") + strlen (line->job);
-      line->rest = g_strstrip (g_strdup (rest));
-    }
-  g_free (time_ms);
-  g_free (process);
-  g_free (event);
-  g_free (job);
-  return line;
-}
-
 static void
 add_line (Explain *explain, const char *text)
 {
-  Line *line = line_parse (text);
+  EventLine *line = event_line_parse (text);
 
   if (line == NULL)
     return;
@@ -130,7 +51,7 @@
   else if (strcmp (line->job, "-") == 0)
     g_ptr_array_add (explain->beliefs, line);
   else
-    line_free (line);
+    event_line_free (line);
 }
 
 void
@@ -158,8 +79,8 @@
 static int
 compare_lines (gconstpointer a, gconstpointer b)
 {
-  const Line *left = *(Line *const *)a;
-  const Line *right = *(Line *const *)b;
+  const EventLine *left = *(EventLine *const *)a;
+  const EventLine *right = *(EventLine *const *)b;
 
   if (left->time_ms != right->time_ms)
     return left->time_ms < right->time_ms ? -1 : 1;
@@ -176,8 +97,8 @@
 
   for (guint i = 0; i < explain->lines->len; i++)
     {
-      const Line *line = g_ptr_array_index (explain->lines, i);
-      char *agent = value_of (line->rest, "agent");
+      const EventLine *line = g_ptr_array_index (explain->lines, i);
+      char *agent = event_line_value (line->rest, "agent");
 
       g_hash_table_add (met, g_strdup (line->process));
       if (agent != NULL)
@@ -189,10 +110,10 @@
 /* A change of belief matters if it was in a process that the request met, about one that
  * it met or about none in particular. */
 static gboolean
-concerns (const Line *line, GHashTable *met)
+concerns (const EventLine *line, GHashTable *met)
 {
-  char *agent = value_of (line->rest, "agent");
-  char *peer = value_of (line->rest, "peer");
+  char *agent = event_line_value (line->rest, "agent");
+  char *peer = event_line_value (line->rest, "peer");
   gboolean known = (agent == NULL || g_hash_table_contains (met, agent))
                    && (peer == NULL || g_hash_table_contains (met, peer));
 
@@ -205,8 +126,8 @@
 story_of (Explain *explain, GHashTable *met)
 {
   GPtrArray *story = g_ptr_array_new ();
-  const Line *first;
-  const Line *last;
+  const EventLine *first;
+  const EventLine *last;
 
   g_ptr_array_sort (explain->lines, compare_lines);
   first = g_ptr_array_index (explain->lines, 0);
@@ -215,7 +136,7 @@
     g_ptr_array_add (story, g_ptr_array_index (explain->lines, i));
   for (guint i = 0; i < explain->beliefs->len; i++)
     {
-      Line *line = g_ptr_array_index (explain->beliefs, i);
+      EventLine *line = g_ptr_array_index (explain->beliefs, i);
 
       if (line->time_ms >= first->time_ms - BEFORE_MS
           && line->time_ms <= last->time_ms + AFTER_MS && concerns (line, met))
@@ -226,7 +147,7 @@
 }
 
 static void
-tell_line (GString *out, const Line *line, gint64 begin_ms)
+tell_line (GString *out, const EventLine *line, gint64 begin_ms)
 {
   g_string_append_printf (out, "%+9.3f s  %-*s %-*s %s%s\n",
                           (double)(line->time_ms - begin_ms) / 1000, PROCESS_WIDTH,
@@ -248,7 +169,7 @@
 
       for (guint i = 0; i < story->len; i++)
         {
-          const Line *line = g_ptr_array_index (story, i);
+          const EventLine *line = g_ptr_array_index (story, i);
 
           if (strcmp (line->process, process) != 0)
             continue;
@@ -269,10 +190,11 @@
 {
   for (guint i = 0; i < lines->len; i++)
     {
-      const Line *line = g_ptr_array_index (lines, i);
+      const EventLine *line = g_ptr_array_index (lines, i);
 
-      if (strcmp (line->event, "task-report") == 0 && has_value (line->rest, "task", task)
-          && has_value (line->rest, "run", run))
+      if (strcmp (line->event, "task-report") == 0
+          && event_line_has (line->rest, "task", task)
+          && event_line_has (line->rest, "run", run))
         return TRUE;
     }
   return FALSE;
@@ -283,9 +205,9 @@
 {
   for (guint i = 0; i < lines->len; i++)
     {
-      const Line *line = g_ptr_array_index (lines, i);
-      char *task = value_of (line->rest, "task");
-      char *run = value_of (line->rest, "run");
+      const EventLine *line = g_ptr_array_index (lines, i);
+      char *task = event_line_value (line->rest, "task");
+      char *run = event_line_value (line->rest, "run");
 
       if (strcmp (line->event, "task-started") == 0 && task != NULL && run != NULL
           && !is_reported (lines, task, run))
@@ -305,7 +227,7 @@
   for (gsize e = 0; e < G_N_ELEMENTS (ends); e++)
     for (guint i = 0; i < lines->len; i++)
       {
-        const Line *line = g_ptr_array_index (lines, i);
+        const EventLine *line = g_ptr_array_index (lines, i);
 
         if (strcmp (line->event, ends[e]) != 0)
           continue;
@@ -322,7 +244,7 @@
   GString *out = g_string_new (NULL);
   GHashTable *met;
   GPtrArray *story;
-  const Line *first;
+  const EventLine *first;
 
   if (explain->lines->len == 0)
     {
--- a/src/leased_agent.c
+++ b/src/leased_agent.c
@@ -10,6 +10,10 @@
 /* Entries that use one server. Links, heartbeats and states of the server grow with it;
  * with fewer, an entry to which many callers come finds less of the free room. */
 #define MOST_ENTRIES 16
+/* While no entry has told how the closed zones stand for this long, the agent asks the
+ * platform, this often. */
+#define ZONES_STALE_MS 1200
+#define ZONES_ASK_MS 1000
 /* Reports of the last runs are given this long to leave the process. */
 #define FAREWELL_MS 100
 
@@ -116,6 +120,7 @@
 {
   LeasedAgent *agent = ctx;
 
+  memset (&peer->closures, 0, sizeof peer->closures);
   g_clear_pointer (&peer->data, g_free);
   runner_each_run (agent->runner, peer->incarnation, add_to_inventory, peer);
   link_send_inventory (peer->link);
@@ -132,6 +137,34 @@
   g_clear_pointer (&peer->data, g_free);
 }
 
+/* The zone is the backend server's own word of where it stands. */
+static void
+apply_zones (LeasedAgent *agent)
+{
+  gboolean closed = agent->zone != NULL && closures_has (agent->closures, agent->zone);
+
+  runner_close_zone (agent->runner, closed);
+}
+
+static void
+zones_changed (LeasedAgent *agent)
+{
+  apply_zones (agent);
+  for (MeshPeer *peer = mesh_first (agent->mesh); peer != NULL; peer = mesh_next (peer))
+    if (peer->link != NULL)
+      link_touch (peer->link);
+}
+
+static void
+check_zones (LeasedAgent *agent, gint64 now)
+{
+  if (closures_age_ms (agent->closures, now) < ZONES_STALE_MS
+      || now - agent->zones_asked_ms < ZONES_ASK_MS)
+    return;
+  agent->zones_asked_ms = now;
+  agent->ops->look_up_zones (agent->ctx);
+}
+
 static void
 take_order (LeasedAgent *agent, guint64 entry, const Gw__RunOrder *order, gint64 now)
 {
@@ -178,6 +211,8 @@
   gint64 now = clock_now_ms ();
 
   leased_agent_hear_pace (peer, now);
+  if (closures_hear (agent->closures, frame, now))
+    zones_changed (agent);
   if (frame->time != NULL && frame->time->granted_until_ms > 0)
     runner_grant (agent->runner, peer->incarnation, frame->time->granted_until_ms);
   for (gsize i = 0; i < frame->n_run_stops; i++)
@@ -236,6 +271,7 @@
     {
       agent->mesh_ticked_ms = now;
       mesh_tick (agent->mesh, now);
+      check_zones (agent, now);
     }
   runner_tick (agent->runner, now);
   drain_tick (agent, now);
@@ -283,6 +319,7 @@
   agent->changed = event_new (base, -1, 0, leased_agent_tell_state, agent);
   agent->offer_ends = evtimer_new (base, leased_agent_end_offer, agent);
   agent->offers = offers_new ();
+  agent->closures = closures_new ();
   agent->figures = figures_new (base);
   return agent;
 }
@@ -305,6 +342,7 @@
   event_free (agent->changed);
   event_free (agent->offer_ends);
   offers_free (agent->offers);
+  closures_free (agent->closures);
   g_free (agent->hello.name);
   g_free (agent->hello.zone);
   g_free (agent->service);
@@ -351,6 +389,7 @@
   agent->zone = g_strdup (facts->zone);
   g_strfreev (agent->labels);
   agent->labels = g_strdupv ((char **)facts->labels);
+  apply_zones (agent);
 }
 
 void
@@ -364,3 +403,21 @@
 {
   mesh_learn (agent->mesh, address);
 }
+
+void
+leased_agent_zones (LeasedAgent *agent,
+                    const ZoneChange *changes,
+                    gsize n_changes,
+                    gboolean whole,
+                    guint64 version)
+{
+  if (closures_apply (agent->closures, changes, n_changes, whole, version,
+                      clock_now_ms ()))
+    zones_changed (agent);
+}
+
+const Closures *
+leased_agent_closures (const LeasedAgent *agent)
+{
+  return agent->closures;
+}
--- a/src/leased_agent.h
+++ b/src/leased_agent.h
@@ -1,6 +1,7 @@
 #pragma once
 /* The agent of leased jobs: stands beside one backend server, links to the entries and
  * lets them start tasks through its runner. */
+#include "closures.h"
 #include "runner.h"
 #include "settings.h"
 
@@ -13,6 +14,8 @@
 {
   /* Find entries' addresses; leased_agent_learn () takes them. */
   void (*look_up_entries) (gpointer ctx);
+  /* Find which availability zones are closed; leased_agent_zones () takes them. */
+  void (*look_up_zones) (gpointer ctx);
 } LeasedAgentOps;
 
 LeasedAgent *leased_agent_new (struct event_base *base,
@@ -35,4 +38,13 @@
 /** leased_agent_facts - the backend server reports about itself. */
 void leased_agent_facts (LeasedAgent *agent, const ServerFacts *facts);
 void leased_agent_server_leaves (LeasedAgent *agent, const char *instance);
+
+/** leased_agent_zones - what the platform's table says of availability zones, as for
+ * closures_apply (). */
+void leased_agent_zones (LeasedAgent *agent,
+                         const ZoneChange *changes,
+                         gsize n_changes,
+                         gboolean whole,
+                         guint64 version);
+const Closures *leased_agent_closures (const LeasedAgent *agent);
 void leased_agent_learn (LeasedAgent *agent, const char *address);
--- a/src/leased_agent_state.c
+++ b/src/leased_agent_state.c
@@ -14,6 +14,7 @@
 {
   gboolean ready;
   gboolean draining;
+  gboolean closed;
   gboolean offered;
   Trust trust;
   guint slowness_percent;
@@ -59,6 +60,7 @@
   memset (&state, 0, sizeof state);
   state.ready = runner_ready (agent->runner) && peer->surplus_ms == 0;
   state.draining = runner_draining (agent->runner);
+  state.closed = runner_zone_is_closed (agent->runner);
   state.trust = quality->trust;
   state.slowness_percent = in_steps (quality->slowness, 20);
   state.failing_percent = in_steps (quality->failing, 20);
@@ -88,7 +90,8 @@
 is_urgent (const State *state, const ToldState *told)
 {
   if (told == NULL || state->offered || told->state.ready != state->ready
-      || told->state.draining != state->draining || told->state.trust != state->trust)
+      || told->state.draining != state->draining || told->state.closed != state->closed
+      || told->state.trust != state->trust)
     return TRUE;
   return is_tight (state) || is_tight (&told->state);
 }
@@ -161,10 +164,9 @@
   leased_agent_tell_state (-1, 0, agent);
 }
 
-void
-leased_agent_prepare (MeshPeer *peer, Gw__Frame *frame, gpointer ctx)
+static void
+put_state (LeasedAgent *agent, MeshPeer *peer, Gw__Frame *frame)
 {
-  LeasedAgent *agent = ctx;
   const char *instance = runner_instance (agent->runner);
   ToldState *told = peer->data;
   State now = state_for (agent, peer);
@@ -187,6 +189,7 @@
   agent->state.n_labels = agent->labels != NULL ? g_strv_length (agent->labels) : 0;
   agent->state.ready = state->ready;
   agent->state.draining = state->draining;
+  agent->state.closed = state->closed;
   agent->state.offered = state->offered;
   agent->state.trust = (Gw__ServerState__Trust)state->trust;
   agent->state.slowness_percent = state->slowness_percent;
@@ -197,3 +200,12 @@
   agent->state.used_by_others = &agent->used_by_others;
   frame->server_state = &agent->state;
 }
+
+void
+leased_agent_prepare (MeshPeer *peer, Gw__Frame *frame, gpointer ctx)
+{
+  LeasedAgent *agent = ctx;
+
+  closures_tell (agent->closures, &peer->closures, 0, frame, clock_now_ms ());
+  put_state (agent, peer, frame);
+}
--- a/src/leased_entry.c
+++ b/src/leased_entry.c
@@ -114,6 +114,7 @@
                           .ready = state->ready,
                           .draining = state->draining,
                           .offered = state->offered,
+                          .closed = state->closed,
                           .trust = (Trust)state->trust,
                           .slowness_percent = state->slowness_percent,
                           .failing_percent = state->failing_percent };
@@ -184,6 +185,8 @@
 static void
 on_frame (MeshPeer *peer, const Gw__Frame *frame, gpointer ctx)
 {
+  /* Before the states of servers: who stands in a zone that has just opened is open. */
+  leased_entry_zones_frame (ctx, frame);
   if (peer->is_entry)
     leased_entry_config_frame (ctx, peer, frame);
   else
@@ -195,6 +198,7 @@
 {
   LeasedEntry *entry = ctx;
 
+  memset (&peer->closures, 0, sizeof peer->closures);
   if (!peer->is_entry)
     peer->data
         = dispatcher_server_up (entry->dispatcher, peer->incarnation, peer->name, peer);
@@ -216,6 +220,7 @@
 
   frame->leaving = entry->draining_ms > 0;
   leased_entry_config_prepare (entry, peer, frame);
+  leased_entry_zones_prepare (entry, peer, frame);
   if (!peer->is_entry && peer->data != NULL)
     dispatcher_server_granted (peer->data, peer->granted_until);
 }
@@ -293,7 +298,7 @@
                   gpointer ctx)
 {
   LeasedEntry *entry = g_new0 (LeasedEntry, 1);
-  DispatcherInit dispatcher = { settings->server_lease_ms };
+  DispatcherInit dispatcher = { .server_lease_ms = settings->server_lease_ms };
   MeshInit mesh
       = { .base = base,
           .hello = &entry->hello,
@@ -315,6 +320,8 @@
   fill_hello (entry, settings);
   entry->mesh = mesh_new (&mesh, &mesh_ops, entry);
   mesh_seed (entry->mesh, settings->peers);
+  entry->closures = closures_new ();
+  dispatcher.closures = entry->closures;
   entry->dispatcher = dispatcher_new (&dispatcher, &dispatcher_ops, entry);
   entry->tick = event_new (base, -1, EV_PERSIST, on_tick, entry);
   entry->pump = event_new (base, -1, 0, on_pump, entry);
@@ -331,6 +338,7 @@
   listen_free (entry->frames);
   dispatcher_free (entry->dispatcher);
   mesh_free (entry->mesh);
+  closures_free (entry->closures);
   catalog_unref (entry->catalog);
   event_free (entry->tick);
   event_free (entry->pump);
--- a/src/leased_entry_parts.h
+++ b/src/leased_entry_parts.h
@@ -1,7 +1,8 @@
 #pragma once
 /* What the parts of an entry of leased jobs share: leased_entry.c is its life and its
  * talk with agents, leased_entry_config.c what entries tell each other about the
- * configuration. */
+ * configuration, leased_entry_zones.c the closed availability zones. */
+#include "closures.h"
 #include "figures.h"
 #include "leased_entry.h"
 #include "listen.h"
@@ -24,6 +25,7 @@
   Dispatcher *dispatcher;
   Catalog *catalog;
   Spread spread;
+  Closures *closures;
   struct event *tick;
   struct event *pump;
   Figures *figures;
@@ -37,6 +39,14 @@
 /** leased_entry_tell_all - send every linked entry a frame in this turn of the loop. */
 void leased_entry_tell_all (LeasedEntry *entry);
 
+/* leased_entry_zones.c */
+
+/** leased_entry_zones_frame - take what a peer says of closed zones. */
+void leased_entry_zones_frame (LeasedEntry *entry, const Gw__Frame *frame);
+
+/** leased_entry_zones_prepare - put closed zones into a frame if they are news there. */
+void leased_entry_zones_prepare (LeasedEntry *entry, MeshPeer *peer, Gw__Frame *frame);
+
 /* leased_entry_config.c */
 void
 leased_entry_config_frame (LeasedEntry *entry, MeshPeer *peer, const Gw__Frame *frame);
--- /dev/null
+++ b/src/leased_entry_zones.c
@@ -0,0 +1,48 @@
+/* Closed availability zones at an entry: from the platform or a peer to the dispatcher
+ * and to all other peers. */
+#include "clock.h"
+#include "leased_entry_parts.h"
+
+/* Agents hear this often that the table still says so. */
+#define CONFIRM_MS 400
+
+static void
+zones_changed (LeasedEntry *entry)
+{
+  dispatcher_zones_changed (entry->dispatcher);
+  for (MeshPeer *peer = mesh_first (entry->mesh); peer != NULL; peer = mesh_next (peer))
+    if (peer->link != NULL)
+      link_touch (peer->link);
+}
+
+void
+leased_entry_zones_frame (LeasedEntry *entry, const Gw__Frame *frame)
+{
+  if (closures_hear (entry->closures, frame, clock_now_ms ()))
+    zones_changed (entry);
+}
+
+void
+leased_entry_zones_prepare (LeasedEntry *entry, MeshPeer *peer, Gw__Frame *frame)
+{
+  closures_tell (entry->closures, &peer->closures, peer->is_entry ? 0 : CONFIRM_MS, frame,
+                 clock_now_ms ());
+}
+
+void
+leased_entry_zones (LeasedEntry *entry,
+                    const ZoneChange *changes,
+                    gsize n_changes,
+                    gboolean whole,
+                    guint64 version)
+{
+  if (closures_apply (entry->closures, changes, n_changes, whole, version,
+                      clock_now_ms ()))
+    zones_changed (entry);
+}
+
+const Closures *
+leased_entry_closures (const LeasedEntry *entry)
+{
+  return entry->closures;
+}
--- a/src/runner.c
+++ b/src/runner.c
@@ -1,4 +1,5 @@
 #define LOG_MODULE "runner"
+#include "counters.h"
 #include "events.h"
 #include "runner_parts.h"
 
@@ -163,6 +164,8 @@
     return "agent is leaving";
   if (runner->server_draining)
     return "backend server is draining";
+  if (runner->zone_closed)
+    return "availability zone is closed";
   if (runner->now_ms > request->valid_until_ms)
     return "order too old";
   if (runner->now_ms > granted_until (runner, request->entry))
@@ -182,6 +185,7 @@
   if (runner_find (runner, &request->key) != NULL)
     return;
   reason = refusal (runner, request);
+  counter_add (COUNTER_STARTS_ZONE_CLOSED, reason != NULL && runner->zone_closed);
   if (reason == NULL && !demand_fits (&runner->capacity, &runner->used, &request->demand))
     {
       runner->ops->no_room (request->entry, &request->wish, runner->ctx);
@@ -346,6 +350,21 @@
   runner->ops->changed (runner->ctx);
 }
 
+void
+runner_close_zone (Runner *runner, gboolean closed)
+{
+  if (runner->zone_closed == closed)
+    return;
+  runner->zone_closed = closed;
+  runner->ops->changed (runner->ctx);
+}
+
+gboolean
+runner_zone_is_closed (const Runner *runner)
+{
+  return runner->zone_closed;
+}
+
 gboolean
 runner_ready (const Runner *runner)
 {
--- a/src/runner.h
+++ b/src/runner.h
@@ -103,6 +103,10 @@
 /** runner_drain - start nothing more. */
 void runner_drain (Runner *runner);
 
+/** runner_close_zone - the availability zone is closed: start nothing, or open again. */
+void runner_close_zone (Runner *runner, gboolean closed);
+gboolean runner_zone_is_closed (const Runner *runner);
+
 gboolean runner_ready (const Runner *runner);
 gboolean runner_draining (const Runner *runner);
 guint runner_count (const Runner *runner);
--- a/src/runner_calls.c
+++ b/src/runner_calls.c
@@ -153,7 +153,7 @@
     case CALL_FENCED:
     case CALL_LATE:
       if (run->starts < STARTS_MAX && runner->now_ms <= run->valid_until_ms
-          && run->stop_reason == NULL)
+          && run->stop_reason == NULL && !runner->zone_closed)
         runner_send_start (runner, run);
       else
         run_end (runner, run, REPORT_NOT_STARTED, "start came too late");
--- a/src/runner_parts.h
+++ b/src/runner_parts.h
@@ -86,6 +86,7 @@
   Quality quality;
   gboolean server_draining;
   gboolean draining;
+  gboolean zone_closed;
   Watches watches;
   gboolean settling;
 };
--- a/standins/server.c
+++ b/standins/server.c
@@ -75,6 +75,7 @@
 {
   struct event_base *base;
   char *address;
+  const char *zone;
   HttpPool *agent;
   guint life;
   char instance[32];
@@ -436,12 +437,12 @@
 {
   char *path = g_strdup_printf ("/Instances.%s/%s", what, server->instance);
   char *body = g_strdup_printf (
-      "{\"service\":\"exchange\",\"address\":\"%s\",\"zone\":\"z\",\"version\":\"v1\","
+      "{\"service\":\"exchange\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\","
       "\"slots\":8,\"state\":\"%s\",\"capacity\":{\"cpu\":%u,\"mem_mb\":65536,\"gpu\":0},"
       "\"labels\":[\"a\",\"r1-1\"],\"clock_ms\":%" G_GINT64_FORMAT
       ",\"seq\":%" G_GINT64_FORMAT "}",
-      server->address, server->draining ? "draining" : "ready", capacity_told (server),
-      server_ms (server), ++server->sequence);
+      server->address, server->zone, server->draining ? "draining" : "ready",
+      capacity_told (server), server_ms (server), ++server->sequence);
   HttpCall call = { .method = EVHTTP_REQ_POST,
                     .path = path,
                     .body = body,
@@ -611,6 +612,7 @@
       return EXIT_FAILURE;
     }
   server.cpu = argc > 1 ? (guint)atoi (argv[1]) : 4 * CPU_EACH;
+  server.zone = argc > 2 ? argv[2] : "z";
   server.told_cpu = server.cpu;
   server.tasks = g_ptr_array_new_with_free_func (task_free);
   server.ended = g_ptr_array_new_with_free_func (end_free);
--- a/standins/store.c
+++ b/standins/store.c
@@ -39,7 +39,7 @@
 {
   char *table;
   char *key;
-  char *value; /* base64 */
+  char *value; /* base64; NULL: removed */
   gint64 version;
 } Row;
 
@@ -97,9 +97,24 @@
   return NULL;
 }
 
+static void
+add_removed (GString *body, const Row *row)
+{
+  g_string_append_printf (body,
+                          "%s{\"table\":\"%s\",\"part\":\"\",\"key\":\"%s\","
+                          "\"deleted\":true,\"ver\":%" G_GINT64_FORMAT "}",
+                          body->str[body->len - 1] == '[' ? "" : ",", row->table,
+                          row->key, row->version);
+}
+
 static void
 add_row (GString *body, const Row *row)
 {
+  if (row->value == NULL)
+    {
+      add_removed (body, row);
+      return;
+    }
   g_string_append_printf (body,
                           "%s{\"table\":\"%s\",\"part\":\"\",\"key\":\"%s\",\"value\":\"%"
                           "s\",\"ver\":%" G_GINT64_FORMAT "}",
@@ -124,24 +139,51 @@
   http_reply (request, status, "application/json", "{}", 2, 0);
 }
 
+static int
+compare_keys (gconstpointer a, gconstpointer b)
+{
+  const Row *left = *(Row *const *)a;
+  const Row *right = *(Row *const *)b;
+
+  return strcmp (left->key, right->key);
+}
+
+static gint64
+query_int (struct evhttp_request *request, const char *name)
+{
+  char *text = http_query_value (request, name);
+  gint64 value = text != NULL ? g_ascii_strtoll (text, NULL, 10) : 0;
+
+  g_free (text);
+  return value;
+}
+
 static void
 serve_get (Store *store, struct evhttp_request *request)
 {
   char *table = http_query_value (request, "table");
   char *from = http_query_value (request, "from");
+  char *target = http_query_value (request, "target");
+  gint64 limit = query_int (request, "limit");
   GString *body = g_string_new ("{\"rows\":[");
+  gint64 n = 0;
 
-  for (guint i = 0; i < store->rows->len; i++)
+  g_ptr_array_sort (store->rows, compare_keys);
+  for (guint i = 0; i < store->rows->len && (limit == 0 || n < limit); i++)
     {
       const Row *row = g_ptr_array_index (store->rows, i);
 
-      if (g_strcmp0 (row->table, table) == 0
-          && (from == NULL || strcmp (row->key, from) == 0))
-        add_row (body, row);
+      if (row->value == NULL || g_strcmp0 (row->table, table) != 0
+          || (from != NULL && strcmp (row->key, from) < 0)
+          || (target != NULL && strcmp (row->key, target) >= 0))
+        continue;
+      add_row (body, row);
+      n++;
     }
   reply_rows (store, request, body);
   g_free (table);
   g_free (from);
+  g_free (target);
 }
 
 static gboolean
@@ -168,16 +210,6 @@
   return TRUE;
 }
 
-static gint64
-query_int (struct evhttp_request *request, const char *name)
-{
-  char *text = http_query_value (request, name);
-  gint64 value = text != NULL ? g_ascii_strtoll (text, NULL, 10) : 0;
-
-  g_free (text);
-  return value;
-}
-
 static void
 on_feeder_gone (struct evhttp_connection *connection, void *ctx)
 {
@@ -239,6 +271,7 @@
     }
 }
 
+/* A row that is to be removed has no value. */
 static void
 put (Store *store, JsonObject *object)
 {
@@ -254,7 +287,8 @@
       g_ptr_array_add (store->rows, row);
     }
   g_free (row->value);
-  row->value = g_strdup (json_object_get_string_member (object, "value"));
+  row->value
+      = g_strdup (json_object_get_string_member_with_default (object, "value", NULL));
   row->version = store->version;
 }
 
@@ -265,6 +299,7 @@
   char *text = http_request_body (request, &size);
   JsonNode *root = json_from_string (text, NULL);
   JsonArray *puts;
+  JsonArray *removed;
 
   if (root == NULL || !JSON_NODE_HOLDS_OBJECT (root))
     {
@@ -275,6 +310,9 @@
   store->version++;
   for (guint i = 0; i < json_array_get_length (puts); i++)
     put (store, json_array_get_object_element (puts, i));
+  removed = json_object_get_array_member (json_node_get_object (root), "remove");
+  for (guint i = 0; i < json_array_get_length (removed); i++)
+    put (store, json_array_get_object_element (removed, i));
   feed_all (store);
   if (store->mode != MODE_LOSE)
     reply_empty (request, 200);
--- a/tests/platform_scene.c
+++ b/tests/platform_scene.c
@@ -62,6 +62,38 @@
   platform_put_routes (scene, prefix, 0);
 }
 
+void
+platform_put_zone (PlatformScene *scene, const char *zone, const char *value)
+{
+  char *encoded = g_base64_encode ((const guchar *)value, strlen (value));
+  char *body
+      = g_strdup_printf ("{\"expected\":[],\"puts\":[{\"table\":\"op\",\"part\":\"\","
+                         "\"key\":\"evacuate/%s\",\"value\":\"%s\"}],\"remove\":[]}",
+                         zone, encoded);
+
+  exchange_free (harness_post (scene->harness, scene->store->http, "/rows-tx", body));
+  g_free (body);
+  g_free (encoded);
+}
+
+void
+platform_close_zone (PlatformScene *scene, const char *zone)
+{
+  platform_put_zone (scene, zone, "{}");
+}
+
+void
+platform_open_zone (PlatformScene *scene, const char *zone)
+{
+  char *body
+      = g_strdup_printf ("{\"expected\":[],\"puts\":[],\"remove\":[{\"table\":\"op\","
+                         "\"part\":\"\",\"key\":\"evacuate/%s\"}]}",
+                         zone);
+
+  exchange_free (harness_post (scene->harness, scene->store->http, "/rows-tx", body));
+  g_free (body);
+}
+
 /* Processes. */
 
 static const char *
@@ -250,7 +282,8 @@
 platform_scene_open (PlatformScene *scene, const PlatformInit *init)
 {
   const char *store[] = { STORE_EXE, NULL };
-  const char *server[] = { SERVER_EXE, "4000", NULL };
+  char zone[] = "z\0\0";
+  const char *server[] = { SERVER_EXE, "4000", zone, NULL };
 
   memset (scene, 0, sizeof *scene);
   scene->harness = harness_new_bare ();
@@ -274,6 +307,9 @@
     {
       char *name = g_strdup_printf ("server-%u", i);
 
+      if (init->zones > 0)
+        zone[1] = (char)('0' + i % init->zones);
+
       scene->servers[i] = harness_spawn (scene->harness, name, server);
       scene->agents[i] = platform_start_agent (scene, i);
       platform_introduce (scene, i);
@@ -422,3 +458,21 @@
   g_array_unref (moments);
   return starts;
 }
+
+guint
+platform_starts (PlatformScene *scene, guint server, gint64 from_ms, gint64 until_ms)
+{
+  GArray *moments = g_array_new (FALSE, TRUE, sizeof (Moment));
+  guint starts = 0;
+
+  g_array_set_clear_func (moments, moment_clear);
+  add_moments (scene, server, moments);
+  for (guint i = 0; i < moments->len; i++)
+    {
+      const Moment *moment = &g_array_index (moments, Moment, i);
+
+      starts += moment->starts && moment->at_ms >= from_ms && moment->at_ms < until_ms;
+    }
+  g_array_unref (moments);
+  return starts;
+}
--- a/tests/platform_scene.h
+++ b/tests/platform_scene.h
@@ -31,6 +31,7 @@
   guint servers;
   gboolean relayed;
   gboolean configured;
+  guint zones;            /* that the servers stand in by turns: z0, z1, ...; 0: one, z */
   guint line_bytes_per_s; /* the last entry's link, store and peers together; 0: none */
 } PlatformInit;
 
@@ -43,6 +44,18 @@
 /** platform_put_routes - the same with @routes more that nobody calls. */
 void platform_put_routes (PlatformScene *scene, const char *prefix, guint routes);
 
+/** platform_put_zone - the operator asks to close an availability zone; @value: of the
+ * row. */
+void platform_put_zone (PlatformScene *scene, const char *zone, const char *value);
+
+/** platform_close_zone - and to open it again. */
+void platform_close_zone (PlatformScene *scene, const char *zone);
+void platform_open_zone (PlatformScene *scene, const char *zone);
+
+/** platform_starts - starts on a server from then until then. */
+guint
+platform_starts (PlatformScene *scene, guint server, gint64 from_ms, gint64 until_ms);
+
 /** platform_start_entry - @peers: quoted addresses of others, separated by commas. */
 Process *platform_start_entry (PlatformScene *scene, guint i, const char *peers);
 Process *platform_start_agent (PlatformScene *scene, guint i);
--- /dev/null
+++ b/tests/test-closures.c
@@ -0,0 +1,158 @@
+/* What a process believes of closed availability zones: which word counts, and what it
+ * tells others. */
+#include "cases.h"
+#include "closures.h"
+
+#include <string.h>
+
+#define STEPS_MOST 4
+#define CONFIRM_MS 400
+
+typedef struct
+{
+  gboolean whole;
+  guint64 version;
+  ZoneChange changes[2];
+} Word;
+
+typedef struct
+{
+  const char *name;
+  Word words[STEPS_MOST];
+  const char *closed; /* in the end, joined by commas */
+} Case;
+
+static const Case cases[] = {
+  { "closed-then-opened",
+    { { TRUE, 5, { { NULL } } },
+      { FALSE, 6, { { "a", ZONE_CLOSED, 6 } } },
+      { FALSE, 8, { { "a", ZONE_OPEN, 8 } } } },
+    "" },
+  { "two-in-one-change",
+    { { TRUE, 5, { { NULL } } },
+      { FALSE, 6, { { "a", ZONE_CLOSED, 6 }, { "b", ZONE_CLOSED, 6 } } } },
+    "a,b" },
+  { "an-older-word-comes-late",
+    { { TRUE, 5, { { NULL } } },
+      { FALSE, 9, { { "a", ZONE_CLOSED, 9 } } },
+      { TRUE, 7, { { NULL } } } },
+    "a" },
+  { "opened-between-two-whole-words",
+    { { TRUE, 5, { { "a", ZONE_CLOSED, 3 } } },
+      { TRUE, 9, { { "b", ZONE_CLOSED, 8 } } } },
+    "b" },
+  { "opened-and-closed-between-two-whole-words",
+    { { TRUE, 5, { { "a", ZONE_CLOSED, 3 } } },
+      { TRUE, 9, { { "a", ZONE_CLOSED, 8 } } } },
+    "a" },
+  { "a-change-before-the-first-whole-word",
+    { { FALSE, 6, { { "a", ZONE_CLOSED, 6 } } }, { TRUE, 5, { { NULL } } } },
+    "" },
+  { "an-unreadable-row-leaves-a-closed-zone-closed",
+    { { TRUE, 5, { { "a", ZONE_CLOSED, 3 } } },
+      { TRUE, 9, { { "a", ZONE_UNREADABLE, 8 } } } },
+    "a" },
+  { "an-unreadable-row-leaves-an-open-zone-open",
+    { { TRUE, 5, { { NULL } } }, { FALSE, 9, { { "a", ZONE_UNREADABLE, 8 } } } },
+    "" },
+};
+
+static gsize
+count_changes (const Word *word)
+{
+  gsize n = 0;
+
+  while (n < G_N_ELEMENTS (word->changes) && word->changes[n].zone != NULL)
+    n++;
+  return n;
+}
+
+static void
+apply (Closures *closures, const Word *word, gint64 now_ms)
+{
+  closures_apply (closures, word->changes, count_changes (word), word->whole,
+                  word->version, now_ms);
+}
+
+static void
+assert_closed (const Closures *closures, const char *expected)
+{
+  char **zones = g_strsplit (expected, ",", -1);
+
+  g_assert_cmpuint (closures_count (closures), ==, g_strv_length (zones));
+  for (char **zone = zones; *zone != NULL; zone++)
+    g_assert_true (closures_has (closures, *zone));
+  g_strfreev (zones);
+}
+
+static void
+test_words (gconstpointer data)
+{
+  const Case *words = data;
+  Closures *closures = closures_new ();
+
+  for (guint i = 0; i < STEPS_MOST && words->words[i].version > 0; i++)
+    apply (closures, &words->words[i], 100 * (i + 1));
+  assert_closed (closures, words->closed);
+  closures_free (closures);
+}
+
+/* The same words reach a second process over frames alone. */
+static void
+test_told (gconstpointer data)
+{
+  const Case *words = data;
+  Closures *closures = closures_new ();
+  Closures *other = closures_new ();
+  ClosuresTold told = { 0 };
+
+  for (guint i = 0; i < STEPS_MOST && words->words[i].version > 0; i++)
+    {
+      Gw__Frame frame = GW__FRAME__INIT;
+
+      apply (closures, &words->words[i], 100 * (i + 1));
+      closures_tell (closures, &told, 0, &frame, 100 * (i + 1));
+      closures_hear (other, &frame, 100 * (i + 1));
+    }
+  assert_closed (other, words->closed);
+  closures_free (other);
+  closures_free (closures);
+}
+
+/* An agent must notice that no entry has read the table for a while. */
+static void
+test_age (void)
+{
+  static const Word first = { TRUE, 5, { { NULL } } };
+  Closures *entry = closures_new ();
+  Closures *agent = closures_new ();
+  ClosuresTold told = { 0 };
+  Gw__Frame frame = GW__FRAME__INIT;
+  Gw__Frame again = GW__FRAME__INIT;
+
+  g_assert_cmpuint (closures_age_ms (agent, 1000), ==, G_MAXUINT);
+  apply (entry, &first, 1000);
+  closures_tell (entry, &told, CONFIRM_MS, &frame, 1100);
+  closures_hear (agent, &frame, 1200);
+  g_assert_cmpuint (closures_age_ms (agent, 1200), ==, 100);
+  /* The entry has not read it again: it has nothing to confirm. */
+  closures_tell (entry, &told, CONFIRM_MS, &again, 1600);
+  g_assert_null (again.closures);
+  apply (entry, &first, 1700);
+  closures_tell (entry, &told, CONFIRM_MS, &again, 1800);
+  g_assert_nonnull (again.closures);
+  closures_hear (agent, &again, 1800);
+  g_assert_cmpuint (closures_age_ms (agent, 1800), ==, 100);
+  closures_free (agent);
+  closures_free (entry);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  ADD_CASES ("/closures/words", cases, test_words);
+  ADD_CASES ("/closures/told", cases, test_told);
+  g_test_add_func ("/closures/age", test_age);
+  return g_test_run ();
+}
--- a/tests/test-explain.c
+++ b/tests/test-explain.c
@@ -1,6 +1,7 @@
 /* The story of a request, from lines as the processes write them. */
 #include "cases.h"
 #include "explain.h"
+#include "zone_report.h"
 
 #include <string.h>
 
@@ -75,10 +76,66 @@
   explain_free (explain);
 }
 
+typedef struct
+{
+  const char *name;
+  const char *lines;
+  const char *closed[2]; /* rows, in this order */
+} ZoneCase;
+
+static const ZoneCase zone_cases[] = {
+  { "none",
+    LINE ("100", "e1", "job-queued", "b", "tasks=1"),
+    { "no availability zone" } },
+  { "closed-by-two",
+    LINE ("300", "e2", "zone-closed", "-", "zone=a version=7")
+        LINE ("100", "e1", "zone-closed", "-", "zone=a version=7"),
+    { "a e1 closed since 2026-02-12T07:34:41Z version 7", "a e2 closed" } },
+  { "opened-again",
+    LINE ("300", "e1", "zone-opened", "-", "zone=a version=9")
+        LINE ("100", "e1", "zone-closed", "-", "zone=a version=7"),
+    { "no availability zone" } },
+  { "forgotten-by-a-restart",
+    LINE ("100", "e1", "zone-closed", "-", "zone=a version=7")
+        LINE ("200", "e1", "started", "-", "version=0.1.0"),
+    { "no availability zone" } },
+};
+
+/* Blanks of the columns as one. */
+static char *
+squeeze (const char *text)
+{
+  GString *out = g_string_new (NULL);
+
+  for (; *text != '\0'; text++)
+    if (*text != ' ' || out->len == 0 || out->str[out->len - 1] != ' ')
+      g_string_append_c (out, *text);
+  return g_string_free (out, FALSE);
+}
+
+static void
+test_zones (gconstpointer data)
+{
+  const ZoneCase *zones = data;
+  const char *const texts[] = { zones->lines, NULL };
+  char *report = zone_report (texts);
+  char *squeezed = squeeze (report);
+  const char *rest = squeezed;
+
+  for (gsize i = 0; i < G_N_ELEMENTS (zones->closed) && zones->closed[i] != NULL; i++)
+    {
+      rest = strstr (rest, zones->closed[i]);
+      g_assert_nonnull (rest);
+    }
+  g_free (squeezed);
+  g_free (report);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   ADD_CASES ("/explain", cases, test_case);
+  ADD_CASES ("/explain/zones", zone_cases, test_zones);
   return g_test_run ();
 }
--- a/tests/test-leased-agent.c
+++ b/tests/test-leased-agent.c
@@ -42,7 +42,12 @@
 {
 }
 
-static const LeasedAgentOps ops = { look_up_entries };
+static void
+look_up_zones (gpointer ctx)
+{
+}
+
+static const LeasedAgentOps ops = { look_up_entries, look_up_zones };
 
 static void
 answer_all (Server *server)
