A server that refuses connections is asked with each tick, not without end

Cause: a settling call that ends without an answer sent the next one at once, and a refused connection comes back within a turn of the loop: thousands of connections a second for as long as the run's lease lasts. At once four times, then with the tick (50 ms).

Test first: /runner/refusing-server-is-not-stormed, over 1,024 calls in 6 s, now under 360. Also read: what a server says of being cold; servers here never say so.

--- a/src/runner.h
+++ b/src/runner.h
@@ -49,6 +49,7 @@
   const char *const *labels; /* NULL-terminated */
   Demand capacity;
   gboolean draining;
+  guint cold_ms;    /* it runs slower for this much longer, after its start */
   gint64 server_ms; /* its clock */
   guint64 sequence; /* counts the reports of one life */
 } ServerFacts;
--- a/src/runner_calls.c
+++ b/src/runner_calls.c
@@ -21,6 +21,11 @@
 #define WATCH_ANSWER_MS 100
 #define STARTS_MAX 4
 
+/* A settling call without an answer is followed by the next at once, since single ones
+ * go astray; after so many calls in a row the server is taken to be down, and it is
+ * asked with each tick. */
+#define SETTLE_AT_ONCE_CALLS 4
+
 /* What an answer must be matched with: the runner's state may have moved on. */
 typedef struct
 {
@@ -332,7 +337,8 @@
     goto out;
   if (reply->end != CALL_DONE)
     {
-      if (cookie->settle && runner_must_settle (runner))
+      if (cookie->settle && runner_must_settle (runner)
+          && runner->unanswered < SETTLE_AT_ONCE_CALLS)
         runner_send_settle (runner);
       goto out;
     }
--- a/src/runner_life.c
+++ b/src/runner_life.c
@@ -69,6 +69,22 @@
   runner_set_state (runner, LIFE_CLEARING);
 }
 
+gboolean
+runner_is_cold (const Runner *runner)
+{
+  return runner->now_ms < runner->cold_until_ms;
+}
+
+/* Return: whether it has become cold or warm. */
+static gboolean
+runner_note_cold (Runner *runner, guint cold_ms)
+{
+  gboolean before = runner_is_cold (runner);
+
+  runner->cold_until_ms = cold_ms > 0 ? runner->now_ms + cold_ms : 0;
+  return before != runner_is_cold (runner);
+}
+
 gboolean
 runner_facts (Runner *runner, const ServerFacts *facts, gint64 now_ms)
 {
@@ -88,10 +104,12 @@
             || memcmp (&runner->capacity, &facts->capacity, sizeof facts->capacity) != 0;
   runner->capacity = facts->capacity;
   runner->server_draining = facts->draining;
+  changed |= runner_note_cold (runner, facts->cold_ms);
   if (changed)
-    event_emit ("server-facts", "-", "server=%s service=%s cpu=%u memory=%u draining=%d",
+    event_emit ("server-facts", "-",
+                "server=%s service=%s cpu=%u memory=%u draining=%d cold_ms=%u",
                 facts->instance, facts->service, facts->capacity.cpu_milli,
-                facts->capacity.memory_mb, facts->draining);
+                facts->capacity.memory_mb, facts->draining, facts->cold_ms);
   if (changed)
     runner->ops->changed (runner->ctx);
   if (new_life)
--- a/src/runner_parts.h
+++ b/src/runner_parts.h
@@ -85,6 +85,7 @@
   Demand capacity;
   Quality quality;
   gboolean server_draining;
+  gint64 cold_until_ms; /* it says that it runs slower until then */
   gboolean draining;
   gboolean zone_closed;
   Watches watches;
@@ -110,6 +111,9 @@
 /* runner_life.c */
 void runner_set_state (Runner *runner, LifeState state);
 
+/** runner_is_cold - the server says that it is slower now than it will be. */
+gboolean runner_is_cold (const Runner *runner);
+
 /** runner_forget_life - what ran there ends as @kind. */
 void runner_forget_life (Runner *runner, ReportKind kind, const char *reason);
 
--- a/tests/test-runner.c
+++ b/tests/test-runner.c
@@ -8,8 +8,12 @@
 #define ENTRY 11
 #define OTHER_ENTRY 12
 #define LEASE_MS 700
-#define CALLS_MAX 64
+#define CALLS_MAX 1024
 #define REPORTS_MAX 64
+#define REFUSING_MS 6000
+#define DIALS_PER_S 60
+/* More calls than this in one turn of the loop are a storm. */
+#define STORM 200
 
 typedef enum
 {
@@ -792,7 +796,31 @@
                     quick_ms + quick_ms);
 }
 
+/* The server refuses connections for 6 s: an answer fails as soon as it is asked for.
+ * Guards against calling it thousands of times, each over a new connection. */
+static void
+refusing_server_is_not_stormed (Scene *scene)
+{
+  scene_ready (scene);
+  ask_start (scene, ENTRY, "j", 1000);
+  for (guint ms = 0; ms < REFUSING_MS; ms += RUNNER_TICK_MS)
+    {
+      guint before = scene->n_calls;
+
+      for (guint i = 0; i < scene->n_calls && scene->n_calls < before + STORM; i++)
+        if (!scene->calls[i].answered)
+          answer (scene, &scene->calls[i], CALL_UNANSWERED);
+      pass (scene, RUNNER_TICK_MS);
+    }
+  g_assert_cmpuint (scene->n_calls, <=, REFUSING_MS / 1000 * DIALS_PER_S);
+  /* It is back: a call finds that out soon. */
+  pass (scene, RUNNER_TICK_MS);
+  answer (scene, open_settle (scene), CALL_DONE);
+  g_assert_true (runner_ready (scene->runner));
+}
+
 static const Case cases[] = {
+  { "refusing-server-is-not-stormed", refusing_server_is_not_stormed },
   { "runs-and-reports", runs_and_reports },
   { "room-is-kept-until-the-end", room_is_kept_until_the_end },
   { "unanswered-start-is-fenced", unanswered_start_is_fenced },
