A cold server is slow for as long as it says, and teaches nothing

What a backend server says of being cold was read nowhere: runs there counted as those of a slow server, which was avoided for some seconds afterwards, and lengthened the expected run times of the queue. Now what is learned of it while it is cold is kept apart from what it is when warm, and its runs teach nothing about tasks.

--- a/src/dispatcher_servers.c
+++ b/src/dispatcher_servers.c
@@ -172,7 +172,7 @@
 observe_run_time (const LeasedJob *job, guint run_ms)
 {
   runtimes_observe (dispatcher_runtimes (job->dispatcher, job->spec.queue),
-                    job->spec.declared_ms, MAX (run_ms, 1));
+                    job->spec.declared_ms, run_ms);
 }
 
 static void
@@ -180,7 +180,8 @@
 {
   LeasedJob *job = task->job;
 
-  observe_run_time (job, run_ms);
+  if (run_ms > 0)
+    observe_run_time (job, run_ms);
   task_detach (task);
   task->state = TASK_ENDED;
   job->ended++;
--- a/src/runner.c
+++ b/src/runner.c
@@ -119,8 +119,9 @@
   past->report.key = run->key;
   past->report.kind = kind;
   past->report.reason = reason;
-  if (run->started_ms > 0)
-    past->report.run_ms = (guint)(runner->now_ms - run->started_ms);
+  /* What a cold server takes for it says nothing about the task. */
+  if (run->started_ms > 0 && !runner->cold)
+    past->report.run_ms = (guint)MAX (runner->now_ms - run->started_ms, 1);
   past->entry = run->entry;
   past->ended_ms = runner->now_ms;
   TAILQ_INSERT_TAIL (&runner->past, past, link);
@@ -332,6 +333,7 @@
   forget_past (runner);
   if (runner->state == LIFE_UNKNOWN)
     return;
+  runner_check_cold (runner);
   tick_quality (runner);
   check_lapse (runner);
   stop_unleased (runner);
--- a/src/runner.h
+++ b/src/runner.h
@@ -25,7 +25,7 @@
   RunKey key;
   ReportKind kind;
   const char *reason; /* a constant; empty if there is nothing to say */
-  guint run_ms;       /* of a run that is done */
+  guint run_ms;       /* of a run that is done; 0: on a cold server */
 } RunReport;
 
 /* A start that an entry asks for. */
--- a/src/runner_life.c
+++ b/src/runner_life.c
@@ -50,6 +50,30 @@
   return FALSE;
 }
 
+/* What is learned of a cold server holds while it is cold: it is no slow server. */
+static void
+set_cold (Runner *runner, gboolean cold)
+{
+  double slowness = runner->quality.slowness;
+
+  if (runner->cold == cold)
+    return;
+  runner->cold = cold;
+  runner->quality.slowness = MAX (runner->other_slowness, 1);
+  runner->other_slowness = slowness;
+  event_note (cold ? "server-cold" : "server-warm", "-",
+              "server=%s for_ms=%" G_GINT64_FORMAT " slowness=%.2f before=%.2f",
+              runner->instance, MAX (runner->cold_until_ms - runner->now_ms, 0),
+              runner->quality.slowness, slowness);
+  runner->ops->changed (runner->ctx);
+}
+
+void
+runner_check_cold (Runner *runner)
+{
+  set_cold (runner, runner->now_ms < runner->cold_until_ms);
+}
+
 /* Whatever an earlier life of this process started may still run there, and its orders
  * may still arrive. The server's own clock as fencing token is higher than any that was
  * drawn from it before, and needs no storage. */
@@ -63,28 +87,13 @@
   runner->token = (guint64)facts->server_ms;
   runner->ends_seen = 0;
   runner->unanswered = 0;
+  set_cold (runner, FALSE);
   quality_init (&runner->quality);
   runner->leased_until = 0;
   memset (&runner->clock, 0, sizeof runner->clock);
   runner_set_state (runner, LIFE_CLEARING);
 }
 
-gboolean
-runner_is_cold (const Runner *runner)
-{
-  return runner->now_ms < runner->cold_until_ms;
-}
-
-/* Return: whether it has become cold or warm. */
-static gboolean
-runner_note_cold (Runner *runner, guint cold_ms)
-{
-  gboolean before = runner_is_cold (runner);
-
-  runner->cold_until_ms = cold_ms > 0 ? runner->now_ms + cold_ms : 0;
-  return before != runner_is_cold (runner);
-}
-
 gboolean
 runner_facts (Runner *runner, const ServerFacts *facts, gint64 now_ms)
 {
@@ -104,7 +113,8 @@
             || memcmp (&runner->capacity, &facts->capacity, sizeof facts->capacity) != 0;
   runner->capacity = facts->capacity;
   runner->server_draining = facts->draining;
-  changed |= runner_note_cold (runner, facts->cold_ms);
+  runner->cold_until_ms = runner->now_ms + facts->cold_ms;
+  runner_check_cold (runner);
   if (changed)
     event_emit ("server-facts", "-",
                 "server=%s service=%s cpu=%u memory=%u draining=%d cold_ms=%u",
--- a/src/runner_parts.h
+++ b/src/runner_parts.h
@@ -86,6 +86,8 @@
   Quality quality;
   gboolean server_draining;
   gint64 cold_until_ms; /* it says that it runs slower until then */
+  gboolean cold;
+  double other_slowness; /* while it is cold that of when it is warm, and the reverse */
   gboolean draining;
   gboolean zone_closed;
   Watches watches;
@@ -111,8 +113,8 @@
 /* runner_life.c */
 void runner_set_state (Runner *runner, LifeState state);
 
-/** runner_is_cold - the server says that it is slower now than it will be. */
-gboolean runner_is_cold (const Runner *runner);
+/** runner_check_cold - see whether the server is slower now than it will be. */
+void runner_check_cold (Runner *runner);
 
 /** runner_forget_life - what ran there ends as @kind. */
 void runner_forget_life (Runner *runner, ReportKind kind, const char *reason);
--- a/tests/load_mixes.c
+++ b/tests/load_mixes.c
@@ -40,6 +40,16 @@
     32000,
     0,
     LOAD_DECLARED_ROUGH },
+  /* Half of the work in long jobs; one entry has three times the callers of another. */
+  { "long-and-skewed",
+    { { "urgent", 0, 8, 32, 60, 2500, 166, 0.00485 },
+      { "long", 2, 4, 16, 900, 2500, 65.9, 0.0267 },
+      { "narrow", 1, 2, 8, 200, 2500, 486, 0.00167 } },
+    32000,
+    3,
+    LOAD_DECLARED_ROUGH,
+    52,
+    3 },
 };
 const guint load_n_mixes = G_N_ELEMENTS (load_mixes);
 
@@ -61,13 +71,14 @@
 load_of_mix (const LoadMix *mix, double part, guint entries, guint32 seed)
 {
   LoadInit init = { .entries = entries,
-                    .servers = SERVERS,
+                    .servers = mix->servers > 0 ? mix->servers : SERVERS,
                     .server_cpu_milli = mix->server_cpu_milli,
                     .large_every = mix->large_every,
                     .length_ms = LENGTH_MS,
                     .burst = 1,
                     .burst_to_ms = LENGTH_MS,
                     .declared = mix->declared,
+                    .busiest = mix->busiest,
                     .seed = seed,
                     .queues = mix->queues };
   double capacity = 0;
--- a/tests/test-runner.c
+++ b/tests/test-runner.c
@@ -14,6 +14,7 @@
 #define DIALS_PER_S 60
 /* More calls than this in one turn of the loop are a storm. */
 #define STORM 200
+#define COLD_MS 3000
 
 typedef enum
 {
@@ -48,6 +49,7 @@
   guint n_calls;
   Report reports[REPORTS_MAX];
   guint n_reports;
+  guint last_run_ms;
   guint stragglers;
   guint remaining_ms;
   gint64 now;
@@ -102,6 +104,7 @@
   report->entry = entry;
   report->key = told->key;
   report->kind = told->kind;
+  scene->last_run_ms = told->run_ms;
   g_strlcpy (report->reason, told->reason, sizeof report->reason);
 }
 
@@ -819,7 +822,44 @@
   g_assert_true (runner_ready (scene->runner));
 }
 
+static void
+tell_cold (Scene *scene, guint64 sequence, guint cold_ms)
+{
+  ServerFacts facts = { .instance = "one",
+                        .service = "exchange",
+                        .zone = "fukuoka-a",
+                        .capacity = { 4000, 1000, 0 },
+                        .cold_ms = cold_ms,
+                        .server_ms = scene->server_ms,
+                        .sequence = sequence };
+
+  runner_facts (scene->runner, &facts, scene->now);
+}
+
+/* A server that has just started is slow for a while. Guards against taking it for slow
+ * afterwards. */
+static void
+cold_server_is_no_slow_one (Scene *scene)
+{
+  scene_ready (scene);
+  tell_cold (scene, 2, COLD_MS);
+  for (guint i = 0; i < 5; i++)
+    {
+      start_running (scene, "j", 1000);
+      pass (scene, 4 * RUNNER_TICK_MS);
+      list_end (scene, open_watch (scene), "j", RUN_END_DONE);
+      g_assert_cmpuint (scene->last_run_ms, ==, 0);
+    }
+  g_assert_cmpfloat (runner_quality (scene->runner)->slowness, >, 1.2);
+  pass (scene, COLD_MS);
+  g_assert_cmpfloat (runner_quality (scene->runner)->slowness, ==, 1);
+  /* Cold again, it is taken to be as slow as it was. */
+  tell_cold (scene, 3, COLD_MS);
+  g_assert_cmpfloat (runner_quality (scene->runner)->slowness, >, 1.2);
+}
+
 static const Case cases[] = {
+  { "cold-server-is-no-slow-one", cold_server_is_no_slow_one },
   { "refusing-server-is-not-stormed", refusing_server_is_not_stormed },
   { "runs-and-reports", runs_and_reports },
   { "room-is-kept-until-the-end", room_is_kept_until_the_end },
