Placing passes over full servers once, not for each task that waits

Cause: under load each task that waits was compared with every server, by service, label and room, in each turn of the loop, though nearly all are full. Decisions are the same: load-table prints the same rows on three-kinds, all loads, 1 to 12 entries.

--- a/src/dispatcher.c
+++ b/src/dispatcher.c
@@ -18,6 +18,7 @@
   dispatcher->ops = ops;
   dispatcher->ctx = ctx;
   dispatcher->usual = 1;
+  dispatcher->roomy = g_ptr_array_new ();
   TAILQ_INIT (&dispatcher->jobs);
   TAILQ_INIT (&dispatcher->servers);
   TAILQ_INIT (&dispatcher->recent);
@@ -94,6 +95,7 @@
     server_free (server);
   while ((recent = TAILQ_FIRST (&dispatcher->recent)) != NULL)
     recent_free (dispatcher, recent);
+  g_ptr_array_unref (dispatcher->roomy);
   g_hash_table_unref (dispatcher->by_id);
   g_hash_table_unref (dispatcher->closing);
   g_hash_table_unref (dispatcher->recent_ids);
--- a/src/dispatcher_parts.h
+++ b/src/dispatcher_parts.h
@@ -105,6 +105,7 @@
   guint n_open;         /* servers that take orders */
   double wait_ms;       /* about how long a task waits for room */
   GPtrArray *ordered;   /* jobs that wait, while they are placed */
+  GPtrArray *roomy;     /* servers that may take one of them */
   Arrivals arrivals;
   double used_here; /* thousandths of a core that own runs take, lately */
   double used_by_all;
--- a/src/dispatcher_place.c
+++ b/src/dispatcher_place.c
@@ -120,11 +120,11 @@
   gint64 waited_ms = server->dispatcher->now_ms - task->waits_ms;
   double lost_ms = (slowness_of (server) - 1) * job->task_ms;
 
-  if (!server_is_open (server) || !server_is_trusted (server)
+  if (!fits (server, task) || !server_is_trusted (server)
       || server_is_offered_for_better (server, job->rank)
       || (server == task->avoid && waited_ms < AVOID_MS)
       || strcmp (server->status.service, job->spec.service) != 0
-      || !server_has_label (server, job->spec.label) || !fits (server, task))
+      || !server_has_label (server, job->spec.label))
     return FALSE;
   /* With a slow server free and all others busy, waiting a little ends sooner; after as
    * much waiting as it would cost, nothing better is to be expected. */
@@ -145,7 +145,45 @@
          + server->status.failing_percent * 0.01;
 }
 
-/* @chosen: servers that get tasks of the job in this turn; NULL: none. */
+static guint
+free_cpu (const LeasedServer *server)
+{
+  guint used = server->placed.cpu_milli + server->status.used_by_others.cpu_milli;
+
+  return used < server->status.capacity.cpu_milli
+             ? server->status.capacity.cpu_milli - used
+             : 0;
+}
+
+/* Under load nearly all servers are full: they are passed over once, not for each task
+ * that waits. Placing only takes room away. */
+static void
+gather_roomy (Dispatcher *dispatcher, guint least_cpu)
+{
+  LeasedServer *server;
+
+  g_ptr_array_set_size (dispatcher->roomy, 0);
+  TAILQ_FOREACH (server, &dispatcher->servers, link)
+    if (server_is_open (server) && free_cpu (server) >= least_cpu)
+      g_ptr_array_add (dispatcher->roomy, server);
+}
+
+static guint
+least_cpu_of (GPtrArray *jobs)
+{
+  guint least = G_MAXUINT;
+
+  for (guint i = 0; i < jobs->len; i++)
+    {
+      const LeasedJob *job = g_ptr_array_index (jobs, i);
+
+      least = MIN (least, job->spec.demand.cpu_milli);
+    }
+  return least;
+}
+
+/* Of those that gather_roomy () has found. @chosen: servers that get tasks of the job in
+ * this turn; NULL: none. */
 static LeasedServer *
 choose_server (Dispatcher *dispatcher,
                const LeasedJob *job,
@@ -153,11 +191,11 @@
                GPtrArray *chosen)
 {
   LeasedServer *best = NULL;
-  LeasedServer *server;
   double best_cost = 0;
 
-  TAILQ_FOREACH (server, &dispatcher->servers, link)
+  for (guint i = 0; i < dispatcher->roomy->len; i++)
     {
+      LeasedServer *server = g_ptr_array_index (dispatcher->roomy, i);
       double cost;
 
       if (!is_suitable (server, job, task))
@@ -346,6 +384,7 @@
   dispatcher->wait_ms = dispatcher_wait_ms (dispatcher);
   jobs = dispatcher_order (dispatcher);
   dispatcher->ordered = jobs;
+  gather_roomy (dispatcher, least_cpu_of (jobs));
   for (guint i = 0; i < jobs->len; i++)
     place_job (dispatcher, g_ptr_array_index (jobs, i));
   if (dispatcher->n_waiting > 0)
@@ -374,6 +413,7 @@
     return;
   task->avoid = task->server;
   task->waits_ms = dispatcher->now_ms;
+  gather_roomy (dispatcher, job->spec.demand.cpu_milli);
   if (choose_server (dispatcher, job, task, NULL) == NULL)
     {
       task->avoid = before;
