--- a/tests/test-soak.c
+++ b/tests/test-soak.c
@@ -26,6 +26,12 @@
 /* The operator's aim for a version that is confirmed once all faults are over. */
 #define APPLIED_MS 2000
 #define ADDED_PREFIX "/more/0/"
+/* Half of the back ends stand in a zone that is closed at times. While the store works
+ * nothing starts there after this time, whatever else happens. */
+#define ZONES 2
+#define CLOSED_ZONE "z0"
+#define CLOSED_MOST_MS 8000
+#define FENCED_MS 2000
 /* At least this part of the jobs must complete, whatever happens. */
 #define SERVED_PART 0.1
 
@@ -46,6 +52,7 @@
   ON_SERVER,
   ON_STORE,
   ON_OPERATOR,
+  ON_ZONE,
   PLACES,
 } Place;
 
@@ -90,8 +97,19 @@
   GPtrArray *requests;
   GHashTable *starts; /* job -> number of starts */
   GHashTable *done;   /* task -> itself */
+  gboolean closed;
+  gboolean spared; /* no new fault of the store while it is closed */
+  gint64 calm_ms;  /* since when the zone is closed and the store works; 0: not so */
+  GArray *fenced;  /* of Span */
 };
 
+/* Nothing may start in the closed zone. */
+typedef struct
+{
+  gint64 from_ms;
+  gint64 until_ms;
+} Span;
+
 /* Faults. */
 
 static Process *
@@ -218,6 +236,62 @@
     platform_put_config (&soak->scene, PLATFORM_PREFIX);
 }
 
+static gboolean
+store_works (const Soak *soak)
+{
+  return soak->struck[ON_STORE][0].fault == NULL;
+}
+
+static void
+close_zone (Soak *soak, const Fault *fault, guint target)
+{
+  if (!store_works (soak))
+    return;
+  platform_close_zone (&soak->scene, CLOSED_ZONE);
+  soak->closed = TRUE;
+  soak->spared = g_rand_boolean (soak->random);
+}
+
+static void
+note_fenced (Soak *soak)
+{
+  gboolean calm = soak->closed && store_works (soak);
+  Span span = { soak->calm_ms + FENCED_MS, clock_now_ms () };
+
+  if (calm && soak->calm_ms == 0)
+    soak->calm_ms = clock_now_ms ();
+  if (calm || soak->calm_ms == 0)
+    return;
+  soak->calm_ms = 0;
+  if (span.from_ms < span.until_ms)
+    g_array_append_val (soak->fenced, span);
+}
+
+/* The operator cannot while the store does not work: it is done with the last mend. */
+static void
+open_zone (Soak *soak, const Fault *fault, guint target)
+{
+  if (!store_works (soak))
+    return;
+  soak->closed = FALSE;
+  note_fenced (soak);
+  platform_open_zone (&soak->scene, CLOSED_ZONE);
+}
+
+static void
+check_fence (Soak *soak)
+{
+  for (guint i = 0; i < soak->fenced->len; i++)
+    {
+      const Span *span = &g_array_index (soak->fenced, Span, i);
+
+      for (guint server = 0; server < soak->scene.n_servers; server += ZONES)
+        if (platform_starts (&soak->scene, server, span->from_ms, span->until_ms) > 0)
+          g_error ("server %u started tasks in a closed zone", server);
+    }
+  g_test_message ("%u spans in which a zone was closed", soak->fenced->len);
+}
+
 static const Fault faults[] = {
   { "freeze-entry", ON_ENTRY, freeze, thaw },
   { "kill-entry", ON_ENTRY, kill_it, come_back },
@@ -242,6 +316,7 @@
   { "silence-store", ON_STORE, switch_standin, mend_standin, "silent" },
   { "forget-store", ON_STORE, switch_standin, mend_standin, "forget" },
   { "change-config", ON_OPERATOR, change_config, nothing },
+  { "close-zone", ON_ZONE, close_zone, open_zone },
 };
 
 static guint
@@ -260,6 +335,20 @@
     }
 }
 
+static gint32
+longest_at (Place place)
+{
+  switch (place)
+    {
+    case ON_STORE:
+      return STORE_FAULT_MOST_MS;
+    case ON_ZONE:
+      return CLOSED_MOST_MS;
+    default:
+      return FAULT_MOST_MS;
+    }
+}
+
 static void
 strike (Soak *soak)
 {
@@ -267,11 +356,10 @@
   guint target = (guint)g_rand_int_range (soak->random, 0,
                                           (gint32)targets_at (soak, fault->place));
   gint64 length
-      = g_rand_int_range (soak->random, FAULT_LEAST_MS,
-                          fault->place == ON_STORE ? STORE_FAULT_MOST_MS : FAULT_MOST_MS);
+      = g_rand_int_range (soak->random, FAULT_LEAST_MS, longest_at (fault->place));
   Struck *struck = &soak->struck[fault->place][target];
 
-  if (struck->fault != NULL)
+  if (struck->fault != NULL || (fault->place == ON_STORE && soak->closed && soak->spared))
     return;
   g_test_message ("%s %u for %" G_GINT64_FORMAT " ms", fault->name, target, length);
   struck->fault = fault;
@@ -497,6 +585,7 @@
           fault_ms
               = clock_now_ms () + g_rand_int_range (soak->random, 1, 2 * FAULT_EVERY_MS);
         }
+      note_fenced (soak);
       mend (soak, FALSE);
       follow_requests (soak);
       harness_run_ms (soak->scene.harness, STEP_MS);
@@ -508,6 +597,7 @@
 {
   PlatformInit init = { .entries = (guint)option_entries,
                         .servers = (guint)option_servers,
+                        .zones = ZONES,
                         .relayed = TRUE,
                         .configured = TRUE };
   Soak soak = { .random = g_rand_new_with_seed (seed) };
@@ -517,12 +607,17 @@
   soak.requests = g_ptr_array_new_with_free_func (request_free);
   soak.starts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   soak.done = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  soak.fenced = g_array_new (FALSE, FALSE, sizeof (Span));
   play (&soak, seconds);
+  note_fenced (&soak);
   mend (&soak, TRUE);
+  open_zone (&soak, NULL, 0);
   check_configuration (&soak.scene);
   harness_wait (soak.scene.harness, all_are_answered, &soak, "answers");
   harness_wait (soak.scene.harness, is_calm, &soak.scene, "service as before");
   check_all (&soak);
+  check_fence (&soak);
+  g_array_unref (soak.fenced);
   g_ptr_array_unref (soak.requests);
   g_hash_table_unref (soak.starts);
   g_hash_table_unref (soak.done);
