--- a/src/leased_agent.c
+++ b/src/leased_agent.c
@@ -150,9 +150,7 @@
 zones_changed (LeasedAgent *agent)
 {
   apply_zones (agent);
-  for (MeshPeer *peer = mesh_first (agent->mesh); peer != NULL; peer = mesh_next (peer))
-    if (peer->link != NULL)
-      link_touch (peer->link);
+  mesh_tell_all (agent->mesh);
 }
 
 static void
--- a/src/leased_entry_zones.c
+++ b/src/leased_entry_zones.c
@@ -10,9 +10,7 @@
 zones_changed (LeasedEntry *entry)
 {
   dispatcher_zones_changed (entry->dispatcher);
-  for (MeshPeer *peer = mesh_first (entry->mesh); peer != NULL; peer = mesh_next (peer))
-    if (peer->link != NULL)
-      link_touch (peer->link);
+  mesh_tell_all (entry->mesh);
 }
 
 void
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -18,6 +18,16 @@
   return link_data (link);
 }
 
+void
+mesh_tell_all (Mesh *mesh)
+{
+  MeshPeer *peer;
+
+  TAILQ_FOREACH (peer, &mesh->peers, link_entry)
+    if (peer->link != NULL)
+      link_touch (peer->link);
+}
+
 MeshPeer *
 mesh_find (Mesh *mesh, guint64 incarnation)
 {
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -79,6 +79,9 @@
 void mesh_tick (Mesh *mesh, gint64 now_ms);
 #define MESH_TICK_MS 100
 
+/** mesh_tell_all - send every linked peer a frame in this turn of the loop. */
+void mesh_tell_all (Mesh *mesh);
+
 MeshPeer *mesh_find (Mesh *mesh, guint64 incarnation);
 MeshPeer *mesh_first (Mesh *mesh);
 MeshPeer *mesh_next (MeshPeer *peer);
--- a/tests/test-decoders.c
+++ b/tests/test-decoders.c
@@ -70,12 +70,12 @@
     ",\"address\":\"10.0.0.1:80\",\"zone\":\"a\",\"clock_ms\":5,\"seq\":\"1\"}",
     FALSE },
   { "cold",
-    "{" GOOD_SERVICE "," READY "," GOOD_CAPACITY
-    ",\"cold_remaining_ms\":700," GOOD_REST "}",
+    "{" GOOD_SERVICE "," READY "," GOOD_CAPACITY ",\"cold_remaining_ms\":700," GOOD_REST
+    "}",
     TRUE },
   { "cold-for-ever",
-    "{" GOOD_SERVICE "," READY "," GOOD_CAPACITY
-    ",\"cold_remaining_ms\":1e300," GOOD_REST "}",
+    "{" GOOD_SERVICE "," READY "," GOOD_CAPACITY ",\"cold_remaining_ms\":1e300," GOOD_REST
+    "}",
     FALSE },
   { "cold-is-a-text",
     "{" GOOD_SERVICE "," READY "," GOOD_CAPACITY
