--- a/tests/test-closures.c
+++ b/tests/test-closures.c
@@ -92,7 +92,7 @@
   Closures *closures = closures_new ();
 
   for (guint i = 0; i < STEPS_MOST && words->words[i].version > 0; i++)
-    apply (closures, &words->words[i], 100 * (i + 1));
+    apply (closures, &words->words[i], 100 * ((gint64)i + 1));
   assert_closed (closures, words->closed);
   closures_free (closures);
 }
@@ -110,9 +110,9 @@
     {
       Gw__Frame frame = GW__FRAME__INIT;
 
-      apply (closures, &words->words[i], 100 * (i + 1));
-      closures_tell (closures, &told, 0, &frame, 100 * (i + 1));
-      closures_hear (other, &frame, 100 * (i + 1));
+      apply (closures, &words->words[i], 100 * ((gint64)i + 1));
+      closures_tell (closures, &told, 0, &frame, 100 * ((gint64)i + 1));
+      closures_hear (other, &frame, 100 * ((gint64)i + 1));
     }
   assert_closed (other, words->closed);
   closures_free (other);
--- a/tests/test-runner.c
+++ b/tests/test-runner.c
@@ -815,7 +815,7 @@
           answer (scene, &scene->calls[i], CALL_UNANSWERED);
       pass (scene, RUNNER_TICK_MS);
     }
-  g_assert_cmpuint (scene->n_calls, <=, REFUSING_MS / 1000 * DIALS_PER_S);
+  g_assert_cmpuint (scene->n_calls, <=, (guint64)REFUSING_MS / 1000 * DIALS_PER_S);
   /* It is back: a call finds that out soon. */
   pass (scene, RUNNER_TICK_MS);
   answer (scene, open_settle (scene), CALL_DONE);
