Mutants: closed zones, a server that refuses connections, cold runs

Five mechanisms taken out one at a time, each noticed by the test that is to guard it. A new one was needed: no test saw an agent without its fence, since entries learn of a closed zone from the agents within milliseconds (/runner/closed-zone-takes-nothing).

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -138,6 +138,19 @@
   'best == NULL' test-offers /offers/best-rank-first
 mutant late-order-first src/dispatcher_order.c 'return rank / LATE_PART;' \
   'return rank + RANK_NO_CHANCE / 2;' test-dispatcher /dispatcher/nearly-done-goes-before-fresh
+mutant closed-zone-starts src/runner.c 'if (runner->zone_closed)
+    return' 'if (FALSE)
+    return' test-runner /runner/closed-zone-takes-nothing
+mutant agent-never-asks src/leased_agent.c 'agent->ops->look_up_zones (agent->ctx);' '' \
+  test-zones /zones/closed/the-only-entry-is-cut-off
+mutant opening-is-lost src/closures.c 'case ZONE_OPEN:
+      if (i >= 0)' 'case ZONE_OPEN:
+      if (FALSE)' test-closures /closures/words/closed-then-opened
+mutant settled-without-end src/runner_calls.c '
+          && runner->unanswered < SETTLE_AT_ONCE_CALLS' '' \
+  test-runner /runner/refusing-server-is-not-stormed
+mutant cold-run-teaches src/runner.c 'run->started_ms > 0 && !runner->cold' \
+  'run->started_ms > 0' test-runner /runner/cold-server-is-no-slow-one
 
 echo "mutants: $failures not noticed"
 [ "$failures" -eq 0 ]
--- a/tests/test-runner.c
+++ b/tests/test-runner.c
@@ -858,7 +858,28 @@
   g_assert_cmpfloat (runner_quality (scene->runner)->slowness, >, 1.2);
 }
 
+/* The operator takes the machines of the zone away. Guards against an entry that has not
+ * heard of it. */
+static void
+closed_zone_takes_nothing (Scene *scene)
+{
+  guint calls;
+
+  scene_ready (scene);
+  start_running (scene, "j", 1000);
+  runner_close_zone (scene->runner, TRUE);
+  calls = scene->n_calls;
+  ask_start (scene, ENTRY, "k", 1000);
+  g_assert_cmpuint (scene->n_calls, ==, calls);
+  g_assert_cmpint (last_report (scene)->kind, ==, REPORT_NOT_STARTED);
+  g_assert_cmpstr (last_report (scene)->reason, ==, "availability zone is closed");
+  g_assert_cmpuint (runner_count (scene->runner), ==, 1);
+  runner_close_zone (scene->runner, FALSE);
+  start_running (scene, "l", 1000);
+}
+
 static const Case cases[] = {
+  { "closed-zone-takes-nothing", closed_zone_takes_nothing },
   { "cold-server-is-no-slow-one", cold_server_is_no_slow_one },
   { "refusing-server-is-not-stormed", refusing_server_is_not_stormed },
   { "runs-and-reports", runs_and_reports },
