--- a/proto/godwitspar.pb-c.c
+++ b/proto/godwitspar.pb-c.c
@@ -1340,7 +1340,7 @@
   gw__hello__role__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor gw__hello__field_descriptors[8] =
+static const ProtobufCFieldDescriptor gw__hello__field_descriptors[10] =
 {
   {
     "role",
@@ -1438,9 +1438,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "entries_digest",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Hello, entries_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entries_known",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Hello, entries_known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__hello__field_indices_by_name[] = {
   6,   /* field[6] = backend */
+  8,   /* field[8] = entries_digest */
+  9,   /* field[9] = entries_known */
   4,   /* field[4] = frame_address */
   5,   /* field[5] = http_address */
   2,   /* field[2] = incarnation */
@@ -1452,7 +1478,7 @@
 static const ProtobufCIntRange gw__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor gw__hello__descriptor =
 {
@@ -1462,7 +1488,7 @@
   "Gw__Hello",
   "gw",
   sizeof(Gw__Hello),
-  8,
+  10,
   gw__hello__field_descriptors,
   gw__hello__field_indices_by_name,
   1,  gw__hello__number_ranges,
@@ -1624,7 +1650,7 @@
   (ProtobufCMessageInit) gw__backend__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__entry__field_descriptors[6] =
+static const ProtobufCFieldDescriptor gw__entry__field_descriptors[8] =
 {
   {
     "name",
@@ -1698,19 +1724,45 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "version",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Entry, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gone",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Entry, gone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__entry__field_indices_by_name[] = {
   5,   /* field[5] = draining */
   3,   /* field[3] = frame_address */
+  7,   /* field[7] = gone */
   4,   /* field[4] = http_address */
   1,   /* field[1] = incarnation */
   0,   /* field[0] = name */
+  6,   /* field[6] = version */
   2,   /* field[2] = zone */
 };
 static const ProtobufCIntRange gw__entry__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor gw__entry__descriptor =
 {
@@ -1720,7 +1772,7 @@
   "Gw__Entry",
   "gw",
   sizeof(Gw__Entry),
-  6,
+  8,
   gw__entry__field_descriptors,
   gw__entry__field_indices_by_name,
   1,  gw__entry__number_ranges,
@@ -2953,7 +3005,7 @@
   (ProtobufCMessageInit) gw__config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__frame__field_descriptors[30] =
+static const ProtobufCFieldDescriptor gw__frame__field_descriptors[32] =
 {
   {
     "sequence",
@@ -3315,6 +3367,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "link_wanted",
+    36,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Frame, link_wanted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entries_digest",
+    37,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Frame, entries_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__frame__field_indices_by_name[] = {
   11,   /* field[11] = acks */
@@ -3327,6 +3403,7 @@
   2,   /* field[2] = config_version */
   28,   /* field[28] = config_wanted */
   15,   /* field[15] = entries */
+  31,   /* field[31] = entries_digest */
   14,   /* field[14] = fence_replies */
   13,   /* field[13] = fences */
   27,   /* field[27] = given_up */
@@ -3335,6 +3412,7 @@
   5,   /* field[5] = hello */
   25,   /* field[25] = inventory */
   4,   /* field[4] = leaving */
+  30,   /* field[30] = link_wanted */
   6,   /* field[6] = load */
   10,   /* field[10] = outcomes */
   17,   /* field[17] = roster_acks */
@@ -3354,7 +3432,7 @@
   { 6, 4 },
   { 27, 22 },
   { 33, 27 },
-  { 0, 30 }
+  { 0, 32 }
 };
 const ProtobufCMessageDescriptor gw__frame__descriptor =
 {
@@ -3364,7 +3442,7 @@
   "Gw__Frame",
   "gw",
   sizeof(Gw__Frame),
-  30,
+  32,
   gw__frame__field_descriptors,
   gw__frame__field_indices_by_name,
   4,  gw__frame__number_ranges,
--- a/proto/godwitspar.pb-c.h
+++ b/proto/godwitspar.pb-c.h
@@ -89,7 +89,7 @@
 typedef enum _Gw__RunReport__Kind {
   GW__RUN_REPORT__KIND__STARTED = 0,
   /*
-   * proved: it never runs under this number
+   * proved: it never runs under this run number
    */
   GW__RUN_REPORT__KIND__NOT_STARTED = 1,
   GW__RUN_REPORT__KIND__DONE = 2,
@@ -98,15 +98,15 @@
    */
   GW__RUN_REPORT__KIND__FAILED = 3,
   /*
-   * stopped, lapsed or gone with its backend server
+   * stopped, lease expired, or lost with its backend server
    */
   GW__RUN_REPORT__KIND__LOST = 4,
   /*
-   * runs much longer than it would elsewhere
+   * runs much longer than it would on another server
    */
   GW__RUN_REPORT__KIND__STRAGGLES = 5,
   /*
-   * the backend server ended or fell silent under it
+   * the backend server exited or stopped responding meanwhile
    */
   GW__RUN_REPORT__KIND__SERVER_ENDED = 6
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GW__RUN_REPORT__KIND)
@@ -134,14 +134,19 @@
   char *http_address;
   Gw__Backend *backend;
   uint32_t protocol;
+  /*
+   * of the entries that the sender knows
+   */
+  uint64_t entries_digest;
+  uint32_t entries_known;
 };
 #define GW__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__hello__descriptor) \
-    , GW__HELLO__ROLE__ENTRY, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, 0 }
+    , GW__HELLO__ROLE__ENTRY, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, 0, 0, 0 }
 
 
 /*
- * A backend server as its agent or its own announcement describes it.
+ * A backend server as described by its agent or by its own announcement.
  */
 struct  Gw__Backend
 {
@@ -153,7 +158,7 @@
   uint32_t connections;
   char *http_address;
   /*
-   * empty: no agent, the home entry owns the slots
+   * empty: no agent, the home is the slot owner
    */
   char *agent_address;
   uint64_t incarnation;
@@ -174,10 +179,18 @@
   char *frame_address;
   char *http_address;
   protobuf_c_boolean draining;
+  /*
+   * the highest counts; of equal ones, the one that is gone
+   */
+  uint64_t version;
+  /*
+   * does not answer any more
+   */
+  protobuf_c_boolean gone;
 };
 #define GW__ENTRY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__entry__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Gw__JobId
@@ -222,7 +235,7 @@
    */
   uint32_t deadline_ms;
   /*
-   * of the whole job, for the order
+   * of the whole job, for the scheduling order
    */
   uint32_t job_tasks_left;
   /*
@@ -253,7 +266,7 @@
   Gw__Task **tasks;
   char *path;
   /*
-   * from receipt; a start later than this is refused
+   * from receipt; later starts are refused
    */
   uint32_t lease_ms;
   /*
@@ -305,7 +318,7 @@
   size_t n_tasks;
   Gw__TaskRef **tasks;
   /*
-   * every outcome of the job is settled at its holder
+   * every outcome of the job is resolved at its holder
    */
   protobuf_c_boolean whole_job;
 };
@@ -326,8 +339,8 @@
 
 
 /*
- * From now on no task of the job may start under an attempt up to the named one; tell
- * what is known of those that did. No tasks listed: all of the job.
+ * Bars the listed tasks, or all tasks of the job if none are listed, from starting under
+ * attempts up to up_to_attempt. The reply names those that have started.
  */
 struct  Gw__Fence
 {
@@ -375,7 +388,7 @@
 
 
 /*
- * Home to holder: all who may be handed tasks of the group, and the group's backlog.
+ * Home to holder: all backend servers that may be sent tasks of the group.
  */
 struct  Gw__Roster
 {
@@ -401,6 +414,9 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * Home to holder: the group's backlog.
+ */
 struct  Gw__GroupLoad
 {
   ProtobufCMessage base;
@@ -479,12 +495,12 @@
   size_t n_run_reports;
   Gw__RunReport **run_reports;
   /*
-   * run_reports name all runs of the receiver that there are
+   * run_reports lists all runs of the receiver
    */
   protobuf_c_boolean inventory;
   Gw__ServerState *server_state;
   /*
-   * rises each time the sender gives up a process like the receiver
+   * rises each time the sender declares the receiver dead; 0: never
    */
   uint64_t given_up;
   /*
@@ -492,14 +508,22 @@
    */
   uint64_t config_wanted;
   Gw__Closures *closures;
+  /*
+   * between entries: the sender has chosen this link
+   */
+  protobuf_c_boolean link_wanted;
+  /*
+   * between entries: of those that the sender knows
+   */
+  uint64_t entries_digest;
 };
 #define GW__FRAME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__frame__descriptor) \
-    , 0, 0, 0, 0, 0, NULL, NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0, NULL, 0, 0, NULL }
+    , 0, 0, 0, 0, 0, NULL, NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0, NULL, 0, 0, NULL, 0, 0 }
 
 
 /*
- * Availability zones that the operator has closed, all of them, as of one version of the
+ * All availability zones that the operator has closed, as of one version of the
  * platform's table.
  */
 struct  Gw__Closures
@@ -507,7 +531,7 @@
   ProtobufCMessage base;
   uint64_t version;
   /*
-   * since the table was known to say so
+   * since the table last confirmed it
    */
   uint32_t age_ms;
   size_t n_zones;
@@ -533,7 +557,7 @@
 
 
 /*
- * What one task takes of a backend server while it runs.
+ * Resources that one task uses on a backend server while it runs.
  */
 struct  Gw__Demand
 {
@@ -551,7 +575,7 @@
 
 
 /*
- * Rides on every frame between processes that lease to each other.
+ * Piggybacked on every frame between processes that extend leases to each other.
  */
 struct  Gw__LeaseTime
 {
@@ -561,11 +585,11 @@
    */
   int64_t now_ms;
   /*
-   * receiver's clock: the sender's work there may go on until then
+   * receiver's clock: the sender's runs there may continue until then
    */
   int64_t granted_until_ms;
   /*
-   * so late the receiver's last frame came here
+   * delay of the receiver's last frame
    */
   uint32_t late_ms;
 };
@@ -589,8 +613,8 @@
 
 
 /*
- * Entry to agent: start these tasks of a job now, or refuse them. Without runs: there was
- * no room there; offer some when it frees.
+ * Entry to agent: start these tasks of a job now, or refuse them. Without runs: the agent
+ * had no free capacity, and is to offer some when there is.
  */
 struct  Gw__RunOrder
 {
@@ -609,7 +633,7 @@
    */
   uint32_t expected_ms;
   /*
-   * what waits at the sender besides
+   * what else waits at the sender
    */
   Gw__Wish *wish;
 };
@@ -619,14 +643,14 @@
 
 
 /*
- * What would start at an agent if there was room.
+ * Resource request: what would start at an agent if it had free capacity.
  */
 struct  Gw__Wish
 {
   ProtobufCMessage base;
   uint32_t tasks;
   /*
-   * of the first job; the least goes first
+   * of the first job; lowest rank first
    */
   double rank;
   /*
@@ -634,11 +658,11 @@
    */
   Gw__Demand *need;
   /*
-   * of the first job that wait
+   * waiting tasks of the first job
    */
   uint32_t first_tasks;
   /*
-   * it is forgotten after this
+   * the request is valid for this long
    */
   uint32_t stands_ms;
 };
@@ -671,15 +695,15 @@
   Gw__RunReport__Kind kind;
   char *reason;
   /*
-   * of a straggler, as its progress tells
+   * of a straggler, estimated from its progress
    */
   uint32_t remaining_ms;
   /*
-   * what it would take on another server
+   * of a straggler: run time expected on another server
    */
   uint32_t elsewhere_ms;
   /*
-   * of one that is done
+   * of a DONE run
    */
   uint32_t run_ms;
 };
@@ -689,13 +713,13 @@
 
 
 /*
- * Agent to entries: its backend server.
+ * Agent to entries: state of its backend server.
  */
 struct  Gw__ServerState
 {
   ProtobufCMessage base;
   /*
-   * this life of the backend server
+   * one process lifetime of the backend server
    */
   char *instance;
   char *service;
@@ -713,7 +737,7 @@
   protobuf_c_boolean ready;
   protobuf_c_boolean draining;
   /*
-   * its free room is offered to the receiver alone
+   * its free capacity is reserved for the receiver
    */
   protobuf_c_boolean offered;
   /*
--- a/src/counters.h
+++ b/src/counters.h
@@ -52,6 +52,9 @@
   X (RUN_ORDERS_SENT, "run_orders_sent", "orders to agents to start tasks")              \
   X (RUN_REPORTS_SENT, "run_reports_sent", "reports on runs to entries")                 \
   X (STATES_SENT, "states_sent", "states of the backend server sent to entries")         \
+  X (ENTRIES_SENT, "entries_sent", "addresses of entries sent to entries and agents")    \
+  X (ENTRIES_KNOWN, "entries_known", "addresses of entries that the process knows")      \
+  X (ENTRIES_LINKED, "entries_linked", "entries that the process is linked to")          \
   X (LINKS_OPENED, "links_opened", "connections to entries and agents opened")           \
   X (LINKS_SILENT, "links_silent", "connections closed after a timeout")                 \
   X (LINKS_BROKEN, "links_broken", "connections closed for a protocol error")            \
--- a/src/leased_agent.c
+++ b/src/leased_agent.c
@@ -6,7 +6,6 @@
 
 #include <string.h>
 
-#define PROTOCOL_VERSION 1
 /* Most entries that one agent links to. Each costs a link, heartbeats and state updates;
  * with fewer, an entry with many callers reaches less of the free capacity. */
 #define MAX_ENTRIES 16
@@ -284,7 +283,7 @@
   agent->hello.name = g_strdup (settings->name);
   agent->hello.zone = g_strdup (settings->zone);
   agent->hello.incarnation = agent->incarnation;
-  agent->hello.protocol = PROTOCOL_VERSION;
+  agent->hello.protocol = MESH_PROTOCOL;
 }
 
 LeasedAgent *
--- a/src/leased_entry.c
+++ b/src/leased_entry.c
@@ -8,10 +8,11 @@
 #include <string.h>
 
 #define TICK_MS DISPATCHER_TICK_MS
-#define PROTOCOL_VERSION 1
-/* Heartbeat interval and timeout between entries, in multiples of those to agents. Each
- * entry sends heartbeats to all others, but they need no leases from each other and send
- * changes at once. */
+/* Entries that one entry chooses to link to. With a dozen all stay connected when half of
+ * them are lost at once, and a change reaches a thousand over three links. */
+#define MAX_ENTRIES 12
+/* Heartbeat interval and timeout between entries, in multiples of those to agents. They
+ * need no leases from each other and send changes at once. */
 #define ENTRY_HEARTBEAT_FACTOR 4
 /* Time for the final frames to be sent before the process exits. */
 #define FINAL_FLUSH_MS 100
@@ -293,7 +294,7 @@
   entry->hello.zone = g_strdup (settings->zone);
   entry->hello.frame_address = g_strdup (settings->listen_frames);
   entry->hello.incarnation = entry->incarnation;
-  entry->hello.protocol = PROTOCOL_VERSION;
+  entry->hello.protocol = MESH_PROTOCOL;
 }
 
 LeasedEntry *
@@ -311,6 +312,7 @@
           .timeout_ms = settings->timeout_ms,
           .lease_ms = settings->entry_lease_ms,
           .forget_ms = 4 * (settings->entry_lease_ms + settings->server_lease_ms),
+          .max_entries = MAX_ENTRIES,
           .entry_heartbeat_ms = ENTRY_HEARTBEAT_FACTOR * settings->heartbeat_ms,
           .entry_timeout_ms = ENTRY_HEARTBEAT_FACTOR * settings->timeout_ms };
 
@@ -375,6 +377,7 @@
   g_free (entry->hello.frame_address);
   entry->hello.frame_address = g_strdup (
       entry->advertised[0] != '\0' ? entry->advertised : listen_address (entry->frames));
+  mesh_advertise (entry->mesh);
   event_add (entry->tick, &interval);
   event_note ("started", "-", "incarnation=%" G_GINT64_MODIFIER "x frames=%s version=%s",
               entry->incarnation, listen_address (entry->frames), GODWITSPAR_VERSION);
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -1,5 +1,6 @@
 #define LOG_MODULE "mesh"
 #include "clock.h"
+#include "counters.h"
 #include "events.h"
 #include "mesh_parts.h"
 
@@ -8,10 +9,10 @@
 /* After this long without a linked entry, addresses are looked up in the directory, and
  * again at this interval. */
 #define ISOLATED_MS 700
-/* Well below ADDRESS_FORGET_MS, after which an address that nobody names is dropped. */
-#define ANNOUNCE_ALL_MS 8000
-/* A surplus link is closed after this, once nothing runs for that entry. */
+/* A surplus link is closed after this, once nothing runs for that entry. Between entries
+ * it takes longer than a heartbeat, with which the other end says whether it wants it. */
 #define RELEASE_MS 500
+#define RELEASE_ENTRY_MS 2000
 
 /* Return: NULL before the peer's Hello, and for a duplicate link. */
 static MeshPeer *
@@ -33,12 +34,7 @@
 MeshPeer *
 mesh_find (Mesh *mesh, guint64 incarnation)
 {
-  MeshPeer *peer;
-
-  TAILQ_FOREACH (peer, &mesh->peers, link_entry)
-    if (peer->incarnation == incarnation)
-      return peer;
-  return NULL;
+  return g_hash_table_lookup (mesh->peers_by_incarnation, &incarnation);
 }
 
 MeshPeer *
@@ -53,76 +49,12 @@
   return TAILQ_NEXT (peer, link_entry);
 }
 
-static void
-send_entry (const MeshPeer *peer, Link *link)
-{
-  Gw__Entry *entry = g_new (Gw__Entry, 1);
-
-  gw__entry__init (entry);
-  entry->name = g_strdup (peer->name);
-  entry->incarnation = peer->incarnation;
-  entry->zone = g_strdup ("");
-  entry->http_address = g_strdup ("");
-  entry->frame_address = g_strdup (peer->frame_address);
-  link_append (link, LINK_ENTRIES, &entry->base);
-}
-
-static gboolean
-is_linked_entry (const MeshPeer *peer)
-{
-  return peer->is_entry && peer->link != NULL;
-}
-
-static gboolean
-is_entry_process (const Mesh *mesh)
+gboolean
+mesh_is_entry (const Mesh *mesh)
 {
   return mesh->init.hello->role == GW__HELLO__ROLE__ENTRY;
 }
 
-static void
-send_entries (Mesh *mesh, Link *link)
-{
-  MeshPeer *peer;
-
-  if (!is_entry_process (mesh))
-    return;
-  TAILQ_FOREACH (peer, &mesh->peers, link_entry)
-    if (is_linked_entry (peer))
-      send_entry (peer, link);
-}
-
-static void
-announce (Mesh *mesh, MeshPeer *entry)
-{
-  MeshPeer *peer;
-
-  entry->announced = TRUE;
-  TAILQ_FOREACH (peer, &mesh->peers, link_entry)
-    if (peer->link != NULL && peer != entry)
-      send_entry (entry, peer->link);
-}
-
-/* Sends peers each entry when it is linked, and all entries every ANNOUNCE_ALL_MS, since
- * peers drop addresses that nobody names. Sending the whole list at each change congested
- * narrow links when many entries started together. */
-static void
-announce_entries (Mesh *mesh, gint64 now_ms)
-{
-  MeshPeer *peer;
-
-  if (!is_entry_process (mesh))
-    return;
-  TAILQ_FOREACH (peer, &mesh->peers, link_entry)
-    if (is_linked_entry (peer) && !peer->announced)
-      announce (mesh, peer);
-  if (now_ms - mesh->announced_ms < ANNOUNCE_ALL_MS)
-    return;
-  mesh->announced_ms = now_ms;
-  TAILQ_FOREACH (peer, &mesh->peers, link_entry)
-    if (peer->link != NULL)
-      send_entries (mesh, peer->link);
-}
-
 static MeshPeer *
 peer_new (Mesh *mesh, const Gw__Hello *hello)
 {
@@ -134,9 +66,45 @@
   peer->frame_address = g_strdup (hello->frame_address);
   peer->is_entry = hello->role == GW__HELLO__ROLE__ENTRY;
   TAILQ_INSERT_TAIL (&mesh->peers, peer, link_entry);
+  g_hash_table_insert (mesh->peers_by_incarnation, &peer->incarnation, peer);
   return peer;
 }
 
+static void
+attach (MeshPeer *peer, Link *link)
+{
+  Mesh *mesh = peer->mesh;
+
+  peer->link = link;
+  link_set_data (link, peer);
+  peer->surplus_ms = 0;
+  peer->receive_delay = (FrameDelay){ 0 };
+  peer->send_delay_ms = 0;
+  if (!peer->is_entry)
+    return;
+  mesh->linked_entries++;
+  counter_set (COUNTER_ENTRIES_LINKED, mesh->linked_entries);
+  peer->address = mesh_address_add (mesh, peer->frame_address);
+  if (peer->address != NULL)
+    peer->address->peer = peer;
+}
+
+static void
+detach (MeshPeer *peer, gint64 now_ms)
+{
+  link_drop (&peer->link);
+  peer->lost_ms = now_ms;
+  peer->surplus_ms = 0;
+  peer->chosen = FALSE;
+  if (!peer->is_entry)
+    return;
+  peer->mesh->linked_entries--;
+  counter_set (COUNTER_ENTRIES_LINKED, peer->mesh->linked_entries);
+  if (peer->address != NULL && peer->address->peer == peer)
+    peer->address->peer = NULL;
+  peer->address = NULL;
+}
+
 /* A new incarnation under the same name proves that the old process is dead. */
 static void
 mark_earlier_incarnations_dead (Mesh *mesh, const MeshPeer *current, gint64 now_ms)
@@ -151,8 +119,7 @@
         peer->dead_ms = now_ms;
       if (peer->link == NULL)
         continue;
-      link_drop (&peer->link);
-      peer->lost_ms = now_ms;
+      detach (peer, now_ms);
       mesh->ops->down (peer, mesh->ctx);
     }
 }
@@ -181,8 +148,7 @@
   if (address != NULL)
     {
       mesh_address_answered (address, now);
-      link_unref (address->dialing);
-      address->dialing = NULL;
+      mesh_address_dialed (address);
     }
   if (hello->incarnation == mesh->init.hello->incarnation)
     {
@@ -196,21 +162,15 @@
       link_drop (&link);
       return;
     }
-  link_drop (&peer->link);
-  peer->link = link;
-  link_set_data (link, peer);
-  peer->announced = FALSE;
-  peer->surplus_ms = 0;
-  if (peer->is_entry && is_entry_process (mesh) && mesh->init.entry_heartbeat_ms > 0)
+  if (peer->link != NULL)
+    detach (peer, now);
+  attach (peer, link);
+  if (peer->is_entry && mesh_is_entry (mesh) && mesh->init.entry_heartbeat_ms > 0)
     link_set_heartbeat (link, mesh->init.entry_heartbeat_ms, mesh->init.entry_timeout_ms);
-  peer->receive_delay = (FrameDelay){ 0 };
-  peer->send_delay_ms = 0;
-  if (peer->is_entry)
-    mesh->linked_ms = now;
   event_note ("peer-linked", "-", "peer=%s incarnation=%" G_GINT64_MODIFIER "x entry=%d",
               peer->name, peer->incarnation, peer->is_entry);
   mark_earlier_incarnations_dead (mesh, peer, now);
-  send_entries (mesh, link);
+  mesh_discovery_up (mesh, peer, hello);
   mesh->ops->up (peer, mesh->ctx);
 }
 
@@ -230,8 +190,7 @@
     }
   peer->leaving = frame->leaving;
   peer->config_version = frame->config_version;
-  for (gsize i = 0; i < frame->n_entries; i++)
-    mesh_learn (mesh, frame->entries[i]->frame_address);
+  mesh_discovery_frame (mesh, peer, frame);
   mesh->ops->frame (peer, frame, mesh->ctx);
 }
 
@@ -244,9 +203,8 @@
 
   if (address != NULL)
     {
-      link_unref (address->dialing);
-      address->dialing = NULL;
-      mesh_address_failed (mesh, address->text, clock_now_ms ());
+      mesh_address_dialed (address);
+      mesh_address_failed (address, clock_now_ms ());
       mesh_dial_again (mesh);
       /* A refused connection proves that the process at that address is dead. */
       for (MeshPeer *dead = TAILQ_FIRST (&mesh->peers);
@@ -259,10 +217,9 @@
     {
       event_note ("peer-lost", "-", "peer=%s incarnation=%" G_GINT64_MODIFIER "x how=%s",
                   peer->name, peer->incarnation, link_end_name (end));
-      link_unref (peer->link);
-      peer->link = NULL;
-      peer->lost_ms = clock_now_ms ();
-      mesh_address_failed (mesh, peer->frame_address, peer->lost_ms);
+      if (peer->address != NULL)
+        mesh_address_failed (peer->address, clock_now_ms ());
+      detach (peer, clock_now_ms ());
       mesh_dial_soon (mesh);
       mesh->ops->down (peer, mesh->ctx);
     }
@@ -281,6 +238,7 @@
   frame->time = &mesh->time;
   if (peer == NULL)
     return;
+  mesh_discovery_prepare (mesh, peer, frame);
   mesh->time.late_ms = peer->receive_delay.delay_ms;
   if (peer_clock_known (&peer->clock))
     {
@@ -311,6 +269,10 @@
   mesh->unidentified = g_ptr_array_new_with_free_func ((GDestroyNotify)link_unref);
   TAILQ_INIT (&mesh->peers);
   TAILQ_INIT (&mesh->addresses);
+  mesh->peers_by_incarnation = g_hash_table_new (g_int64_hash, g_int64_equal);
+  mesh->addresses_by_text = g_hash_table_new (g_str_hash, g_str_equal);
+  mesh->dialed = g_hash_table_new (NULL, NULL);
+  mesh_discovery_init (mesh);
   return mesh;
 }
 
@@ -319,8 +281,10 @@
 {
   Mesh *mesh = peer->mesh;
 
-  link_drop (&peer->link);
+  if (peer->link != NULL)
+    detach (peer, 0);
   TAILQ_REMOVE (&mesh->peers, peer, link_entry);
+  g_hash_table_remove (mesh->peers_by_incarnation, &peer->incarnation);
   mesh->ops->forgotten (peer, mesh->ctx);
   g_free (peer->name);
   g_free (peer->frame_address);
@@ -343,6 +307,10 @@
     peer_free (peer);
   while ((address = TAILQ_FIRST (&mesh->addresses)) != NULL)
     mesh_address_free (address);
+  mesh_discovery_free (mesh);
+  g_hash_table_unref (mesh->peers_by_incarnation);
+  g_hash_table_unref (mesh->addresses_by_text);
+  g_hash_table_unref (mesh->dialed);
   g_free (mesh);
 }
 
@@ -355,11 +323,8 @@
 static void
 check_isolation (Mesh *mesh, gint64 now_ms)
 {
-  MeshPeer *peer;
-
-  TAILQ_FOREACH (peer, &mesh->peers, link_entry)
-    if (peer->is_entry && peer->link != NULL)
-      mesh->linked_ms = now_ms;
+  if (mesh->linked_entries > 0)
+    mesh->linked_ms = now_ms;
   if (now_ms - mesh->linked_ms < ISOLATED_MS || now_ms - mesh->isolated_ms < ISOLATED_MS)
     return;
   mesh->isolated_ms = now_ms;
@@ -371,12 +336,20 @@
 {
   event_note ("peer-released", "-", "peer=%s incarnation=%" G_GINT64_MODIFIER "x",
               peer->name, peer->incarnation);
-  link_drop (&peer->link);
-  peer->lost_ms = now_ms;
-  peer->surplus_ms = 0;
+  detach (peer, now_ms);
   peer->mesh->ops->down (peer, peer->mesh->ctx);
 }
 
+static gboolean
+may_release (const Mesh *mesh, MeshPeer *peer, gint64 now_ms)
+{
+  gint64 after_ms = mesh_is_entry (mesh) ? RELEASE_ENTRY_MS : RELEASE_MS;
+
+  if (peer->link == NULL || peer->surplus_ms == 0 || now_ms - peer->surplus_ms < after_ms)
+    return FALSE;
+  return mesh->ops->may_release == NULL || mesh->ops->may_release (peer, mesh->ctx);
+}
+
 static void
 release_surplus (Mesh *mesh, gint64 now_ms)
 {
@@ -386,9 +359,7 @@
     return;
   mesh_note_surplus (mesh, now_ms);
   TAILQ_FOREACH (peer, &mesh->peers, link_entry)
-    if (peer->link != NULL && peer->surplus_ms > 0
-        && now_ms - peer->surplus_ms >= RELEASE_MS
-        && mesh->ops->may_release (peer, mesh->ctx))
+    if (may_release (mesh, peer, now_ms))
       release (peer, now_ms);
 }
 
@@ -399,7 +370,7 @@
   MeshPeer *next;
 
   mesh_dial_all (mesh, now_ms);
-  mesh_forget_addresses (mesh, now_ms);
+  mesh_forget_addresses (mesh);
   for (peer = TAILQ_FIRST (&mesh->peers); peer != NULL; peer = next)
     {
       next = TAILQ_NEXT (peer, link_entry);
@@ -407,6 +378,6 @@
         peer_free (peer);
     }
   release_surplus (mesh, now_ms);
-  announce_entries (mesh, now_ms);
+  mesh_discovery_tick (mesh, now_ms);
   check_isolation (mesh, now_ms);
 }
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -1,14 +1,23 @@
 #pragma once
 /* The links between entries and agents of leased jobs. Peers are discovered from seed
- * addresses, from linked entries and, when both fail, from a directory. */
+ * addresses, from linked entries and, when both fail, from the platform's table.
+ *
+ * Each process links to the max_entries entries that rank highest for it. Agents rank by
+ * their own name, so that they spread evenly; two entries rank each other alike, so that
+ * most links are chosen by both ends. A link is kept while either end has chosen it. */
 #include "closed_zones.h"
+#include "directory.h"
 #include "frame_delay.h"
 #include "link.h"
 #include "peer_clock.h"
 
 #include <sys/queue.h>
 
+/* The first protocol version whose processes exchange versioned entries. */
+#define MESH_PROTOCOL 2
+
 typedef struct Mesh Mesh;
+struct Address;
 
 /* One incarnation of an entry or agent process. */
 typedef struct MeshPeer
@@ -27,12 +36,19 @@
   gint64 lost_ms;           /* since when it is not linked */
   gint64 dead_ms;           /* own clock, when its process was found dead; 0: not */
   gboolean leaving;
-  gboolean announced;     /* sent to the peers as a linked entry */
-  gint64 surplus_ms;      /* since when it is beyond max_entries; 0: it is not */
-  guint64 config_version; /* the peer's current version */
-  guint64 config_sent;    /* last sent to it */
-  guint64 config_wanted;  /* to be requested with the next frame; 0: none */
-  gint64 config_asked_ms; /* when it was last asked for a configuration; 0: never */
+  struct Address *address; /* of a linked entry, or NULL */
+  DirectorySent sent;      /* what of the directory it was sent */
+  guint64 entries_digest;  /* of the entries that it knows, as it last said */
+  guint64 sent_digest;     /* of the addresses that an agent was sent */
+  gint64 sent_all_ms;      /* when its list began anew; for peers of protocol 1 */
+  gboolean is_legacy;      /* protocol 1: knows no versions, drops what is not repeated */
+  gboolean wants_link;     /* it has chosen this link */
+  gboolean chosen;         /* this process has chosen it */
+  gint64 surplus_ms;       /* since when neither end has chosen it; 0: not */
+  guint64 config_version;  /* the peer's current version */
+  guint64 config_sent;     /* last sent to it */
+  guint64 config_wanted;   /* to be requested with the next frame; 0: none */
+  gint64 config_asked_ms;  /* when it was last asked for a configuration; 0: never */
   ClosedZonesSent closed_zones_sent;
   gpointer data; /* the user's record of this peer */
 } MeshPeer;
@@ -46,9 +62,9 @@
   void (*prepare) (MeshPeer *peer, Gw__Frame *frame, gpointer ctx);
   /* The peer is about to be freed. */
   void (*forgotten) (MeshPeer *peer, gpointer ctx);
-  /* No entry is linked: look addresses up in the directory. */
+  /* No entry is linked: look addresses up in the platform's table. */
   void (*isolated) (gpointer ctx);
-  /* Whether a surplus link to an entry may be closed now; NULL without max_entries. */
+  /* Whether a surplus link to an entry may be closed now; NULL: always. */
   gboolean (*may_release) (MeshPeer *peer, gpointer ctx);
 } MeshOps;
 
@@ -60,7 +76,7 @@
   guint timeout_ms;
   guint lease_ms;           /* lease sent to every peer with each frame */
   guint forget_ms;          /* a peer that is not linked is remembered this long */
-  guint max_entries;        /* to be linked to; 0: no limit */
+  guint max_entries;        /* chosen to be linked to; 0: no limit */
   guint entry_heartbeat_ms; /* between two entries; 0: as to agents */
   guint entry_timeout_ms;
 } MeshInit;
@@ -68,6 +84,9 @@
 Mesh *mesh_new (const MeshInit *init, const MeshOps *ops, gpointer ctx);
 void mesh_free (Mesh *mesh);
 
+/** mesh_advertise - the own frame address in the hello is final. */
+void mesh_advertise (Mesh *mesh);
+
 /** mesh_seed - replace the seed addresses. */
 void mesh_seed (Mesh *mesh, char *const *addresses);
 
@@ -75,8 +94,8 @@
 void mesh_learn (Mesh *mesh, const char *address);
 void mesh_accept (Mesh *mesh, evutil_socket_t fd);
 
-/** mesh_tick - call it every MESH_TICK_MS: dials, announces entries, closes surplus links
- * and forgets old peers and addresses. */
+/** mesh_tick - call it every MESH_TICK_MS: dials, sends what has changed of the entries,
+ * closes surplus links and forgets old peers and addresses. */
 void mesh_tick (Mesh *mesh, gint64 now_ms);
 #define MESH_TICK_MS 100
 
--- a/src/mesh_dial.c
+++ b/src/mesh_dial.c
@@ -1,4 +1,5 @@
 #include "clock.h"
+#include "counters.h"
 #include "mesh_parts.h"
 #include "rendezvous.h"
 
@@ -18,8 +19,14 @@
  * a region takes a few milliseconds; the longer timeout is for congested links. */
 #define CONNECT_EAGER_MS 100
 #define CONNECT_TIMEOUT_MS 300
-/* A learned address that has neither answered nor been named for this long is dropped. */
-#define ADDRESS_FORGET_MS 20000
+/* Interval for an address that has failed for LONG_FAILING_MS. */
+#define DIAL_SLOW_MS 5000
+#define LONG_FAILING_MS 20000
+/* Longer than any outage after which a machine is expected back at its address. */
+#define ADDRESS_FORGET_MS 600000
+/* Addresses an agent keeps: several times its links, so that it finds others after the
+ * loss of most entries without a look-up. */
+#define MAX_ADDRESSES 64
 /* With max_entries, an entry that answered until recently and has failed for this long is
  * replaced by the next in rank. A longer wait would leave an agent one link short; one
  * much shorter than a restart would move agents' links at each restart of an entry. */
@@ -47,61 +54,67 @@
 }
 
 Address *
-mesh_address_of_link (Mesh *mesh, const Link *link)
+mesh_address_of_link (const Mesh *mesh, const Link *link)
 {
-  Address *address;
+  return g_hash_table_lookup (mesh->dialed, link);
+}
 
-  TAILQ_FOREACH (address, &mesh->addresses, link)
-    if (address->dialing == link)
-      return address;
-  return NULL;
+void
+mesh_address_dialed (Address *address)
+{
+  g_hash_table_remove (address->mesh->dialed, address->dialing);
+  link_unref (address->dialing);
+  address->dialing = NULL;
 }
 
 void
 mesh_address_free (Address *address)
 {
+  Mesh *mesh = address->mesh;
+
+  if (address->dialing != NULL)
+    g_hash_table_remove (mesh->dialed, address->dialing);
   link_drop (&address->dialing);
-  TAILQ_REMOVE (&address->mesh->addresses, address, link);
+  if (address->peer != NULL)
+    address->peer->address = NULL;
+  if (mesh->probed == address)
+    mesh->probed = NULL;
+  TAILQ_REMOVE (&mesh->addresses, address, link);
+  g_hash_table_remove (mesh->addresses_by_text, address->text);
+  counter_set (COUNTER_ENTRIES_KNOWN, --mesh->n_addresses);
   g_free (address->text);
   g_free (address);
 }
 
-static MeshPeer *
-linked_peer (Mesh *mesh, const char *text)
+static guint
+dial_interval_ms (const Address *address, gboolean eager, gint64 now_ms)
 {
-  MeshPeer *peer;
-
-  TAILQ_FOREACH (peer, &mesh->peers, link_entry)
-    if (peer->link != NULL && strcmp (peer->frame_address, text) == 0)
-      return peer;
-  return NULL;
-}
-
-static gboolean
-is_linked (Mesh *mesh, const char *text)
-{
-  return linked_peer (mesh, text) != NULL;
+  if (eager)
+    return DIAL_EAGER_MS;
+  if (address->failing_ms > 0 && now_ms - address->failing_ms > LONG_FAILING_MS)
+    return DIAL_SLOW_MS;
+  return address->wait_ms;
 }
 
-static void
-dial (Mesh *mesh, Address *address, gint64 now_ms)
+void
+mesh_dial (Mesh *mesh, Address *address, gint64 now_ms)
 {
   gboolean eager;
-  guint wait_ms;
 
-  if (is_linked (mesh, address->text))
+  if (address->peer != NULL)
     {
       mesh_address_answered (address, now_ms);
       return;
     }
   eager = now_ms - address->answered_ms < EAGER_FOR_MS;
-  wait_ms = eager ? DIAL_EAGER_MS : address->wait_ms;
-  if (address->dialing != NULL || now_ms - address->dialed_ms < wait_ms)
+  if (address->dialing != NULL
+      || now_ms - address->dialed_ms < dial_interval_ms (address, eager, now_ms))
     return;
   address->dialed_ms = now_ms;
   address->wait_ms = MIN (address->wait_ms * 2, DIAL_MAX_MS);
   mesh->links.connect_timeout_ms = eager ? CONNECT_EAGER_MS : CONNECT_TIMEOUT_MS;
   address->dialing = link_dial (&mesh->links, address->text);
+  g_hash_table_insert (mesh->dialed, address->dialing, address);
 }
 
 static gboolean
@@ -125,11 +138,24 @@
     {
       if (mesh->init.max_entries > 0 && expected_up >= mesh->init.max_entries)
         return;
-      dial (mesh, address, now_ms);
+      mesh_dial (mesh, address, now_ms);
       expected_up += is_expected_up (address, now_ms);
     }
 }
 
+/* The other end of a link between entries is told at once. */
+static void
+note_chosen (MeshPeer *peer, gboolean chosen, gint64 now_ms)
+{
+  if (peer->chosen != chosen && mesh_is_entry (peer->mesh))
+    link_touch (peer->link);
+  peer->chosen = chosen;
+  if (chosen || peer->wants_link)
+    peer->surplus_ms = 0;
+  else if (peer->surplus_ms == 0)
+    peer->surplus_ms = now_ms;
+}
+
 void
 mesh_note_surplus (Mesh *mesh, gint64 now_ms)
 {
@@ -137,17 +163,8 @@
   guint linked = 0;
 
   TAILQ_FOREACH (address, &mesh->addresses, link)
-    {
-      MeshPeer *peer = linked_peer (mesh, address->text);
-
-      if (peer == NULL)
-        continue;
-      linked++;
-      if (linked <= mesh->init.max_entries)
-        peer->surplus_ms = 0;
-      else if (peer->surplus_ms == 0)
-        peer->surplus_ms = now_ms;
-    }
+    if (address->peer != NULL)
+      note_chosen (address->peer, linked++ < mesh->init.max_entries, now_ms);
 }
 
 void
@@ -156,25 +173,30 @@
   mesh_dial_all (ctx, clock_now_ms ());
 }
 
-static Address *
-find_address (Mesh *mesh, const char *text)
+Address *
+mesh_address_find (const Mesh *mesh, const char *text)
 {
-  Address *address;
+  return g_hash_table_lookup (mesh->addresses_by_text, text);
+}
 
-  TAILQ_FOREACH (address, &mesh->addresses, link)
-    if (strcmp (address->text, text) == 0)
-      return address;
-  return NULL;
+/* Rendezvous hashing: agents spread evenly over the entries, and the loss of an entry
+ * moves only its own links. */
+static guint64
+score (const Mesh *mesh, const char *text)
+{
+  const Gw__Hello *hello = mesh->init.hello;
+
+  if (mesh_is_entry (mesh))
+    return rendezvous_pair_score (hello->frame_address, text);
+  return rendezvous_score (hello->name, text);
 }
 
-/* Rendezvous hashing by the own name: agents spread evenly over the entries, and the loss
- * of an entry moves only its own agents' links. */
 static void
 insert_ranked (Mesh *mesh, Address *address)
 {
   Address *next = TAILQ_FIRST (&mesh->addresses);
 
-  address->score = rendezvous_score (mesh->init.hello->name, address->text);
+  address->score = score (mesh, address->text);
   while (next != NULL && next->score >= address->score)
     next = TAILQ_NEXT (next, link);
   if (next != NULL)
@@ -183,13 +205,25 @@
     TAILQ_INSERT_TAIL (&mesh->addresses, address, link);
 }
 
-static Address *
-learn (Mesh *mesh, const char *text)
+void
+mesh_rank_addresses (Mesh *mesh)
+{
+  struct AddressList addresses = TAILQ_HEAD_INITIALIZER (addresses);
+  Address *address;
+
+  TAILQ_CONCAT (&addresses, &mesh->addresses, link);
+  while ((address = TAILQ_FIRST (&addresses)) != NULL)
+    {
+      TAILQ_REMOVE (&addresses, address, link);
+      insert_ranked (mesh, address);
+    }
+}
+
+Address *
+mesh_address_add (Mesh *mesh, const char *text)
 {
-  Address *address = find_address (mesh, text);
+  Address *address = mesh_address_find (mesh, text);
 
-  if (address != NULL)
-    address->named_ms = clock_now_ms ();
   if (address != NULL || text[0] == '\0'
       || g_strcmp0 (text, mesh->init.hello->frame_address) == 0)
     return address;
@@ -197,9 +231,11 @@
   address->mesh = mesh;
   address->text = g_strdup (text);
   address->answered_ms = clock_now_ms ();
-  address->named_ms = address->answered_ms;
   address->wait_ms = DIAL_MIN_MS;
   insert_ranked (mesh, address);
+  g_hash_table_insert (mesh->addresses_by_text, address->text, address);
+  counter_set (COUNTER_ENTRIES_KNOWN, ++mesh->n_addresses);
+  mesh_discovery_agent_changed (mesh);
   mesh_dial_soon (mesh);
   return address;
 }
@@ -207,7 +243,7 @@
 void
 mesh_learn (Mesh *mesh, const char *address)
 {
-  learn (mesh, address);
+  mesh_address_add (mesh, address);
 }
 
 void
@@ -219,7 +255,7 @@
     address->seed = FALSE;
   for (; *addresses != NULL; addresses++)
     {
-      address = learn (mesh, *addresses);
+      address = mesh_address_add (mesh, *addresses);
       if (address != NULL)
         address->seed = TRUE;
     }
@@ -234,25 +270,41 @@
 }
 
 void
-mesh_address_failed (Mesh *mesh, const char *text, gint64 now_ms)
+mesh_address_failed (Address *address, gint64 now_ms)
 {
-  Address *address = find_address (mesh, text);
-
-  if (address != NULL && address->failing_ms == 0)
+  if (address->failing_ms == 0)
     address->failing_ms = now_ms;
 }
 
+gint64
+mesh_address_failing_ms (const Address *address)
+{
+  return address->failing_ms > 0 ? address->dialed_ms - address->failing_ms : 0;
+}
+
+static gboolean
+is_forgotten (const Mesh *mesh, const Address *address)
+{
+  if (address->seed || address->peer != NULL)
+    return FALSE;
+  if (mesh_address_failing_ms (address) > ADDRESS_FORGET_MS)
+    return TRUE;
+  return !mesh_is_entry (mesh) && mesh->n_addresses > MAX_ADDRESSES;
+}
+
 void
-mesh_forget_addresses (Mesh *mesh, gint64 now_ms)
+mesh_forget_addresses (Mesh *mesh)
 {
   Address *address;
-  Address *next;
+  Address *previous;
 
-  for (address = TAILQ_FIRST (&mesh->addresses); address != NULL; address = next)
+  for (address = TAILQ_LAST (&mesh->addresses, AddressList); address != NULL;
+       address = previous)
     {
-      next = TAILQ_NEXT (address, link);
-      if (!address->seed
-          && now_ms - MAX (address->answered_ms, address->named_ms) > ADDRESS_FORGET_MS)
-        mesh_address_free (address);
+      previous = TAILQ_PREV (address, AddressList, link);
+      if (!is_forgotten (mesh, address))
+        continue;
+      mesh_address_free (address);
+      mesh_discovery_agent_changed (mesh);
     }
 }
--- a/src/process_stats.c
+++ b/src/process_stats.c
@@ -53,13 +53,18 @@
               " states=%" G_GUINT64_FORMAT " reports=%" G_GUINT64_FORMAT
               " links_opened=%" G_GUINT64_FORMAT " links_silent=%" G_GUINT64_FORMAT
               " backlog_most=%" G_GUINT64_FORMAT " lag_most_ms=%" G_GINT64_FORMAT
-              " cpu_us=%" G_GINT64_FORMAT,
+              " cpu_us=%" G_GINT64_FORMAT " entries_sent=%" G_GUINT64_FORMAT
+              " known=%" G_GUINT64_FORMAT " linked=%" G_GUINT64_FORMAT
+              " table_reads=%" G_GUINT64_FORMAT " table_errors=%" G_GUINT64_FORMAT
+              " table_repeats=%" G_GUINT64_FORMAT,
               SINCE (FRAMES_SENT), SINCE (BYTES_SENT), SINCE (FRAMES_RECEIVED),
               SINCE (BYTES_RECEIVED), SINCE (RESOURCE_REQUESTS_SENT),
               SINCE (RUN_ORDERS_SENT), SINCE (STATES_SENT), SINCE (RUN_REPORTS_SENT),
               SINCE (LINKS_OPENED), SINCE (LINKS_SILENT),
-              counter_values[COUNTER_LINK_BACKLOG], stats->lag_ms,
-              cpu_us - stats->cpu_us);
+              counter_values[COUNTER_LINK_BACKLOG], stats->lag_ms, cpu_us - stats->cpu_us,
+              SINCE (ENTRIES_SENT), counter_values[COUNTER_ENTRIES_KNOWN],
+              counter_values[COUNTER_ENTRIES_LINKED], SINCE (TABLE_READS),
+              SINCE (TABLE_ERRORS), SINCE (TABLE_REPEATS));
 #undef SINCE
   memcpy (stats->last, counter_values, sizeof stats->last);
   stats->cpu_us = cpu_us;
--- a/src/rendezvous.c
+++ b/src/rendezvous.c
@@ -9,6 +9,12 @@
   return XXH3_64bits_withSeed (name, strlen (name), XXH3_64bits (group, strlen (group)));
 }
 
+guint64
+rendezvous_pair_score (const char *a, const char *b)
+{
+  return strcmp (a, b) < 0 ? rendezvous_score (a, b) : rendezvous_score (b, a);
+}
+
 char *
 rendezvous_group (const char *service, const char *backend, guint groups)
 {
--- a/tests/test-mesh.c
+++ b/tests/test-mesh.c
@@ -1,5 +1,6 @@
 /* Discovery, dialling and the limit on links in the mesh. */
 #include "clock.h"
+#include "counters.h"
 #include "mesh.h"
 
 #include <event2/listener.h>
@@ -133,6 +134,9 @@
   Mesh *mesh;
   struct evconnlistener *listener;
   struct event *ticks;
+  guint16 port; /* kept when it is closed */
+  guint max_entries;
+  guint protocol;
   gboolean has_work; /* its links must not be released */
 } Node;
 
@@ -170,16 +174,18 @@
 static void
 node_listen (Node *node)
 {
-  struct sockaddr_in address
-      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_addr.s_addr = htonl (INADDR_LOOPBACK),
+                                 .sin_port = htons (node->port) };
   socklen_t length = sizeof address;
 
-  node->listener
-      = evconnlistener_new_bind (node->base, on_node_accept, node, LEV_OPT_CLOSE_ON_FREE,
-                                 -1, (struct sockaddr *)&address, sizeof address);
+  node->listener = evconnlistener_new_bind (node->base, on_node_accept, node,
+                                            LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+                                            (struct sockaddr *)&address, sizeof address);
   g_assert_nonnull (node->listener);
   getsockname (evconnlistener_get_fd (node->listener), (struct sockaddr *)&address,
                &length);
+  node->port = ntohs (address.sin_port);
   g_snprintf (node->address, sizeof node->address, "127.0.0.1:%u",
               ntohs (address.sin_port));
   node->hello.frame_address = node->address;
@@ -193,7 +199,8 @@
                     .heartbeat_ms = 100,
                     .timeout_ms = 1000,
                     .lease_ms = 500,
-                    .forget_ms = 2000 };
+                    .forget_ms = 2000,
+                    .max_entries = node->max_entries };
   struct timeval tick = timeval_from_ms (MESH_TICK_MS);
 
   node->base = base;
@@ -203,11 +210,14 @@
   g_snprintf (node->name, sizeof node->name, "%s-%u",
               role == GW__HELLO__ROLE__ENTRY ? "entry" : "agent", i);
   node->hello.name = node->name;
+  node->hello.protocol = node->protocol > 0 ? node->protocol : MESH_PROTOCOL;
   if (role == GW__HELLO__ROLE__ENTRY)
     node_listen (node);
   else
     init.max_entries = MAX_ENTRIES;
   node->mesh = mesh_new (&init, &node_ops, node);
+  if (role == GW__HELLO__ROLE__ENTRY)
+    mesh_advertise (node->mesh);
   node->ticks = event_new (base, -1, EV_PERSIST, on_tick, node->mesh);
   event_add (node->ticks, &tick);
 }
@@ -224,6 +234,14 @@
   node->mesh = NULL;
 }
 
+/* A process that is started again at its address, with a new incarnation and no seeds. */
+static void
+node_reopen (Node *node, guint i)
+{
+  node_open (node, node->base, GW__HELLO__ROLE__ENTRY, i);
+  node->hello.incarnation += 500;
+}
+
 /* Each node is seeded with the address of the first entry only. */
 static void
 cluster_open (Cluster *cluster)
@@ -339,6 +357,133 @@
   cluster_close (&cluster);
 }
 
+/* A fleet of entries that choose a part of each other. */
+
+#define FLEET 40
+#define FLEET_LINKS 8
+/* The objective for an entry that joins. */
+#define JOIN_MS 1000
+/* A lost entry is dialled in vain for 10 s, and then the others are told. */
+#define GONE_MS 13000
+/* Longer than the interval at which protocol 1 needs lists repeated. */
+#define REPEATED_MS 9000
+
+typedef struct
+{
+  struct event_base *base;
+  Node entries[FLEET];
+  guint n;
+} Fleet;
+
+static void
+fleet_add (Fleet *fleet, guint protocol)
+{
+  Node *node = &fleet->entries[fleet->n];
+  char *seeds[] = { fleet->entries[0].address, NULL };
+
+  node->max_entries = FLEET_LINKS;
+  node->protocol = protocol;
+  node_open (node, fleet->base, GW__HELLO__ROLE__ENTRY, fleet->n);
+  if (fleet->n > 0)
+    mesh_seed (node->mesh, seeds);
+  fleet->n++;
+}
+
+static void
+fleet_open (Fleet *fleet, guint n)
+{
+  fleet->base = event_base_new ();
+  while (fleet->n < n)
+    fleet_add (fleet, MESH_PROTOCOL);
+}
+
+static void
+fleet_close (Fleet *fleet)
+{
+  for (guint i = 0; i < fleet->n; i++)
+    node_close (&fleet->entries[i]);
+  event_base_free (fleet->base);
+}
+
+static void
+fleet_run (Fleet *fleet, guint ms)
+{
+  struct timeval time = timeval_from_ms (ms);
+
+  event_base_loopexit (fleet->base, &time);
+  event_base_dispatch (fleet->base);
+}
+
+static void
+check_known (const Fleet *fleet, guint n)
+{
+  for (guint i = 0; i < fleet->n; i++)
+    if (fleet->entries[i].mesh != NULL)
+      g_assert_cmpuint (fleet->entries[i].hello.entries_known, ==, n);
+}
+
+/* With every entry linked to every other, their links and heartbeats grew with the square
+ * of their number, and the list of entries, sent each 8 s, with the cube: at 184 entries
+ * it filled narrow links for longer than a lease lasts. */
+static void
+test_fleet (void)
+{
+  Fleet fleet = { 0 };
+  guint64 sent;
+
+  fleet_open (&fleet, FLEET - 1);
+  fleet_run (&fleet, CONVERGE_MS);
+  check_known (&fleet, FLEET - 1);
+  for (guint i = 0; i < fleet.n; i++)
+    g_assert_cmpuint (count_links (&fleet.entries[i], TRUE), <=, 2 * FLEET_LINKS);
+  sent = counter_values[COUNTER_ENTRIES_SENT];
+  fleet_run (&fleet, REPEATED_MS);
+  g_assert_cmpuint (counter_values[COUNTER_ENTRIES_SENT], ==, sent);
+  fleet_add (&fleet, MESH_PROTOCOL);
+  fleet_run (&fleet, JOIN_MS);
+  check_known (&fleet, FLEET);
+  fleet_close (&fleet);
+}
+
+/* An entry that was removed must not be dialled by all for good, and one that was only
+ * cut off must be found again. */
+static void
+test_gone (void)
+{
+  Fleet fleet = { 0 };
+
+  fleet_open (&fleet, 12);
+  fleet_run (&fleet, CONVERGE_MS);
+  node_close (&fleet.entries[5]);
+  fleet_run (&fleet, GONE_MS);
+  check_known (&fleet, 11);
+  node_reopen (&fleet.entries[5], 5);
+  fleet_run (&fleet, CONVERGE_MS);
+  check_known (&fleet, 12);
+  fleet_close (&fleet);
+}
+
+/* A process of the version before drops addresses that are not repeated, and does not say
+ * which links it wants: while a fleet is rolled it must keep them. */
+static void
+test_legacy (void)
+{
+  Fleet fleet = { 0 };
+  guint64 sent;
+  guint links;
+
+  fleet_open (&fleet, 20);
+  fleet_add (&fleet, MESH_PROTOCOL - 1);
+  fleet_run (&fleet, CONVERGE_MS);
+  links = count_links (&fleet.entries[20], TRUE);
+  sent = counter_values[COUNTER_ENTRIES_SENT];
+  fleet_run (&fleet, REPEATED_MS);
+  g_assert_cmpuint (counter_values[COUNTER_ENTRIES_SENT], >=, sent + 20);
+  g_assert_cmpuint (count_links (&fleet.entries[20], TRUE), >=, MIN (links, FLEET_LINKS));
+  check_known (&fleet, 21);
+  fleet_close (&fleet);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -347,5 +492,8 @@
   g_test_add_func ("/mesh/agents-link-to-a-part", test_max_entries);
   g_test_add_func ("/mesh/lost-entries-are-replaced", test_lost_entries_replaced);
   g_test_add_func ("/mesh/links-with-work-are-kept", test_links_with_work_kept);
+  g_test_add_func ("/mesh/entries-link-to-a-part", test_fleet);
+  g_test_add_func ("/mesh/removed-entries-are-gone-and-found-again", test_gone);
+  g_test_add_func ("/mesh/protocol-1-is-sent-repeated-lists", test_legacy);
   return g_test_run ();
 }
--- a/tests/test-spread-rules.c
+++ b/tests/test-spread-rules.c
@@ -1,6 +1,9 @@
 /* When an entry pulls a newer configuration, and from which entry. */
 #include "cases.h"
 #include "config_pull.h"
+#include "rendezvous.h"
+
+#include <string.h>
 
 #define MAX_STEPS 12
 
@@ -117,6 +120,174 @@
     g_assert_cmpuint (chosen[i], <=, 6);
 }
 
+/* Fleets of entries, each linked to a part of the others, with the store reachable for
+ * some of them only: a version goes from neighbour to neighbour. */
+
+#define MAX_FLEET 367
+#define LINKS 12
+#define STEP_MS 10
+/* Time until an entry's neighbours see that it has a newer version. */
+#define TOLD_MS 10
+/* 250 routes, over a link of 25 Mbit/s that is sent on by one entry at a time. */
+#define TEXT_MS 20
+/* 1,400 routes. */
+#define LONG_TEXT_MS 110
+/* The operator's objective. */
+#define IN_FORCE_MS 5000
+
+typedef struct
+{
+  char name[24];
+  ConfigPull pull;
+  gint64 has_ms;     /* since when it has the version; G_MAXINT64: not yet */
+  gint64 sending_ms; /* until when its link is busy with copies */
+  gint64 asked_ms[MAX_FLEET];
+} FleetEntry;
+
+typedef struct
+{
+  const char *name;
+  guint n;
+  guint n_reaching; /* entries that the store reaches */
+  guint text_ms;
+} FleetCase;
+
+static const FleetCase fleet_cases[] = {
+  { "184-from-one", 184, 1, TEXT_MS },           { "184-from-a-third", 184, 61, TEXT_MS },
+  { "184-from-one-long", 184, 1, LONG_TEXT_MS }, { "367-from-one", 367, 1, TEXT_MS },
+  { "367-from-one-long", 367, 1, LONG_TEXT_MS },
+};
+
+typedef struct
+{
+  FleetEntry entries[MAX_FLEET];
+  gboolean linked[MAX_FLEET][MAX_FLEET];
+  guint n;
+} ConfigFleet;
+
+static guint
+best_unlinked (const ConfigFleet *fleet, guint i, const gboolean *chosen)
+{
+  guint best = i;
+  guint64 best_score = 0;
+
+  for (guint j = 0; j < fleet->n; j++)
+    {
+      guint64 score
+          = rendezvous_pair_score (fleet->entries[i].name, fleet->entries[j].name);
+
+      if (j == i || chosen[j] || score < best_score)
+        continue;
+      best = j;
+      best_score = score;
+    }
+  return best;
+}
+
+static void
+link_fleet (ConfigFleet *fleet)
+{
+  for (guint i = 0; i < fleet->n; i++)
+    {
+      gboolean chosen[MAX_FLEET] = { FALSE };
+
+      for (guint k = 0; k < LINKS; k++)
+        {
+          guint j = best_unlinked (fleet, i, chosen);
+
+          chosen[j] = TRUE;
+          fleet->linked[i][j] = fleet->linked[j][i] = TRUE;
+        }
+    }
+}
+
+static gboolean
+has_version (const FleetEntry *entry, gint64 now_ms)
+{
+  return entry->has_ms + TOLD_MS <= now_ms;
+}
+
+static void
+pull_version (ConfigFleet *fleet, guint i, gint64 now_ms, guint text_ms)
+{
+  FleetEntry *entry = &fleet->entries[i];
+  ConfigPullPeer peers[MAX_FLEET];
+  guint numbers[MAX_FLEET];
+  guint n = 0;
+  FleetEntry *asked;
+  int best;
+
+  for (guint j = 0; j < fleet->n; j++)
+    if (fleet->linked[i][j])
+      {
+        peers[n] = (ConfigPullPeer){ fleet->entries[j].name,
+                                     has_version (&fleet->entries[j], now_ms) ? 6 : 5,
+                                     entry->asked_ms[j] };
+        numbers[n++] = j;
+      }
+  best = config_pull_choose (peers, n, entry->name, 5);
+  if (best < 0)
+    return;
+  asked = &fleet->entries[numbers[best]];
+  entry->asked_ms[numbers[best]] = now_ms;
+  config_pull_asked (&entry->pull, now_ms);
+  asked->sending_ms = MAX (asked->sending_ms, now_ms) + text_ms;
+  entry->has_ms = MIN (entry->has_ms, asked->sending_ms);
+}
+
+static void
+step_entry (ConfigFleet *fleet, guint i, gint64 now_ms, guint text_ms)
+{
+  FleetEntry *entry = &fleet->entries[i];
+  ConfigPullView view = { .own_version = 5, .newest_version = 5 };
+
+  if (entry->has_ms <= now_ms)
+    return;
+  for (guint j = 0; j < fleet->n; j++)
+    if (fleet->linked[i][j] && has_version (&fleet->entries[j], now_ms))
+      view.newest_version = 6;
+  view.asked_received_ms = now_ms;
+  if (config_pull_due (&entry->pull, &view, now_ms))
+    pull_version (fleet, i, now_ms, text_ms);
+}
+
+static guint
+count_with_version (const ConfigFleet *fleet, gint64 now_ms)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < fleet->n; i++)
+    n += fleet->entries[i].has_ms <= now_ms;
+  return n;
+}
+
+/* With the store out of reach for most, a version has several links to go. */
+static void
+test_fleet (gconstpointer data)
+{
+  const FleetCase *c = data;
+  ConfigFleet *fleet = g_new0 (ConfigFleet, 1);
+  gint64 now_ms = 1000;
+
+  fleet->n = c->n;
+  for (guint i = 0; i < c->n; i++)
+    {
+      g_snprintf (fleet->entries[i].name, sizeof fleet->entries[i].name,
+                  "10.%u.0.%u:8166", i % 6, i);
+      fleet->entries[i].has_ms = i < c->n_reaching ? now_ms : G_MAXINT64;
+    }
+  link_fleet (fleet);
+  while (count_with_version (fleet, now_ms) < c->n && now_ms < 1000 + 2 * IN_FORCE_MS)
+    {
+      now_ms += STEP_MS;
+      for (guint i = 0; i < c->n; i++)
+        step_entry (fleet, i, now_ms, c->text_ms);
+    }
+  g_test_message ("in force at all after %" G_GINT64_FORMAT " ms", now_ms - 1000);
+  g_assert_cmpint (now_ms - 1000, <=, IN_FORCE_MS);
+  g_free (fleet);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -124,5 +295,6 @@
   ADD_CASES ("/spread-rules", sequences, test_sequence);
   g_test_add_func ("/spread-rules/choice", test_choice);
   g_test_add_func ("/spread-rules/choices-differ", test_choices_differ);
+  ADD_CASES ("/spread-rules/fleet", fleet_cases, test_fleet);
   return g_test_run ();
 }
