Entries: sixteen follow the table, the others their neighbours

Cause: each entry asked the table for changes twice a second, 184 x 2 calls, nearly all without an answer of use, and each read every configuration: calls grow with the fleet, bytes with entries x versions x text.

Now the first 16 entries of an order on which all agree follow the table. The others look for themselves without a recent confirmation (1.8 to 2.5 s) or when a neighbour's newer configuration has not come within 0.4 s; they ask a neighbour for it at once. Texts over 64 kB are read from the table by all, as before: a dozen copies from one small entry would take longer. With 16 entries or fewer nothing changes.

Ruled out, worked out but not built: all ask, and wait longer the more neighbours they have: 64 calls a second, still growing with the fleet.

--- a/proto/godwitspar.pb-c.c
+++ b/proto/godwitspar.pb-c.c
@@ -3005,7 +3005,7 @@
   (ProtobufCMessageInit) gw__config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__frame__field_descriptors[32] =
+static const ProtobufCFieldDescriptor gw__frame__field_descriptors[33] =
 {
   {
     "sequence",
@@ -3391,6 +3391,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_wanted_bytes",
+    38,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Frame, config_wanted_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__frame__field_indices_by_name[] = {
   11,   /* field[11] = acks */
@@ -3402,6 +3414,7 @@
   3,   /* field[3] = config_confirmed */
   2,   /* field[2] = config_version */
   28,   /* field[28] = config_wanted */
+  32,   /* field[32] = config_wanted_bytes */
   15,   /* field[15] = entries */
   31,   /* field[31] = entries_digest */
   14,   /* field[14] = fence_replies */
@@ -3432,7 +3445,7 @@
   { 6, 4 },
   { 27, 22 },
   { 33, 27 },
-  { 0, 32 }
+  { 0, 33 }
 };
 const ProtobufCMessageDescriptor gw__frame__descriptor =
 {
@@ -3442,7 +3455,7 @@
   "Gw__Frame",
   "gw",
   sizeof(Gw__Frame),
-  32,
+  33,
   gw__frame__field_descriptors,
   gw__frame__field_indices_by_name,
   4,  gw__frame__number_ranges,
--- a/proto/godwitspar.pb-c.h
+++ b/proto/godwitspar.pb-c.h
@@ -516,10 +516,14 @@
    * between entries: of those that the sender knows
    */
   uint64_t entries_digest;
+  /*
+   * a longer configuration is not wanted; 0: any
+   */
+  uint32_t config_wanted_bytes;
 };
 #define GW__FRAME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__frame__descriptor) \
-    , 0, 0, 0, 0, 0, NULL, NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0, NULL, 0, 0, NULL, 0, 0 }
+    , 0, 0, 0, 0, 0, NULL, NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0, NULL, 0, 0, NULL, 0, 0, 0 }
 
 
 /*
--- a/src/config_pull.c
+++ b/src/config_pull.c
@@ -16,6 +16,23 @@
  * this long; heartbeats of a live one arrive even while its response is delayed. */
 #define UNRESPONSIVE_MS 600
 
+/* How long to wait for a short text from a neighbour that sends it to a dozen. */
+#define QUICK_MS 400
+
+static void
+begin (ConfigPull *pull, gboolean quick, gint64 now_ms)
+{
+  pull->behind_ms = now_ms;
+  pull->quick = quick;
+  pull->asked_ms = 0;
+}
+
+gboolean
+config_pull_is_stuck (const ConfigPull *pull, gint64 now_ms)
+{
+  return pull->behind_ms > 0 && (!pull->quick || now_ms - pull->behind_ms >= QUICK_MS);
+}
+
 gboolean
 config_pull_due (ConfigPull *pull, const ConfigPullView *view, gint64 now_ms)
 {
@@ -28,7 +45,11 @@
       return FALSE;
     }
   if (pull->behind_ms == 0)
-    pull->behind_ms = now_ms;
+    begin (pull, view->idle, now_ms);
+  if (pull->quick && view->idle)
+    return pull->asked_ms == 0;
+  if (pull->quick)
+    begin (pull, FALSE, now_ms);
   waited_ms = now_ms - pull->behind_ms;
   if (pull->asked_ms > 0
       && now_ms - MAX (pull->asked_ms, view->asked_received_ms) >= UNRESPONSIVE_MS)
--- a/src/directory.c
+++ b/src/directory.c
@@ -240,6 +240,19 @@
   return directory->size;
 }
 
+guint
+directory_own_rank (const Directory *directory)
+{
+  const DirectoryEntry *entry;
+  guint rank = 0;
+
+  if (directory->own == NULL)
+    return 0;
+  TAILQ_FOREACH (entry, &directory->entries, link)
+    rank += !entry->gone && entry->hash > directory->own->hash;
+  return rank;
+}
+
 guint64
 directory_digest (const Directory *directory)
 {
--- a/src/directory.h
+++ b/src/directory.h
@@ -80,6 +80,10 @@
 /** directory_size - number of entries that are not gone. */
 guint directory_size (const Directory *directory);
 
+/** directory_own_rank - number of entries that precede the own one in an order that all
+ * processes agree on. */
+guint directory_own_rank (const Directory *directory);
+
 /** directory_digest - equal for processes that know the same entries; 0: none. */
 guint64 directory_digest (const Directory *directory);
 
--- a/src/leased_entry.h
+++ b/src/leased_entry.h
@@ -19,6 +19,9 @@
   Catalog *(*read_catalog) (const char *source, GError **error);
   /* Whether a configuration is being received from the platform. */
   gboolean (*config_arriving) (gpointer ctx);
+  /* Follow the operator's rows in the platform's table, if not yet; until
+   * leased_entry_follows_table () says no. */
+  void (*follow_table) (gpointer ctx);
   /* Look up the addresses of other entries; results go to leased_entry_learn (). */
   void (*look_up_entries) (gpointer ctx);
   /* The load balancer has had time to notice that the entry drains: accept no more
@@ -67,6 +70,9 @@
                                 guint64 version);
 const ClosedZones *leased_entry_closed_zones (const LeasedEntry *entry);
 
+/** leased_entry_follows_table - whether this entry is to follow the platform's table. */
+gboolean leased_entry_follows_table (const LeasedEntry *entry);
+
 /** leased_entry_learn - add an address at which an entry may be reached. */
 void leased_entry_learn (LeasedEntry *entry, const char *address);
 Dispatcher *leased_entry_dispatcher (LeasedEntry *entry);
--- a/src/leased_entry_config.c
+++ b/src/leased_entry_config.c
@@ -5,6 +5,7 @@
 #include "counters.h"
 #include "events.h"
 #include "leased_entry_parts.h"
+#include "table_follow.h"
 
 #include <string.h>
 
@@ -38,16 +39,18 @@
 
 /* A repeated request is answered by the copy that is still queued on the link, if any. */
 static void
-send_config (LeasedEntry *entry, MeshPeer *peer)
+send_config (LeasedEntry *entry, MeshPeer *peer, guint most_bytes)
 {
   const Catalog *catalog = entry->catalog;
   gsize unsent = link_unsent (peer->link);
   gboolean is_queued = peer->config_sent == catalog->version && unsent > 0;
+  gboolean is_too_long = most_bytes > 0 && strlen (catalog->source) > most_bytes;
 
   event_note ("config-asked", "-",
               "peer=%s version=%" G_GUINT64_FORMAT " bytes=%zu unsent_bytes=%zu sent=%d",
-              peer->name, catalog->version, strlen (catalog->source), unsent, !is_queued);
-  if (is_queued)
+              peer->name, catalog->version, strlen (catalog->source), unsent,
+              !is_queued && !is_too_long);
+  if (is_queued || is_too_long)
     return;
   peer->config_sent = catalog->version;
   link_send_config (peer->link, catalog->version, "", catalog->source);
@@ -58,6 +61,7 @@
 {
   frame->config_version = own_version (entry);
   frame->config_wanted = peer->config_wanted;
+  frame->config_wanted_bytes = peer->config_wanted_bytes;
   peer->config_wanted = 0;
 }
 
@@ -84,6 +88,7 @@
               now_ms - entry->config_pull.behind_ms);
   peer->config_asked_ms = now_ms;
   peer->config_wanted = peer->config_version;
+  peer->config_wanted_bytes = entry->config_pull.quick ? CONFIG_PULL_QUICK_BYTES : 0;
   config_pull_asked (&entry->config_pull, now_ms);
   link_touch (peer->link);
 }
@@ -112,6 +117,19 @@
   g_array_unref (candidates);
 }
 
+gboolean
+leased_entry_follows_table (const LeasedEntry *entry)
+{
+  gint64 now = clock_now_ms ();
+  TableFollowView view
+      = { .rank = mesh_own_rank (entry->mesh),
+          .has_config = entry->catalog != NULL,
+          .confirmed_ms = closed_zones_age_ms (entry->closed_zones, now),
+          .config_stuck = config_pull_is_stuck (&entry->config_pull, now) };
+
+  return table_follow_due (&view);
+}
+
 static void
 pull_if_due (LeasedEntry *entry, gint64 now_ms)
 {
@@ -124,6 +142,8 @@
         if (peer->config_asked_ms == entry->config_pull.asked_ms)
           view.asked_received_ms = link_received_ms (peer->link);
       }
+  view.idle
+      = view.newest_version > view.own_version && !leased_entry_follows_table (entry);
   view.arriving = view.newest_version > view.own_version
                   && entry->ops->config_arriving (entry->ctx);
   if (config_pull_due (&entry->config_pull, &view, now_ms))
@@ -133,6 +153,8 @@
 void
 leased_entry_config_tick (LeasedEntry *entry, gint64 now_ms)
 {
+  if (leased_entry_follows_table (entry))
+    entry->ops->follow_table (entry->ctx);
   pull_if_due (entry, now_ms);
 }
 
@@ -142,7 +164,7 @@
   if (frame->config != NULL)
     take_catalog (entry, frame->config);
   if (frame->config_wanted > 0 && frame->config_wanted <= own_version (entry))
-    send_config (entry, peer);
+    send_config (entry, peer, frame->config_wanted_bytes);
   pull_if_due (entry, clock_now_ms ());
 }
 
--- a/src/leased_entry_zones.c
+++ b/src/leased_entry_zones.c
@@ -3,8 +3,8 @@
 #include "clock.h"
 #include "leased_entry_parts.h"
 
-/* How often agents are sent the age of an unchanged set: without a recent one they look
- * the zones up on the platform. */
+/* How often peers are sent the age of an unchanged set: without a recent one they look
+ * for themselves on the platform. */
 #define CONFIRM_MS 400
 
 static void
@@ -24,8 +24,8 @@
 void
 leased_entry_zones_prepare (LeasedEntry *entry, MeshPeer *peer, Gw__Frame *frame)
 {
-  closed_zones_to_frame (entry->closed_zones, &peer->closed_zones_sent,
-                         peer->is_entry ? 0 : CONFIRM_MS, frame, clock_now_ms ());
+  closed_zones_to_frame (entry->closed_zones, &peer->closed_zones_sent, CONFIRM_MS, frame,
+                         clock_now_ms ());
 }
 
 void
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -48,7 +48,8 @@
   guint64 config_version;  /* the peer's current version */
   guint64 config_sent;     /* last sent to it */
   guint64 config_wanted;   /* to be requested with the next frame; 0: none */
-  gint64 config_asked_ms;  /* when it was last asked for a configuration; 0: never */
+  guint config_wanted_bytes; /* a longer one is not wanted; 0: any */
+  gint64 config_asked_ms;    /* when it was last asked for a configuration; 0: never */
   ClosedZonesSent closed_zones_sent;
   gpointer data; /* the user's record of this peer */
 } MeshPeer;
@@ -102,6 +103,9 @@
 /** mesh_send_all - send every linked peer a frame in this event-loop iteration. */
 void mesh_send_all (Mesh *mesh);
 
+/** mesh_own_rank - rank of this entry among those it knows; 0: the first. */
+guint mesh_own_rank (const Mesh *mesh);
+
 MeshPeer *mesh_find (Mesh *mesh, guint64 incarnation);
 MeshPeer *mesh_first (Mesh *mesh);
 MeshPeer *mesh_next (MeshPeer *peer);
--- a/src/mesh_discovery.c
+++ b/src/mesh_discovery.c
@@ -72,6 +72,12 @@
   directory_set_own (mesh->directory, mesh->init.hello->frame_address, clock_now_ms ());
 }
 
+guint
+mesh_own_rank (const Mesh *mesh)
+{
+  return directory_own_rank (mesh->directory);
+}
+
 void
 mesh_discovery_agent_changed (Mesh *mesh)
 {
--- a/tests/test-spread-rules.c
+++ b/tests/test-spread-rules.c
@@ -2,6 +2,7 @@
 #include "cases.h"
 #include "config_pull.h"
 #include "rendezvous.h"
+#include "table_follow.h"
 
 #include <string.h>
 
@@ -59,6 +60,13 @@
     { { 1000, { 0, 6, FALSE }, FALSE, TRUE },
       { 1100, { 0, 6, FALSE }, TRUE, TRUE },
       { 1200, { 0, 6, FALSE } } } },
+  { "an-idle-entry-asks-a-neighbour-at-once-and-once",
+    { { 1000, { 5, 6, .idle = TRUE }, FALSE, TRUE }, { 1390, { 5, 6, .idle = TRUE } } } },
+  { "an-idle-entry-that-gets-none-asks-the-store-and-then-others",
+    { { 1000, { 5, 6, .idle = TRUE }, FALSE, TRUE },
+      { 1400, { 5, 6 } },
+      { 1640, { 5, 6 } },
+      { 1650, { 5, 6 }, FALSE, TRUE } } },
   { "anew-after-it-has-come",
     { { 1000, { 5, 6, FALSE } },
       { 1300, { 5, 6, FALSE }, FALSE, TRUE },
@@ -88,6 +96,22 @@
     }
 }
 
+static void
+test_stuck (void)
+{
+  const ConfigPullView idle = { 5, 6, .idle = TRUE };
+  const ConfigPullView current = { 6, 6 };
+  ConfigPull pull = { 0 };
+
+  g_assert_false (config_pull_is_stuck (&pull, 1000));
+  g_assert_true (config_pull_due (&pull, &idle, 1000));
+  config_pull_asked (&pull, 1000);
+  g_assert_false (config_pull_is_stuck (&pull, 1399));
+  g_assert_true (config_pull_is_stuck (&pull, 1400));
+  config_pull_due (&pull, &current, 1500);
+  g_assert_false (config_pull_is_stuck (&pull, 1500));
+}
+
 static void
 test_choice (void)
 {
@@ -132,6 +156,7 @@
 #define TEXT_MS 20
 /* 1,400 routes. */
 #define LONG_TEXT_MS 110
+#define MAX_QUICK_MS 21 /* for CONFIG_PULL_QUICK_BYTES */
 /* The operator's objective. */
 #define IN_FORCE_MS 5000
 
@@ -141,6 +166,7 @@
   ConfigPull pull;
   gint64 has_ms;     /* since when it has the version; G_MAXINT64: not yet */
   gint64 sending_ms; /* until when its link is busy with copies */
+  gboolean reached;  /* the store reaches it, and was not read yet */
   gint64 asked_ms[MAX_FLEET];
 } FleetEntry;
 
@@ -150,12 +176,18 @@
   guint n;
   guint n_reaching; /* entries that the store reaches */
   guint text_ms;
+  guint max_reads; /* of the store */
 } FleetCase;
 
 static const FleetCase fleet_cases[] = {
-  { "184-from-one", 184, 1, TEXT_MS },           { "184-from-a-third", 184, 61, TEXT_MS },
-  { "184-from-one-long", 184, 1, LONG_TEXT_MS }, { "367-from-one", 367, 1, TEXT_MS },
-  { "367-from-one-long", 367, 1, LONG_TEXT_MS },
+  { "184", 184, 184, TEXT_MS, TABLE_FOLLOWERS },
+  { "184-a-third-reaching", 184, 61, TEXT_MS, TABLE_FOLLOWERS },
+  { "184-one-reaching", 184, 1, TEXT_MS, 1 },
+  { "184-long", 184, 184, LONG_TEXT_MS, 184 },
+  { "184-long-one-reaching", 184, 1, LONG_TEXT_MS, 1 },
+  { "367", 367, 367, TEXT_MS, TABLE_FOLLOWERS },
+  { "367-one-reaching", 367, 1, TEXT_MS, 1 },
+  { "367-long", 367, 367, LONG_TEXT_MS, 367 },
 };
 
 typedef struct
@@ -163,6 +195,7 @@
   FleetEntry entries[MAX_FLEET];
   gboolean linked[MAX_FLEET][MAX_FLEET];
   guint n;
+  guint reads; /* of the store */
 } ConfigFleet;
 
 static guint
@@ -231,10 +264,20 @@
   asked = &fleet->entries[numbers[best]];
   entry->asked_ms[numbers[best]] = now_ms;
   config_pull_asked (&entry->pull, now_ms);
+  if (entry->pull.quick && text_ms > MAX_QUICK_MS)
+    return;
   asked->sending_ms = MAX (asked->sending_ms, now_ms) + text_ms;
   entry->has_ms = MIN (entry->has_ms, asked->sending_ms);
 }
 
+static void
+read_store (ConfigFleet *fleet, FleetEntry *entry, gint64 now_ms, guint text_ms)
+{
+  fleet->reads++;
+  entry->has_ms = MIN (entry->has_ms, now_ms + text_ms);
+  entry->reached = FALSE;
+}
+
 static void
 step_entry (ConfigFleet *fleet, guint i, gint64 now_ms, guint text_ms)
 {
@@ -247,6 +290,12 @@
     if (fleet->linked[i][j] && has_version (&fleet->entries[j], now_ms))
       view.newest_version = 6;
   view.asked_received_ms = now_ms;
+  view.idle = i >= TABLE_FOLLOWERS && !config_pull_is_stuck (&entry->pull, now_ms);
+  if (!view.idle && view.newest_version > 5 && entry->reached)
+    {
+      read_store (fleet, entry, now_ms, text_ms);
+      return;
+    }
   if (config_pull_due (&entry->pull, &view, now_ms))
     pull_version (fleet, i, now_ms, text_ms);
 }
@@ -261,7 +310,9 @@
   return n;
 }
 
-/* With the store out of reach for most, a version has several links to go. */
+/* A version has several links to go, from the few entries that follow the store or, with
+ * the store out of reach for most, from one. As each entry followed it, calls and bytes
+ * grew with the fleet. */
 static void
 test_fleet (gconstpointer data)
 {
@@ -274,7 +325,10 @@
     {
       g_snprintf (fleet->entries[i].name, sizeof fleet->entries[i].name,
                   "10.%u.0.%u:8166", i % 6, i);
-      fleet->entries[i].has_ms = i < c->n_reaching ? now_ms : G_MAXINT64;
+      fleet->entries[i].has_ms = G_MAXINT64;
+      fleet->entries[i].reached = i < c->n_reaching;
+      if (i < MIN (c->n_reaching, TABLE_FOLLOWERS))
+        read_store (fleet, &fleet->entries[i], now_ms, c->text_ms);
     }
   link_fleet (fleet);
   while (count_with_version (fleet, now_ms) < c->n && now_ms < 1000 + 2 * IN_FORCE_MS)
@@ -283,18 +337,49 @@
       for (guint i = 0; i < c->n; i++)
         step_entry (fleet, i, now_ms, c->text_ms);
     }
-  g_test_message ("in force at all after %" G_GINT64_FORMAT " ms", now_ms - 1000);
+  g_test_message ("in force at all after %" G_GINT64_FORMAT " ms, %u reads of the store",
+                  now_ms - 1000, fleet->reads);
+  g_assert_cmpuint (fleet->reads, <=, c->max_reads);
   g_assert_cmpint (now_ms - 1000, <=, IN_FORCE_MS);
   g_free (fleet);
 }
 
+typedef struct
+{
+  const char *name;
+  TableFollowView view;
+  gboolean due; /* expected */
+} FollowCase;
+
+static const FollowCase follow_cases[] = {
+  { "the-first", { 0, TRUE, 100, FALSE }, TRUE },
+  { "the-last-follower", { TABLE_FOLLOWERS - 1, TRUE, 100, FALSE }, TRUE },
+  { "the-next-does-not", { TABLE_FOLLOWERS, TRUE, 100, FALSE }, FALSE },
+  { "without-a-configuration", { 100, FALSE, 100, FALSE }, TRUE },
+  { "a-configuration-is-stuck", { 100, TRUE, 100, TRUE }, TRUE },
+  { "nothing-was-ever-confirmed", { 100, TRUE, G_MAXUINT, FALSE }, TRUE },
+  { "not-confirmed-for-2-s", { TABLE_FOLLOWERS, TRUE, 2000, FALSE }, TRUE },
+  { "later-by-rank", { 100, TRUE, 2000, FALSE }, FALSE },
+  { "not-confirmed-for-3-s", { 1000, TRUE, 3000, FALSE }, TRUE },
+};
+
+static void
+test_follow (gconstpointer data)
+{
+  const FollowCase *c = data;
+
+  g_assert_cmpint (table_follow_due (&c->view), ==, c->due);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   ADD_CASES ("/spread-rules", sequences, test_sequence);
+  g_test_add_func ("/spread-rules/stuck-without-a-copy", test_stuck);
   g_test_add_func ("/spread-rules/choice", test_choice);
   g_test_add_func ("/spread-rules/choices-differ", test_choices_differ);
+  ADD_CASES ("/spread-rules/follows-the-table", follow_cases, test_follow);
   ADD_CASES ("/spread-rules/fleet", fleet_cases, test_fleet);
   return g_test_run ();
 }
