--- a/src/directory.c
+++ b/src/directory.c
@@ -211,26 +211,28 @@
   return TAILQ_NEXT (entry, link);
 }
 
-const DirectoryEntry *
-directory_next_gone (Directory *directory)
+static const DirectoryEntry *
+first_gone (const Directory *directory, guint64 after_change)
 {
   const DirectoryEntry *entry;
-  const DirectoryEntry *first = NULL;
 
   if (directory->size == g_hash_table_size (directory->by_address))
     return NULL;
   TAILQ_FOREACH (entry, &directory->entries, link)
-    {
-      if (!entry->gone)
-        continue;
-      if (first == NULL)
-        first = entry;
-      if (entry->change > directory->probed)
-        break;
-    }
+    if (entry->gone && entry->change > after_change)
+      return entry;
+  return NULL;
+}
+
+const DirectoryEntry *
+directory_next_gone (Directory *directory)
+{
+  const DirectoryEntry *entry = first_gone (directory, directory->probed);
+
   if (entry == NULL)
-    entry = first;
-  directory->probed = entry->change;
+    entry = first_gone (directory, 0);
+  if (entry != NULL)
+    directory->probed = entry->change;
   return entry;
 }
 
