--- a/proto/godwitspar.pb-c.h
+++ b/proto/godwitspar.pb-c.h
@@ -509,7 +509,7 @@
   uint64_t config_wanted;
   Gw__Closures *closures;
   /*
-   * between entries: the sender has chosen this link
+   * between entries: the sender wants this link
    */
   protobuf_c_boolean link_wanted;
   /*
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -97,7 +97,7 @@
   link_drop (&peer->link);
   peer->lost_ms = now_ms;
   peer->surplus_ms = 0;
-  peer->chosen = FALSE;
+  peer->wanted = FALSE;
   if (!peer->is_entry)
     return;
   peer->mesh->linked_entries--;
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -4,7 +4,7 @@
  *
  * Each process links to the max_entries entries that rank highest for it. Agents rank by
  * their own name, so that they spread evenly; two entries rank each other alike, so that
- * most links are chosen by both ends. A link is kept while either end has chosen it. */
+ * most links are wanted by both ends. A link is kept while either end wants it. */
 #include "closed_zones.h"
 #include "directory.h"
 #include "frame_delay.h"
@@ -42,9 +42,9 @@
   guint64 sent_digest;     /* of the addresses that an agent was sent */
   gint64 sent_all_ms;      /* when its list began anew; for peers of protocol 1 */
   gboolean is_legacy;      /* protocol 1: knows no versions, drops what is not repeated */
-  gboolean wants_link;     /* it has chosen this link */
-  gboolean chosen;         /* this process has chosen it */
-  gint64 surplus_ms;       /* since when neither end has chosen it; 0: not */
+  gboolean wants_link;     /* the peer wants this link */
+  gboolean wanted;         /* this process wants it */
+  gint64 surplus_ms;       /* since when neither end wants it; 0: one does */
   guint64 config_version;  /* the peer's current version */
   guint64 config_sent;     /* last sent to it */
   guint64 config_wanted;   /* to be requested with the next frame; 0: none */
@@ -77,7 +77,7 @@
   guint timeout_ms;
   guint lease_ms;           /* lease sent to every peer with each frame */
   guint forget_ms;          /* a peer that is not linked is remembered this long */
-  guint max_entries;        /* chosen to be linked to; 0: no limit */
+  guint max_entries;        /* to be linked to; 0: no limit */
   guint entry_heartbeat_ms; /* between two entries; 0: as to agents */
   guint entry_timeout_ms;
 } MeshInit;
--- a/src/mesh_dial.c
+++ b/src/mesh_dial.c
@@ -143,14 +143,14 @@
     }
 }
 
-/* The other end of a link between entries is told at once. */
+/* A link between entries reports the change to its other end at once. */
 static void
-note_chosen (MeshPeer *peer, gboolean chosen, gint64 now_ms)
+note_wanted (MeshPeer *peer, gboolean wanted, gint64 now_ms)
 {
-  if (peer->chosen != chosen && mesh_is_entry (peer->mesh))
+  if (peer->wanted != wanted && mesh_is_entry (peer->mesh))
     link_touch (peer->link);
-  peer->chosen = chosen;
-  if (chosen || peer->wants_link)
+  peer->wanted = wanted;
+  if (wanted || peer->wants_link)
     peer->surplus_ms = 0;
   else if (peer->surplus_ms == 0)
     peer->surplus_ms = now_ms;
@@ -164,7 +164,7 @@
 
   TAILQ_FOREACH (address, &mesh->addresses, link)
     if (address->peer != NULL)
-      note_chosen (address->peer, linked++ < mesh->init.max_entries, now_ms);
+      note_wanted (address->peer, linked++ < mesh->init.max_entries, now_ms);
 }
 
 void
--- a/src/mesh_discovery.c
+++ b/src/mesh_discovery.c
@@ -215,7 +215,7 @@
 {
   if (!peer->is_entry || !mesh_is_entry (mesh))
     return;
-  frame->link_wanted = peer->chosen;
+  frame->link_wanted = peer->wanted;
   frame->entries_digest = directory_digest (mesh->directory);
 }
 
--- a/src/mesh_parts.h
+++ b/src/mesh_parts.h
@@ -104,10 +104,10 @@
 void mesh_address_failed (Address *address, gint64 now_ms);
 
 /** mesh_address_failing_ms - for how long it was dialled in vain. One that is no longer
- * chosen is not dialled, and nothing can be said of it. */
+ * needed is not dialled, and nothing can be said of it. */
 gint64 mesh_address_failing_ms (const Address *address);
 
-/** mesh_note_surplus - mark the linked entries that neither end has chosen. */
+/** mesh_note_surplus - mark the linked entries that neither end wants. */
 void mesh_note_surplus (Mesh *mesh, gint64 now_ms);
 
 /** mesh_forget_addresses - drop those that have failed for ADDRESS_FORGET_MS and, at an
--- a/src/table_follow.h
+++ b/src/table_follow.h
@@ -3,7 +3,7 @@
  *
  * Load pattern: each of hundreds of entries asks the table twice a second, nearly always
  * to hear that nothing has changed, and each reads every new configuration, so that calls
- * and bytes grow with the fleet. A few entries, chosen by rank, follow the table; the
+ * and bytes grow with the fleet. The first few entries by rank follow the table; the
  * others have new versions from their neighbours, and look for themselves when nobody has
  * confirmed the table's state for a while or a version does not arrive. */
 #include <glib.h>
