Look-up of entries at once again: callers are served later without it

Cause of the loss: without the table's addresses every process of the fleet begins at the three seeds, each of which takes a connection from all 988 (990 files at one entry, 264 before) while callers wait for the first servers.

What is best for callers goes before the table's bytes; these grow with the square of the fleet at a start of all, and are named as the next limit.

--- a/src/mesh.c
+++ b/src/mesh.c
@@ -6,11 +6,9 @@
 
 #include <string.h>
 
-/* After this long without a linked entry, addresses are looked up in the platform's
- * table, and again at this interval. */
+/* After this long without a linked entry, addresses are looked up in the platform's table,
+ * and again at this interval. */
 #define ISOLATED_MS 700
-/* The same after the start: seeds that are up have answered by then. */
-#define FIRST_LOOK_UP_MS 300
 /* A surplus link is closed after this, once nothing runs for that entry. Between entries
  * it takes longer than a heartbeat, with which the other end says whether it wants it. */
 #define RELEASE_MS 500
@@ -274,7 +272,6 @@
   mesh->peers_by_incarnation = g_hash_table_new (g_int64_hash, g_int64_equal);
   mesh->addresses_by_text = g_hash_table_new (g_str_hash, g_str_equal);
   mesh->dialed = g_hash_table_new (NULL, NULL);
-  mesh->linked_ms = clock_now_ms () - (ISOLATED_MS - FIRST_LOOK_UP_MS);
   mesh_discovery_init (mesh);
   return mesh;
 }
