--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -151,6 +151,20 @@
   test-runner /runner/refusing-server-is-not-stormed
 mutant cold-run-teaches src/runner.c 'run->started_ms > 0 && !runner->cold' \
   'run->started_ms > 0' test-runner /runner/cold-server-is-no-slow-one
+mutant lists-are-repeated src/mesh_discovery.c 'if (peer->is_legacy && now_ms - peer->sent_all_ms' \
+  'if (now_ms - peer->sent_all_ms' test-mesh /mesh/entries-link-to-a-part
+mutant entries-link-to-all src/mesh_dial.c 'mesh->init.max_entries > 0 && expected_up >=' \
+  'FALSE && expected_up >=' test-mesh /mesh/entries-link-to-a-part
+mutant whole-list-on-each-link src/directory.c 'last_change_before (directory, now_ms - RECENT_MS)' \
+  '0' test-directory /directory/one-joins/367
+mutant gone-is-not-contradicted src/directory.c 'set_state (directory, entry, version + 1, FALSE, now_ms);' \
+  'set_state (directory, entry, version, TRUE, now_ms);' test-directory /directory/record/own-is-corrected
+mutant gone-stays-gone src/mesh_discovery.c 'mesh_dial (mesh, address, now_ms);' '' \
+  test-mesh /mesh/removed-entries-are-gone-and-found-again
+mutant all-follow-the-table src/table_follow.c 'view->rank < TABLE_FOLLOWERS ||' 'TRUE ||' \
+  test-spread-rules /spread-rules/follows-the-table/the-next-does-not
+mutant no-quick-copy src/config_pull.c 'begin (pull, view->idle, now_ms);' 'begin (pull, FALSE, now_ms);' \
+  test-spread-rules /spread-rules/fleet/184
 
 echo "mutants: $failures not noticed"
 [ "$failures" -eq 0 ]
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -6,8 +6,8 @@
 
 #include <string.h>
 
-/* After this long without a linked entry, addresses are looked up in the platform's table,
- * and again at this interval. */
+/* After this long without a linked entry, addresses are looked up in the platform's
+ * table, and again at this interval. */
 #define ISOLATED_MS 700
 /* A surplus link is closed after this, once nothing runs for that entry. Between entries
  * it takes longer than a heartbeat, with which the other end says whether it wants it. */
