Directory: a test of what a link begins with

The mutant that sends whole lists on each link was not noticed by the fleets' test: one join at 367 entries stays below its bound either way. The new cases fail with it. The mutant of gone entries left a second way to find them, by rank, and now takes the probe out whole.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -156,10 +156,10 @@
 mutant entries-link-to-all src/mesh_dial.c 'mesh->init.max_entries > 0 && expected_up >=' \
   'FALSE && expected_up >=' test-mesh /mesh/entries-link-to-a-part
 mutant whole-list-on-each-link src/directory.c 'last_change_before (directory, now_ms - RECENT_MS)' \
-  '0' test-directory /directory/one-joins/367
+  '0' test-directory /directory/link-begins-with/another-list
 mutant gone-is-not-contradicted src/directory.c 'set_state (directory, entry, version + 1, FALSE, now_ms);' \
   'set_state (directory, entry, version, TRUE, now_ms);' test-directory /directory/record/own-is-corrected
-mutant gone-stays-gone src/mesh_discovery.c 'mesh_dial (mesh, address, now_ms);' '' \
+mutant gone-stays-gone src/mesh_discovery.c 'entry = directory_next_gone (mesh->directory);' 'entry = NULL;' \
   test-mesh /mesh/removed-entries-are-gone-and-found-again
 mutant all-follow-the-table src/table_follow.c 'view->rank < TABLE_FOLLOWERS ||' 'TRUE ||' \
   test-spread-rules /spread-rules/follows-the-table/the-next-does-not
--- a/tests/test-directory.c
+++ b/tests/test-directory.c
@@ -151,6 +151,56 @@
   directory_free (directory);
 }
 
+/* What a peer is sent when its link comes up. */
+
+#define KNOWN 30
+#define LONG_AGO_MS 1000
+#define NOW_MS 10000
+
+typedef struct
+{
+  const char *name;
+  guint peer_known;
+  gboolean same_digest;
+  guint first; /* number of the first record that it is sent; KNOWN: none */
+} BeginCase;
+
+static const BeginCase begin_cases[] = {
+  { "the-same-list", KNOWN, TRUE, KNOWN },
+  { "another-list", KNOWN, FALSE, KNOWN - 2 },
+  { "a-few-fewer", KNOWN - 8, FALSE, KNOWN - 2 },
+  { "far-fewer", KNOWN - 9, FALSE, 0 },
+  { "none", 0, FALSE, 0 },
+};
+
+/* A join moves a dozen links: with a whole list on each of them it cost as much as the
+ * start of a small fleet. Only the last two records are recent. */
+static void
+test_begin (gconstpointer data)
+{
+  const BeginCase *c = data;
+  Directory *directory = directory_new (ignore_change, NULL);
+  const DirectoryEntry *record;
+  DirectorySent sent;
+  guint n = 0;
+
+  for (guint i = 0; i < KNOWN; i++)
+    {
+      char *address = g_strdup_printf ("10.0.1.%u:1", i);
+
+      directory_apply (directory, address, 0, FALSE,
+                       i < KNOWN - 2 ? LONG_AGO_MS : NOW_MS - 1000);
+      g_free (address);
+    }
+  directory_sent_begin (directory, &sent, c->peer_known,
+                        directory_digest (directory) + !c->same_digest, NOW_MS);
+  for (record = directory_next (directory, sent.change); record != NULL;
+       record = directory_after (record))
+    n++;
+  g_assert_cmpuint (n, ==, KNOWN - c->first);
+  directory_free (directory);
+}
+
 /* Fleets. Each round is a tick of 100 ms: every entry links to its highest-ranked, and
  * each link carries one frame of records either way, which arrives in the next round. */
 
@@ -503,6 +553,7 @@
   g_test_add_func ("/directory/equal-lists-have-equal-digests", test_digest);
   g_test_add_func ("/directory/removed-entries-are-dropped", test_expiry);
   g_test_add_func ("/directory/agents-list-changes-little", test_best);
+  ADD_CASES ("/directory/link-begins-with", begin_cases, test_begin);
   ADD_CASES ("/directory/all-start", fleets, test_start_of_all);
   ADD_CASES ("/directory/one-joins", fleets, test_join);
   ADD_CASES ("/directory/steady-state-is-silent", fleets, test_steady);
