--- a/proto/godwitspar.pb-c.c
+++ b/proto/godwitspar.pb-c.c
@@ -1312,6 +1312,96 @@
   assert(message->base.descriptor == &gw__server_state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gw__speed_seen__init
+                     (Gw__SpeedSeen         *message)
+{
+  static const Gw__SpeedSeen init_value = GW__SPEED_SEEN__INIT;
+  *message = init_value;
+}
+size_t gw__speed_seen__get_packed_size
+                     (const Gw__SpeedSeen *message)
+{
+  assert(message->base.descriptor == &gw__speed_seen__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__speed_seen__pack
+                     (const Gw__SpeedSeen *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__speed_seen__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__speed_seen__pack_to_buffer
+                     (const Gw__SpeedSeen *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__speed_seen__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__SpeedSeen *
+       gw__speed_seen__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__SpeedSeen *)
+     protobuf_c_message_unpack (&gw__speed_seen__descriptor,
+                                allocator, len, data);
+}
+void   gw__speed_seen__free_unpacked
+                     (Gw__SpeedSeen *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__speed_seen__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gw__load_summary__init
+                     (Gw__LoadSummary         *message)
+{
+  static const Gw__LoadSummary init_value = GW__LOAD_SUMMARY__INIT;
+  *message = init_value;
+}
+size_t gw__load_summary__get_packed_size
+                     (const Gw__LoadSummary *message)
+{
+  assert(message->base.descriptor == &gw__load_summary__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__load_summary__pack
+                     (const Gw__LoadSummary *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__load_summary__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__load_summary__pack_to_buffer
+                     (const Gw__LoadSummary *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__load_summary__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__LoadSummary *
+       gw__load_summary__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__LoadSummary *)
+     protobuf_c_message_unpack (&gw__load_summary__descriptor,
+                                allocator, len, data);
+}
+void   gw__load_summary__free_unpacked
+                     (Gw__LoadSummary *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__load_summary__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCEnumValue gw__hello__role__enum_values_by_number[2] =
 {
   { "ENTRY", "GW__HELLO__ROLE__ENTRY", 0 },
@@ -3005,7 +3095,7 @@
   (ProtobufCMessageInit) gw__config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__frame__field_descriptors[33] =
+static const ProtobufCFieldDescriptor gw__frame__field_descriptors[35] =
 {
   {
     "sequence",
@@ -3403,6 +3493,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "speed_seen",
+    39,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Frame, speed_seen),
+    &gw__speed_seen__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load_summary",
+    40,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Frame, load_summary),
+    &gw__load_summary__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__frame__field_indices_by_name[] = {
   11,   /* field[11] = acks */
@@ -3427,6 +3541,7 @@
   4,   /* field[4] = leaving */
   30,   /* field[30] = link_wanted */
   6,   /* field[6] = load */
+  34,   /* field[34] = load_summary */
   10,   /* field[10] = outcomes */
   17,   /* field[17] = roster_acks */
   16,   /* field[16] = rosters */
@@ -3435,6 +3550,7 @@
   23,   /* field[23] = run_stops */
   0,   /* field[0] = sequence */
   26,   /* field[26] = server_state */
+  33,   /* field[33] = speed_seen */
   1,   /* field[1] = stamp */
   9,   /* field[9] = starts */
   21,   /* field[21] = time */
@@ -3445,7 +3561,7 @@
   { 6, 4 },
   { 27, 22 },
   { 33, 27 },
-  { 0, 33 }
+  { 0, 35 }
 };
 const ProtobufCMessageDescriptor gw__frame__descriptor =
 {
@@ -3455,7 +3571,7 @@
   "Gw__Frame",
   "gw",
   sizeof(Gw__Frame),
-  33,
+  35,
   gw__frame__field_descriptors,
   gw__frame__field_indices_by_name,
   4,  gw__frame__number_ranges,
@@ -4211,7 +4327,7 @@
   gw__server_state__trust__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor gw__server_state__field_descriptors[13] =
+static const ProtobufCFieldDescriptor gw__server_state__field_descriptors[16] =
 {
   {
     "instance",
@@ -4369,6 +4485,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "speed_percent",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__ServerState, speed_percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "speed_runs",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__ServerState, speed_runs),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving_ms",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__ServerState, leaving_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__server_state__field_indices_by_name[] = {
   4,   /* field[4] = capacity */
@@ -4377,10 +4529,13 @@
   9,   /* field[9] = failing_percent */
   0,   /* field[0] = instance */
   3,   /* field[3] = labels */
+  15,   /* field[15] = leaving_ms */
   11,   /* field[11] = offered */
   6,   /* field[6] = ready */
   1,   /* field[1] = service */
   8,   /* field[8] = slowness_percent */
+  13,   /* field[13] = speed_percent */
+  14,   /* field[14] = speed_runs */
   10,   /* field[10] = trust */
   5,   /* field[5] = used_by_others */
   2,   /* field[2] = zone */
@@ -4389,7 +4544,7 @@
 {
   { 1, 0 },
   { 13, 11 },
-  { 0, 13 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor gw__server_state__descriptor =
 {
@@ -4399,10 +4554,164 @@
   "Gw__ServerState",
   "gw",
   sizeof(Gw__ServerState),
-  13,
+  16,
   gw__server_state__field_descriptors,
   gw__server_state__field_indices_by_name,
   2,  gw__server_state__number_ranges,
   (ProtobufCMessageInit) gw__server_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor gw__speed_seen__field_descriptors[3] =
+{
+  {
+    "instance",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__SpeedSeen, instance),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "speed_percent",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__SpeedSeen, speed_percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "speed_runs",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__SpeedSeen, speed_runs),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__speed_seen__field_indices_by_name[] = {
+  0,   /* field[0] = instance */
+  1,   /* field[1] = speed_percent */
+  2,   /* field[2] = speed_runs */
+};
+static const ProtobufCIntRange gw__speed_seen__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gw__speed_seen__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.SpeedSeen",
+  "SpeedSeen",
+  "Gw__SpeedSeen",
+  "gw",
+  sizeof(Gw__SpeedSeen),
+  3,
+  gw__speed_seen__field_descriptors,
+  gw__speed_seen__field_indices_by_name,
+  1,  gw__speed_seen__number_ranges,
+  (ProtobufCMessageInit) gw__speed_seen__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__load_summary__field_descriptors[5] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__LoadSummary, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "interval_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__LoadSummary, interval_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waiting",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FLOAT,
+    offsetof(Gw__LoadSummary, n_waiting),
+    offsetof(Gw__LoadSummary, waiting),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "arriving",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FLOAT,
+    offsetof(Gw__LoadSummary, n_arriving),
+    offsetof(Gw__LoadSummary, arriving),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "capacity_used",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Gw__LoadSummary, capacity_used),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__load_summary__field_indices_by_name[] = {
+  3,   /* field[3] = arriving */
+  4,   /* field[4] = capacity_used */
+  1,   /* field[1] = interval_ms */
+  0,   /* field[0] = version */
+  2,   /* field[2] = waiting */
+};
+static const ProtobufCIntRange gw__load_summary__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor gw__load_summary__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.LoadSummary",
+  "LoadSummary",
+  "Gw__LoadSummary",
+  "gw",
+  sizeof(Gw__LoadSummary),
+  5,
+  gw__load_summary__field_descriptors,
+  gw__load_summary__field_indices_by_name,
+  1,  gw__load_summary__number_ranges,
+  (ProtobufCMessageInit) gw__load_summary__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/proto/godwitspar.pb-c.h
+++ b/proto/godwitspar.pb-c.h
@@ -44,6 +44,8 @@
 typedef struct Gw__RunStop Gw__RunStop;
 typedef struct Gw__RunReport Gw__RunReport;
 typedef struct Gw__ServerState Gw__ServerState;
+typedef struct Gw__SpeedSeen Gw__SpeedSeen;
+typedef struct Gw__LoadSummary Gw__LoadSummary;
 
 
 /* --- enums --- */
@@ -520,10 +522,18 @@
    * a longer configuration is not wanted; 0: any
    */
   uint32_t config_wanted_bytes;
+  /*
+   * entry to agent
+   */
+  Gw__SpeedSeen *speed_seen;
+  /*
+   * between entries
+   */
+  Gw__LoadSummary *load_summary;
 };
 #define GW__FRAME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__frame__descriptor) \
-    , 0, 0, 0, 0, 0, NULL, NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0, NULL, 0, 0, NULL, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, NULL, NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0, NULL, 0, 0, NULL, 0, 0, 0, NULL, NULL }
 
 
 /*
@@ -760,10 +770,74 @@
    * its availability zone is closed: it takes no starts
    */
   protobuf_c_boolean closed;
+  /*
+   * lasting ratio of actual to expected run times; 100: as expected
+   */
+  uint32_t speed_percent;
+  /*
+   * that it is based on, at most 255; 0: not known
+   */
+  uint32_t speed_runs;
+  /*
+   * it leaves, but still takes runs that end within this; 0: none
+   */
+  uint32_t leaving_ms;
 };
 #define GW__SERVER_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__server_state__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, NULL, NULL, 0, 0, 0, 0, 0, GW__SERVER_STATE__TRUST__FULL, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, NULL, NULL, 0, 0, 0, 0, 0, GW__SERVER_STATE__TRUST__FULL, 0, 0, 0, 0 }
+
+
+/*
+ * Entry to agent, for an agent that was restarted: what the entry last received from it.
+ */
+struct  Gw__SpeedSeen
+{
+  ProtobufCMessage base;
+  /*
+   * of the backend server
+   */
+  char *instance;
+  uint32_t speed_percent;
+  uint32_t speed_runs;
+};
+#define GW__SPEED_SEEN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__speed_seen__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
+/*
+ * Between entries: what waits and arrives at the sender, by scheduling rank.
+ */
+struct  Gw__LoadSummary
+{
+  ProtobufCMessage base;
+  /*
+   * rises with each summary of one incarnation
+   */
+  uint64_t version;
+  /*
+   * until the next one
+   */
+  uint32_t interval_ms;
+  /*
+   * ms x thousandths of a core, by bucket of ranks
+   */
+  size_t n_waiting;
+  float *waiting;
+  /*
+   * the same, for each ms
+   */
+  size_t n_arriving;
+  float *arriving;
+  /*
+   * thousandths of a core
+   */
+  float capacity_used;
+};
+#define GW__LOAD_SUMMARY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__load_summary__descriptor) \
+    , 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /* Gw__Hello methods */
@@ -1317,6 +1391,44 @@
 void   gw__server_state__free_unpacked
                      (Gw__ServerState *message,
                       ProtobufCAllocator *allocator);
+/* Gw__SpeedSeen methods */
+void   gw__speed_seen__init
+                     (Gw__SpeedSeen         *message);
+size_t gw__speed_seen__get_packed_size
+                     (const Gw__SpeedSeen   *message);
+size_t gw__speed_seen__pack
+                     (const Gw__SpeedSeen   *message,
+                      uint8_t             *out);
+size_t gw__speed_seen__pack_to_buffer
+                     (const Gw__SpeedSeen   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__SpeedSeen *
+       gw__speed_seen__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__speed_seen__free_unpacked
+                     (Gw__SpeedSeen *message,
+                      ProtobufCAllocator *allocator);
+/* Gw__LoadSummary methods */
+void   gw__load_summary__init
+                     (Gw__LoadSummary         *message);
+size_t gw__load_summary__get_packed_size
+                     (const Gw__LoadSummary   *message);
+size_t gw__load_summary__pack
+                     (const Gw__LoadSummary   *message,
+                      uint8_t             *out);
+size_t gw__load_summary__pack_to_buffer
+                     (const Gw__LoadSummary   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__LoadSummary *
+       gw__load_summary__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__load_summary__free_unpacked
+                     (Gw__LoadSummary *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Gw__Hello_Closure)
@@ -1406,6 +1518,12 @@
 typedef void (*Gw__ServerState_Closure)
                  (const Gw__ServerState *message,
                   void *closure_data);
+typedef void (*Gw__SpeedSeen_Closure)
+                 (const Gw__SpeedSeen *message,
+                  void *closure_data);
+typedef void (*Gw__LoadSummary_Closure)
+                 (const Gw__LoadSummary *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1446,6 +1564,8 @@
 extern const ProtobufCEnumDescriptor    gw__run_report__kind__descriptor;
 extern const ProtobufCMessageDescriptor gw__server_state__descriptor;
 extern const ProtobufCEnumDescriptor    gw__server_state__trust__descriptor;
+extern const ProtobufCMessageDescriptor gw__speed_seen__descriptor;
+extern const ProtobufCMessageDescriptor gw__load_summary__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -67,6 +67,9 @@
   gboolean offered; /* reserved for this entry's last resource request */
   Trust trust;
   guint slowness_percent; /* run times relative to the expected ones */
+  guint speed_percent;    /* the same, lasting; see server_speed.h */
+  guint speed_runs;       /* that speed_percent is based on; 0: not known */
+  guint leaving_ms;       /* it leaves, but takes runs that end within this; 0: none */
   guint failing_percent;  /* of the last runs */
 } ServerStatus;
 
@@ -95,6 +98,9 @@
 {
   guint server_lease_ms; /* how long a backend server lets runs go on without its agent */
   const ClosedZones *closures; /* borrowed; NULL: no zone is ever closed */
+  guint speed_runs;            /* after which a server's own speed counts; 0: never */
+  double far_factor;     /* run time away from a job's data over that near it; 0: 1.5 */
+  guint reserve_percent; /* of the capacity, kept free for wide urgent jobs at most */
 } DispatcherInit;
 
 Dispatcher *
--- a/src/leased_entry.c
+++ b/src/leased_entry.c
@@ -122,6 +122,9 @@
                           .closed = state->closed,
                           .trust = (Trust)state->trust,
                           .slowness_percent = state->slowness_percent,
+                          .speed_percent = state->speed_percent,
+                          .speed_runs = state->speed_runs,
+                          .leaving_ms = state->leaving_ms,
                           .failing_percent = state->failing_percent };
 
   status.labels = g_new0 (char *, state->n_labels + 1);
@@ -304,7 +307,10 @@
                   gpointer ctx)
 {
   LeasedEntry *entry = g_new0 (LeasedEntry, 1);
-  DispatcherInit dispatcher = { .server_lease_ms = settings->server_lease_ms };
+  DispatcherInit dispatcher = { .server_lease_ms = settings->server_lease_ms,
+                                .speed_runs = settings->speed_runs,
+                                .far_factor = settings->far_factor,
+                                .reserve_percent = settings->reserve_percent };
   MeshInit mesh
       = { .base = base,
           .hello = &entry->hello,
--- a/src/runner.h
+++ b/src/runner.h
@@ -49,9 +49,10 @@
   const char *const *labels; /* NULL-terminated */
   Demand capacity;
   gboolean draining;
-  guint cold_ms;    /* it has just started and runs slower for this much longer */
-  gint64 server_ms; /* its clock */
-  guint64 sequence; /* counts the reports of one instance */
+  guint cold_ms;      /* it has just started and runs slower for this much longer */
+  guint remaining_ms; /* least time until a draining server ends; 0: not said */
+  gint64 server_ms;   /* its clock */
+  guint64 sequence;   /* counts the reports of one instance */
 } ServerFacts;
 
 typedef struct
--- a/src/settings.c
+++ b/src/settings.c
@@ -18,6 +18,7 @@
   KIND_ADDRESSES,
   KIND_LOG_LEVEL,
   KIND_NUMBER,
+  KIND_FACTOR, /* a decimal number in quotes */
 } Kind;
 
 #define BOTH (SETTINGS_ENTRY | SETTINGS_AGENT)
@@ -96,6 +97,19 @@
     "stopped." },
   { "leases.server_ms", KIND_NUMBER, LEASED, AT (server_lease_ms), "700", 100, 60000,
     "Lease of a backend server: unless its agent extends it, all runs end after this." },
+  { "servers.speed_runs", KIND_NUMBER, LEASED, AT (speed_runs), "0", 0, 255,
+    "Runs after which a backend server's own speed counts; 0: all count as equally "
+    "fast." },
+  { "servers.far_factor", KIND_FACTOR, SETTINGS_LEASED_ENTRY, AT (far_factor), "1.5", 1,
+    100, "Run time away from a job's data over that near it." },
+  { "servers.drain_ms", KIND_NUMBER, SETTINGS_LEASED_AGENT, AT (server_drain_ms), "0", 0,
+    600000,
+    "After its notice a leaving backend server may get no new work from this long on; "
+    "0: none at once." },
+  { "load.shared_ms", KIND_NUMBER, SETTINGS_LEASED_ENTRY, AT (load_shared_ms), "0", 0,
+    60000, "Interval at which entries exchange summaries of their load; 0: never." },
+  { "load.reserve_percent", KIND_NUMBER, SETTINGS_LEASED_ENTRY, AT (reserve_percent), "0",
+    0, 50, "Most of the servers' capacity that is kept free for wide urgent jobs." },
   { "entries.http", KIND_ADDRESSES, SETTINGS_AGENT, AT (entries), NULL, 0, 0,
     "HTTP addresses of the entries or of the balancer in front of them." },
   { "backend.address", KIND_ADDRESS, SETTINGS_AGENT | SETTINGS_LEASED_AGENT,
@@ -181,6 +195,7 @@
                  : "expected error, warning, notice, info or debug";
     case KIND_ADDRESSES:
     case KIND_NUMBER:
+    case KIND_FACTOR:
       return "expected another type";
     }
   g_assert_not_reached ();
@@ -213,6 +228,35 @@
   g_free (message);
 }
 
+/* Return: FALSE if @text is not a decimal number within the setting's limits. */
+static gboolean
+parse_factor (const Setting *setting, const char *text, double *factor)
+{
+  char *end = NULL;
+
+  *factor = g_ascii_strtod (text, &end);
+  return end != text && *end == '\0' && *factor >= (double)setting->min
+         && *factor <= (double)setting->max;
+}
+
+static void
+read_factor (Reader *reader, const Setting *setting, const TomlLeaf *leaf)
+{
+  double factor;
+  char *message;
+
+  if (leaf->type == TOML_TEXT && parse_factor (setting, leaf->text, &factor))
+    {
+      *(double *)((char *)reader->settings + setting->offset) = factor;
+      return;
+    }
+  message = g_strdup_printf ("expected a number from %" G_GINT64_FORMAT
+                             " to %" G_GINT64_FORMAT " in quotes",
+                             setting->min, setting->max);
+  add_finding (reader, leaf->line, leaf->key, message);
+  g_free (message);
+}
+
 static void
 read_addresses (Reader *reader, const Setting *setting, const TomlLeaf *leaf)
 {
@@ -261,6 +305,8 @@
   reader->lines[setting - table] = leaf->line;
   if (setting->kind == KIND_NUMBER)
     read_number (reader, setting, leaf);
+  else if (setting->kind == KIND_FACTOR)
+    read_factor (reader, setting, leaf);
   else if (setting->kind == KIND_ADDRESSES)
     read_addresses (reader, setting, leaf);
   else
@@ -275,6 +321,8 @@
   if (setting->kind == KIND_NUMBER)
     *(guint *)target
         = setting->default_value != NULL ? (guint)atoi (setting->default_value) : 0;
+  else if (setting->kind == KIND_FACTOR)
+    parse_factor (setting, setting->default_value, (double *)target);
   else if (setting->kind == KIND_ADDRESSES)
     *(char ***)target = g_new0 (char *, 1);
   else
@@ -341,7 +389,7 @@
 
       if (table[i].kind == KIND_ADDRESSES)
         g_strfreev (*(char ***)target);
-      else if (table[i].kind != KIND_NUMBER)
+      else if (table[i].kind != KIND_NUMBER && table[i].kind != KIND_FACTOR)
         g_free (*(char **)target);
     }
   g_free (settings);
@@ -392,7 +440,7 @@
         g_string_append_printf (page, "\n[%s]\n", section);
       has_header = TRUE;
       g_string_append_printf (page, "# %s", table[i].description);
-      if (table[i].kind == KIND_NUMBER)
+      if (table[i].kind == KIND_NUMBER || table[i].kind == KIND_FACTOR)
         g_string_append_printf (page, " %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT ".",
                                 table[i].min, table[i].max);
       g_string_append_c (page, '\n');
@@ -404,8 +452,8 @@
 settings_sample (SettingsRole role)
 {
   static const char *const sections[]
-      = { "",        "listen", "log",    "timeline", "links",  "table",
-          "entries", "config", "agents", "drain",    "leases", "backend" };
+      = { "",       "listen", "log",   "timeline", "links",   "table", "entries",
+          "config", "agents", "drain", "leases",   "servers", "load",  "backend" };
   GString *page = g_string_new (NULL);
 
   g_string_append_printf (
--- a/src/settings.h
+++ b/src/settings.h
@@ -33,6 +33,11 @@
   guint drain_limit_ms;  /* longest wait for what is in flight */
   guint entry_lease_ms;
   guint server_lease_ms;
+  guint speed_runs;      /* after which a backend server's own speed counts; 0: never */
+  double far_factor;     /* run time away from a job's data over that near it */
+  guint server_drain_ms; /* after its notice, a leaving server gets no new work */
+  guint load_shared_ms;  /* between two summaries of the load to other entries; 0: none */
+  guint reserve_percent; /* of the capacity, kept free for wide urgent jobs at most */
 
   char **entries; /* an agent's: HTTP addresses of the entries */
   char *backend_address;
