Runner: judge a server by the deviation from its own lasting speed

server_speed estimates the ratio of actual to expected run time from all runs of an instance, each counted once and not on a cold server. Ratios are divided by it once it is based on servers.speed_runs runs. A straggler is reported only if a sequential test excludes chance and the gain exceeds the error of the deviation. Runs under way that slow down count as evidence, which makes up for the time that the test takes. With the setting 0 nothing changes.

--- a/src/counters.h
+++ b/src/counters.h
@@ -88,6 +88,13 @@
   X (ZONES_CLOSED_NOW, "zones_closed_now", "availability zones that are closed now")     \
   X (STARTS_ZONE_CLOSED, "starts_zone_closed",                                           \
      "starts refused because the availability zone is closed")                           \
+  X (SPEEDS_ADOPTED, "speeds_adopted",                                                   \
+     "speeds of the backend server adopted from entries")                                \
+  X (SPEEDS_REJECTED, "speeds_rejected",                                                 \
+     "speeds received from entries that were not adopted")                               \
+  X (SPEEDS_REPLACED, "speeds_replaced",                                                 \
+     "speeds replaced because the backend server has changed")                           \
+  X (SPEEDS_SENT, "speeds_sent", "speeds of backend servers sent back to agents")        \
   X (ROWS_REJECTED, "rows_rejected", "invalid rows and reports refused")                 \
   X (RESTARTS, "restarts", "components restarted by their supervisor")
 
--- a/src/runner.c
+++ b/src/runner.c
@@ -405,6 +405,12 @@
   return &runner->server_health;
 }
 
+const ServerSpeed *
+runner_server_speed (const Runner *runner)
+{
+  return &runner->server_speed;
+}
+
 const Demand *
 runner_used (const Runner *runner)
 {
--- a/src/runner.h
+++ b/src/runner.h
@@ -6,6 +6,7 @@
 #include "resource_request.h"
 #include "server_calls.h"
 #include "server_health.h"
+#include "server_speed.h"
 
 typedef struct Runner Runner;
 
@@ -74,8 +75,9 @@
 typedef struct
 {
   const ServerCalls *calls;
-  gpointer server; /* handed to the calls */
-  guint lease_ms;  /* length of the server's leases; it cuts longer ones to this */
+  gpointer server;  /* handed to the calls */
+  guint lease_ms;   /* length of the server's leases; it cuts longer ones to this */
+  guint speed_runs; /* runs from which the server's own speed counts; 0: never */
 } RunnerInit;
 
 Runner *runner_new (const RunnerInit *init, const RunnerOps *ops, gpointer ctx);
@@ -114,6 +116,13 @@
 const char *runner_instance (const Runner *runner);
 const Demand *runner_capacity (const Runner *runner);
 const ServerHealth *runner_server_health (const Runner *runner);
+const ServerSpeed *runner_server_speed (const Runner *runner);
+
+/** runner_speed_seen - a peer knows the lasting speed of @instance; adopted if it is of
+ * the present one, within its bounds and based on more runs than the own. Return: whether
+ * it was. */
+gboolean
+runner_speed_seen (Runner *runner, const char *instance, guint percent, guint runs);
 
 const Demand *runner_used (const Runner *runner);
 
--- a/src/runner_instance.c
+++ b/src/runner_instance.c
@@ -59,6 +59,7 @@
   if (runner->cold == cold)
     return;
   runner->cold = cold;
+  runner->warm_ms = runner->now_ms;
   runner->server_health.slowness = MAX (runner->other_slowness, 1);
   runner->other_slowness = slowness;
   event_note (cold ? "server-cold" : "server-warm", "-",
@@ -89,6 +90,7 @@
   runner->unanswered = 0;
   set_cold (runner, FALSE);
   server_health_init (&runner->server_health);
+  server_speed_init (&runner->server_speed, runner->init.speed_runs);
   runner->server_lease_until = 0;
   memset (&runner->clock, 0, sizeof runner->clock);
   runner_set_state (runner, INSTANCE_CLEARING);
--- a/src/runner_parts.h
+++ b/src/runner_parts.h
@@ -34,10 +34,14 @@
   gint64 valid_until_ms; /* the start is not sent again after this */
   guint expected_ms;
   gint64 started_ms;
-  guint percent;           /* of its work that is done */
-  gint64 progress_ms;      /* when that last changed */
-  gint64 reported_ms;      /* when it was last reported as a straggler */
-  gboolean counted;        /* its run time is counted in the server's health */
+  guint percent;        /* of its work that is done */
+  gint64 progress_ms;   /* when that last changed */
+  gint64 reported_ms;   /* when it was last reported as a straggler */
+  gboolean counted;     /* its run time is counted in the server's health */
+  double counted_ms;    /* length of the run as estimated then; 0: at its end */
+  guint window_percent; /* begin of the progress that is compared with that */
+  gint64 window_ms;
+  gboolean slowed;         /* it was found to progress more slowly than then */
   guint64 token;           /* fencing token of its last start */
   guint starts;            /* sent */
   const char *stop_reason; /* NULL: it may run */
@@ -87,9 +91,11 @@
   gint64 now_ms;    /* of the call that is being handled */
   Demand capacity;
   ServerHealth server_health;
+  ServerSpeed server_speed;
   gboolean server_draining;
   gint64 cold_until_ms;  /* just started: by its report it runs slower until then */
   gboolean cold;         /* at the last runner_check_cold () */
+  gint64 warm_ms;        /* when it was last cold; 0: never */
   double other_slowness; /* kept for the other state: warm while cold, and the reverse */
   gboolean draining;     /* the agent */
   gboolean zone_closed;
--- a/src/runner_progress.c
+++ b/src/runner_progress.c
@@ -1,4 +1,5 @@
 #define LOG_MODULE "runner"
+#include "counters.h"
 #include "events.h"
 #include "histograms.h"
 #include "runner_parts.h"
@@ -15,6 +16,93 @@
 /* A server is slow if its mean ratio of actual to expected run time is this high; a
  * single task may be further off by itself. */
 #define SLOW_SERVER_RATIO 1.8
+/* The same over the server's own speed, where the sequential test of server_speed.c
+ * excludes chance. */
+#define SLOW_AGAINST_OWN_RATIO 1.6
+/* A run that progresses this much more slowly than before shows that its server has
+ * changed; less may be uneven progress of the task. */
+#define SLOWED_RATIO 2.0
+#define WINDOW_PERCENT 10
+/* Deviations are means of few runs: two standard errors. */
+#define DEVIATION_ERROR 1.3
+
+/* The slowness of before counts against the new speed from now on. */
+static void
+rebase_slowness (Runner *runner, double ratio_before, double slowness)
+{
+  double *warm = &runner->server_health.slowness;
+  double *cold = &runner->other_slowness;
+
+  if (runner->cold)
+    {
+      warm = &runner->other_slowness;
+      cold = &runner->server_health.slowness;
+    }
+  *warm = slowness;
+  *cold *= ratio_before / server_speed_ratio (&runner->server_speed);
+}
+
+static void
+note_speed (const Runner *runner, const char *why)
+{
+  event_note ("server-speed", "-", "server=%s percent=%.0f runs=%u why=%s",
+              runner->instance, 100 * server_speed_ratio (&runner->server_speed),
+              runner->server_speed.runs, why);
+}
+
+static void
+handle_speed_change (Runner *runner, SpeedChange change, double ratio_before)
+{
+  switch (change)
+    {
+    case SPEED_UNCHANGED:
+      return;
+    case SPEED_KNOWN:
+      rebase_slowness (runner, ratio_before,
+                       server_speed_deviation (&runner->server_speed));
+      note_speed (runner, "known");
+      return;
+    case SPEED_MOVED:
+      note_speed (runner, "moved");
+      return;
+    case SPEED_REPLACED:
+      counter_add (COUNTER_SPEEDS_REPLACED, 1);
+      rebase_slowness (runner, ratio_before, 1);
+      note_speed (runner, "replaced");
+      return;
+    }
+}
+
+gboolean
+runner_speed_seen (Runner *runner, const char *instance, guint percent, guint runs)
+{
+  double before = server_speed_ratio (&runner->server_speed);
+
+  if (g_strcmp0 (runner->instance, instance) != 0
+      || !server_speed_adopt (&runner->server_speed, percent, runs))
+    {
+      counter_add (COUNTER_SPEEDS_REJECTED, 1);
+      return FALSE;
+    }
+  counter_add (COUNTER_SPEEDS_ADOPTED, 1);
+  rebase_slowness (runner, before, 1);
+  note_speed (runner, "adopted");
+  return TRUE;
+}
+
+/* Runs that were slowed by the server's start say nothing on its lasting speed. */
+static void
+observe_run_time (Runner *runner, const Run *run, double ratio)
+{
+  double before = server_speed_ratio (&runner->server_speed);
+
+  server_health_run_slow (&runner->server_health, ratio / before);
+  if (runner->init.speed_runs == 0 || runner->cold || run->started_ms < runner->warm_ms)
+    return;
+  handle_speed_change (
+      runner, server_speed_observe (&runner->server_speed, ratio, runner->now_ms),
+      before);
+}
 
 void
 run_update_health (Runner *runner, Run *run, gboolean failed)
@@ -25,7 +113,7 @@
   if (!failed)
     histogram_observe (HISTOGRAM_RUN, (gint64)elapsed);
   if (!failed && !run->counted)
-    server_health_run_slow (&runner->server_health, elapsed / run->expected_ms);
+    observe_run_time (runner, run, elapsed / run->expected_ms);
   run->counted = TRUE;
   server_health_run_ended (&runner->server_health, failed, runner->now_ms);
   if (runner->server_health.trust != before)
@@ -38,8 +126,9 @@
 is_stalled (const Runner *runner, const Run *run)
 {
   gint64 still_ms = runner->now_ms - run->progress_ms;
+  double ratio = MAX (server_speed_ratio (&runner->server_speed), 1);
 
-  return still_ms > MAX (STALL_MS, run->expected_ms / STALL_FRACTION);
+  return still_ms > MAX (STALL_MS, (gint64)(run->expected_ms * ratio) / STALL_FRACTION);
 }
 
 /* Return: length of the whole run, extrapolated from its progress; 0: not known yet. */
@@ -51,6 +140,28 @@
   return (double)(run->progress_ms - run->started_ms) * 100 / run->percent;
 }
 
+/* Whether the server is slow, and by more than the spread of run times explains. A cold
+ * server says so itself. */
+static gboolean
+is_slow (const Runner *runner)
+{
+  const ServerSpeed *speed = &runner->server_speed;
+  double slowness = runner->server_health.slowness;
+
+  if (runner->init.speed_runs == 0)
+    return slowness >= SLOW_SERVER_RATIO;
+  if (!runner->cold && !server_speed_is_slower (speed))
+    return FALSE;
+  return slowness
+         >= (server_speed_is_known (speed) ? SLOW_AGAINST_OWN_RATIO : SLOW_SERVER_RATIO);
+}
+
+static gboolean
+gain_is_certain (const Runner *runner, double left_ms, double elsewhere_ms)
+{
+  return runner->init.speed_runs == 0 || left_ms > elsewhere_ms * DEVIATION_ERROR;
+}
+
 /* A task that is longer than declared takes as long anywhere; a new start elsewhere saves
  * only the delay that its server adds. */
 static void
@@ -62,7 +173,7 @@
   double left_ms = STALLED_REMAINING_MS;
   double elsewhere_ms = whole_ms > 0 ? whole_ms : run->expected_ms;
 
-  if (!stalled && (slowness < SLOW_SERVER_RATIO || whole_ms == 0))
+  if (!stalled && (!is_slow (runner) || whole_ms == 0))
     return;
   if (runner->now_ms - run->reported_ms < REPORT_REPEAT_MS)
     return;
@@ -70,6 +181,8 @@
     {
       left_ms = whole_ms * (100 - run->percent) / 100;
       elsewhere_ms = whole_ms / slowness;
+      if (!gain_is_certain (runner, left_ms, elsewhere_ms))
+        return;
     }
   run->reported_ms = runner->now_ms;
   event_note ("task-straggles", run->key.job,
@@ -92,7 +205,30 @@
   if (run->counted || whole_ms == 0)
     return;
   run->counted = TRUE;
-  server_health_run_slow (&runner->server_health, whole_ms / run->expected_ms);
+  run->counted_ms = whole_ms;
+  run->window_percent = run->percent;
+  run->window_ms = run->progress_ms;
+  observe_run_time (runner, run, whole_ms / run->expected_ms);
+}
+
+/* The runs that are under way when a server turns slower show it before any new one can
+ * be counted. */
+static void
+compare_progress (Runner *runner, Run *run)
+{
+  guint percent = run->percent - run->window_percent;
+  double whole_ms;
+
+  if (run->counted_ms <= 0 || run->slowed || runner->cold
+      || run->percent < run->window_percent + WINDOW_PERCENT)
+    return;
+  whole_ms = (double)(run->progress_ms - run->window_ms) * 100 / percent;
+  run->window_percent = run->percent;
+  run->window_ms = run->progress_ms;
+  if (whole_ms < run->counted_ms * SLOWED_RATIO)
+    return;
+  run->slowed = TRUE;
+  server_speed_observe_slowdown (&runner->server_speed, whole_ms / run->counted_ms);
 }
 
 static void
@@ -118,6 +254,7 @@
       if (run == NULL || run->state != RUN_RUNNING || run->stop_reason != NULL)
         continue;
       note_progress (runner, run, reply->running[i].percent);
+      compare_progress (runner, run);
       count_by_progress (runner, run);
       if (is_stalled (runner, run))
         stalled++;
--- a/src/server_health.h
+++ b/src/server_health.h
@@ -15,11 +15,11 @@
 typedef struct
 {
   Trust trust;
-  double slowness;   /* moving geometric mean of run times over expected ones */
-  double failing;    /* share of failures among recent ends */
-  guint stalls;      /* runs without progress now */
-  guint ejections;   /* in a row, for the backoff */
-  gint64 until_ms;   /* end of the ejection */
+  double slowness; /* moving geometric mean of the ratios of server_health_run_slow () */
+  double failing;  /* share of failures among recent ends */
+  guint stalls;    /* runs without progress now */
+  guint ejections; /* in a row, for the backoff */
+  gint64 until_ms; /* end of the ejection */
   gint64 decayed_ms; /* when slowness was last decayed */
 } ServerHealth;
 
@@ -32,8 +32,9 @@
  * failure. */
 void server_health_start_lost (ServerHealth *health, gint64 now_ms);
 
-/** server_health_run_slow - count a run that takes @ratio times as long as expected; also
- * if that is not slow. */
+/** server_health_run_slow - count a run that takes @ratio times as long as expected of
+ * this server, whose own speed is part of that once it is known; also if that is not
+ * slow. */
 void server_health_run_slow (ServerHealth *health, double ratio);
 
 /** server_health_progress - of the runs checked, @stalled make no progress and @moving
