Leased links: report the lasting speed, and send it back to a restarted agent

The speed was known to one agent and lost with it. The state of a server now carries it in steps of 5 percent, with the runs it is based on in steps; a change of these alone is never urgent and goes with the next frame. An entry keeps the value based on the most runs for each instance and sends it once for each link to an agent that has fewer; the agent takes it if it is for its instance, within 5 to 2000 percent and based on more runs.

--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -117,6 +117,9 @@
 void dispatcher_server_down (LeasedServer *server, gint64 now_ms);
 gpointer leased_server_user_data (const LeasedServer *server);
 
+/** leased_server_status - its last reported state; all 0 if there was none. */
+const ServerStatus *leased_server_status (const LeasedServer *server);
+
 /** dispatcher_server_status - the agent reports its server's state; takes @status. */
 void dispatcher_server_status (LeasedServer *server, ServerStatus *status);
 void server_status_free (ServerStatus *status);
--- a/src/dispatcher_servers.c
+++ b/src/dispatcher_servers.c
@@ -82,6 +82,12 @@
   return server->user_data;
 }
 
+const ServerStatus *
+leased_server_status (const LeasedServer *server)
+{
+  return &server->status;
+}
+
 void
 dispatcher_server_clock (LeasedServer *server, gint64 peer_ms, gint64 now_ms)
 {
--- a/src/leased_agent.c
+++ b/src/leased_agent.c
@@ -202,6 +202,13 @@
     }
 }
 
+void
+leased_agent_take_speed (LeasedAgent *agent, const Gw__SpeedSeen *seen)
+{
+  runner_speed_seen (agent->runner, seen->instance, seen->speed_percent,
+                     seen->speed_runs);
+}
+
 static void
 on_frame (MeshPeer *peer, const Gw__Frame *frame, gpointer ctx)
 {
@@ -213,6 +220,8 @@
     zones_changed (agent);
   if (frame->time != NULL && frame->time->granted_until_ms > 0)
     runner_extend_lease (agent->runner, peer->incarnation, frame->time->granted_until_ms);
+  if (frame->speed_seen != NULL)
+    leased_agent_take_speed (agent, frame->speed_seen);
   for (gsize i = 0; i < frame->n_run_stops; i++)
     take_stop (agent, peer->incarnation, frame->run_stops[i], now);
   for (gsize i = 0; i < frame->n_run_orders; i++)
@@ -295,7 +304,10 @@
                   gpointer ctx)
 {
   LeasedAgent *agent = g_new0 (LeasedAgent, 1);
-  RunnerInit runner = { calls, server, settings->server_lease_ms };
+  RunnerInit runner = { .calls = calls,
+                        .server = server,
+                        .lease_ms = settings->server_lease_ms,
+                        .speed_runs = settings->speed_runs };
   MeshInit mesh = { .base = base,
                     .hello = &agent->hello,
                     .heartbeat_ms = settings->heartbeat_ms,
--- a/src/leased_agent_parts.h
+++ b/src/leased_agent_parts.h
@@ -37,6 +37,10 @@
   Gw__Demand used_by_others;
 };
 
+/** leased_agent_take_speed - adopt the server's speed from an entry that knew it before
+ * this agent was restarted. */
+void leased_agent_take_speed (LeasedAgent *agent, const Gw__SpeedSeen *seen);
+
 /* leased_agent_state.c */
 
 /** leased_agent_send_state - callback of the event "changed": send the server's state to
--- a/src/leased_agent_state.c
+++ b/src/leased_agent_state.c
@@ -19,6 +19,8 @@
   Trust trust;
   guint slowness_percent;
   guint failing_percent;
+  guint speed_percent;
+  guint speed_runs;
   Demand capacity;
   Demand used_by_others;
 } State;
@@ -55,6 +57,7 @@
 {
   guint64 entry = peer->incarnation;
   const ServerHealth *health = runner_server_health (agent->runner);
+  const ServerSpeed *speed = runner_server_speed (agent->runner);
   State state;
 
   memset (&state, 0, sizeof state);
@@ -65,6 +68,8 @@
   state.trust = health->trust;
   state.slowness_percent = percent_in_steps (health->slowness, 20);
   state.failing_percent = percent_in_steps (health->failing, 20);
+  state.speed_percent = server_speed_percent (speed);
+  state.speed_runs = server_speed_runs (speed);
   state.capacity = *runner_capacity (agent->runner);
   state.used_by_others = runner_used_by_others (agent->runner, entry);
   state.offered = offers_is_reserved_for (agent->offers, entry);
@@ -85,11 +90,23 @@
          > state->capacity.cpu_milli - state->capacity.cpu_milli / NEARLY_FULL_PART;
 }
 
+static gboolean
+only_speed_differs (const State *state, const State *sent)
+{
+  State updated = *sent;
+
+  updated.speed_percent = state->speed_percent;
+  updated.speed_runs = state->speed_runs;
+  return memcmp (&updated, state, sizeof updated) == 0;
+}
+
 /* Whether to send the change at once. With enough free capacity an entry places just as
  * well by the old state, and the new one is piggybacked on the next frame. */
 static gboolean
 is_urgent (const State *state, const SentState *sent)
 {
+  if (sent != NULL && only_speed_differs (state, &sent->state))
+    return FALSE;
   if (sent == NULL || state->offered || sent->state.ready != state->ready
       || sent->state.draining != state->draining || sent->state.closed != state->closed
       || sent->state.trust != state->trust)
@@ -196,6 +213,8 @@
   agent->state.trust = (Gw__ServerState__Trust)state->trust;
   agent->state.slowness_percent = state->slowness_percent;
   agent->state.failing_percent = state->failing_percent;
+  agent->state.speed_percent = state->speed_percent;
+  agent->state.speed_runs = state->speed_runs;
   demand_to_wire (&state->capacity, &agent->capacity);
   demand_to_wire (&state->used_by_others, &agent->used_by_others);
   agent->state.capacity = &agent->capacity;
--- a/src/leased_entry.c
+++ b/src/leased_entry.c
@@ -179,13 +179,16 @@
 }
 
 static void
-take_agent_frame (MeshPeer *peer, const Gw__Frame *frame)
+take_agent_frame (LeasedEntry *entry, MeshPeer *peer, const Gw__Frame *frame)
 {
   if (frame->time != NULL)
     dispatcher_server_clock (peer->data, frame->time->now_ms, clock_now_ms ());
   dispatcher_server_delay (peer->data, peer->send_delay_ms, clock_now_ms ());
   if (frame->server_state != NULL)
-    take_server_state (peer, frame->server_state);
+    {
+      leased_entry_speeds_state (entry, frame->server_state);
+      take_server_state (peer, frame->server_state);
+    }
   if (frame->n_run_reports > 0 || frame->inventory)
     take_reports (peer, frame);
 }
@@ -199,7 +202,7 @@
   if (peer->is_entry)
     leased_entry_config_frame (ctx, peer, frame);
   else
-    take_agent_frame (peer, frame);
+    take_agent_frame (ctx, peer, frame);
 }
 
 static void
@@ -208,6 +211,7 @@
   LeasedEntry *entry = ctx;
 
   memset (&peer->closed_zones_sent, 0, sizeof peer->closed_zones_sent);
+  peer->speed_told = FALSE;
   if (!peer->is_entry)
     peer->data
         = dispatcher_server_up (entry->dispatcher, peer->incarnation, peer->name, peer);
@@ -231,7 +235,10 @@
   leased_entry_config_prepare (entry, peer, frame);
   leased_entry_zones_prepare (entry, peer, frame);
   if (!peer->is_entry && peer->data != NULL)
-    dispatcher_server_lease_extended (peer->data, peer->lease_until);
+    {
+      leased_entry_speeds_prepare (entry, peer, frame);
+      dispatcher_server_lease_extended (peer->data, peer->lease_until);
+    }
 }
 
 static void
@@ -339,6 +346,8 @@
   entry->tick = event_new (base, -1, EV_PERSIST, on_tick, entry);
   entry->pump = event_new (base, -1, 0, on_pump, entry);
   entry->stats = process_stats_new (base);
+  if (settings->speed_runs > 0)
+    entry->speeds = speeds_seen_new ();
   return entry;
 }
 
@@ -352,6 +361,7 @@
   dispatcher_free (entry->dispatcher);
   mesh_free (entry->mesh);
   closed_zones_free (entry->closed_zones);
+  speeds_seen_free (entry->speeds);
   catalog_unref (entry->catalog);
   event_free (entry->tick);
   event_free (entry->pump);
--- a/src/leased_entry_parts.h
+++ b/src/leased_entry_parts.h
@@ -1,13 +1,15 @@
 #pragma once
 /* Shared by the entry's source files: leased_entry.c has its lifecycle and the frames to
  * and from agents, leased_entry_config.c the exchange of the configuration among entries,
- * leased_entry_zones.c the closed availability zones. */
+ * leased_entry_zones.c the closed availability zones, leased_entry_speeds.c the speeds
+ * of backend servers that restarted agents get back. */
 #include "closed_zones.h"
 #include "config_pull.h"
 #include "leased_entry.h"
 #include "listen.h"
 #include "mesh.h"
 #include "process_stats.h"
+#include "speeds_seen.h"
 
 struct LeasedEntry
 {
@@ -29,6 +31,8 @@
   struct event *tick;
   struct event *pump;
   ProcessStats *stats;
+  SpeedsSeen *speeds;       /* NULL: the servers' own speeds do not count */
+  Gw__SpeedSeen speed_seen; /* part of the frame that is being prepared */
   gint64 mesh_ticked_ms;
   gint64 ticked_ms;
   gint64 draining_ms; /* start of draining; 0: not draining */
@@ -47,6 +51,15 @@
 /** leased_entry_zones_prepare - add closed zones to a frame if @peer needs an update. */
 void leased_entry_zones_prepare (LeasedEntry *entry, MeshPeer *peer, Gw__Frame *frame);
 
+/* leased_entry_speeds.c */
+
+/** leased_entry_speeds_prepare - send an agent the speed of its server, once for each
+ * link, if the entry knows it from more runs than the agent. */
+void leased_entry_speeds_prepare (LeasedEntry *entry, MeshPeer *peer, Gw__Frame *frame);
+
+/** leased_entry_speeds_state - keep the speed in a state that an agent sent. */
+void leased_entry_speeds_state (LeasedEntry *entry, const Gw__ServerState *state);
+
 /* leased_entry_config.c */
 void
 leased_entry_config_frame (LeasedEntry *entry, MeshPeer *peer, const Gw__Frame *frame);
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -51,7 +51,8 @@
   guint config_wanted_bytes; /* a longer one is not wanted; 0: any */
   gint64 config_asked_ms;    /* when it was last asked for a configuration; 0: never */
   ClosedZonesSent closed_zones_sent;
-  gpointer data; /* the user's record of this peer */
+  gboolean speed_told; /* its agent was sent a speed over this link */
+  gpointer data;       /* the user's record of this peer */
 } MeshPeer;
 
 typedef struct
