Tests of the lasting speed of a server

A restart of an agent as processes; the test platform's entries and agents run with servers.speed_runs = 12, as deployed.

--- a/tests/platform_scene.c
+++ b/tests/platform_scene.c
@@ -122,7 +122,8 @@
       "listen.metrics = \"127.0.0.1:0\"\n"
       "listen.advertise_frames = \"%s\"\n"
       "links.heartbeat_ms = 120\nlinks.timeout_ms = 500\ntable.address = \"%s\"\n"
-      "entries.peers = [%s]\ndrain.grace_ms = 300\ndrain.limit_ms = 4000\n",
+      "entries.peers = [%s]\ndrain.grace_ms = 300\ndrain.limit_ms = 4000\n"
+      "servers.speed_runs = 12\n",
       name, scene->relays[i] != NULL ? relay_address (scene->relays[i]) : "",
       store_address (scene, i), peers);
   Process *process
@@ -158,7 +159,8 @@
   char *settings = g_strdup_printf (
       "name = \"%s\"\nzone = \"z\"\nlisten.http = \"127.0.0.1:0\"\n"
       "links.heartbeat_ms = 120\nlinks.timeout_ms = 500\ntable.address = \"%s\"\n"
-      "entries.peers = [\"%s\"]\nbackend.address = \"%s\"\n",
+      "entries.peers = [\"%s\"]\nbackend.address = \"%s\"\n"
+      "servers.speed_runs = 12\n",
       name, scene->store->http, entry_address (scene, 0), scene->servers[i]->http);
   Process *process
       = harness_spawn_daemon (scene->harness, PLATFORM_AGENT_EXE, name, settings);
--- a/tests/test-crashes.c
+++ b/tests/test-crashes.c
@@ -206,6 +206,35 @@
   harness_wait (scene->harness, is_report_stored, scene, "the stored report");
 }
 
+static gboolean
+has_adopted (gpointer ctx)
+{
+  const PlatformScene *scene = ctx;
+  char *path = g_strdup_printf ("%s.events", scene->agents[0]->log);
+  char *text = NULL;
+  gboolean found;
+
+  g_assert_true (g_file_get_contents (path, &text, NULL, NULL));
+  found = strstr (text, "why=adopted") != NULL;
+  g_free (text);
+  g_free (path);
+  return found;
+}
+
+/* Guards against a speed that is learned anew after each restart of an agent: an entry
+ * that it is linked to must send it back. */
+static void
+speed_is_remembered (Scenario *scenario)
+{
+  PlatformScene *scene = scenario->scene;
+
+  for (guint i = 0; i < 3; i++)
+    check_state (scene, platform_start_job (scene, i, "50", 80), "completed");
+  process_kill (scene->harness, scene->agents[0]);
+  platform_restart_agent (scene, 0);
+  harness_wait (scene->harness, has_adopted, scene, "the speed known before");
+}
+
 typedef struct
 {
   const char *name;
@@ -219,6 +248,7 @@
   { "innocent-are-kept", unrelated_restarts },
   { "shrunk-room-is-kept", capacity_shrinks_in_use },
   { "shrunk-room-is-remembered", shrunk_report_is_stored },
+  { "speed-is-remembered", speed_is_remembered },
 };
 
 static void
--- a/tests/test-leased-agent.c
+++ b/tests/test-leased-agent.c
@@ -1,5 +1,7 @@
 /* The server state that an agent of the leased path sends to the entries. */
+#include "cases.h"
 #include "clock.h"
+#include "counters.h"
 #include "leased_agent_parts.h"
 
 #include <string.h>
@@ -64,6 +66,126 @@
     }
 }
 
+/* An agent with a ready server, and one entry. */
+typedef struct
+{
+  struct event_base *base;
+  Server server;
+  LeasedAgent *agent;
+  MeshPeer peer;
+} Scene;
+
+static void
+scene_open (Scene *scene, guint speed_runs)
+{
+  static const char *const labels[] = { "a", NULL };
+  Settings settings = { .name = (char *)"agent-1",
+                        .zone = (char *)"a",
+                        .peers = (char *[]){ NULL },
+                        .heartbeat_ms = 100,
+                        .timeout_ms = 500,
+                        .entry_lease_ms = 450,
+                        .server_lease_ms = 700,
+                        .speed_runs = speed_runs };
+  ServerFacts facts = { .instance = "i-1",
+                        .service = "exchange",
+                        .zone = "a",
+                        .labels = labels,
+                        .capacity = { CPU_MILLI, 1000, 0 },
+                        .server_ms = 1000,
+                        .sequence = 1 };
+
+  memset (scene, 0, sizeof *scene);
+  scene->base = event_base_new ();
+  scene->agent
+      = leased_agent_new (scene->base, &settings, &calls, &scene->server, &ops, NULL);
+  scene->peer.incarnation = ENTRY;
+  leased_agent_facts (scene->agent, &facts);
+  answer_all (&scene->server);
+}
+
+static void
+scene_close (Scene *scene)
+{
+  g_free (scene->peer.data);
+  leased_agent_close (scene->agent);
+  answer_all (&scene->server);
+  leased_agent_free (scene->agent);
+  event_base_free (scene->base);
+}
+
+/* Return: the state in the next frame to the entry; NULL: it is unchanged. */
+static const Gw__ServerState *
+next_state (Scene *scene)
+{
+  Gw__Frame frame;
+
+  gw__frame__init (&frame);
+  leased_agent_prepare (&scene->peer, &frame, scene->agent);
+  return frame.server_state;
+}
+
+static void
+receive_speed (Scene *scene, const char *instance, guint percent, guint runs)
+{
+  Gw__SpeedSeen seen;
+
+  gw__speed_seen__init (&seen);
+  seen.instance = (char *)instance;
+  seen.speed_percent = percent;
+  seen.speed_runs = runs;
+  leased_agent_take_speed (scene->agent, &seen);
+}
+
+typedef struct
+{
+  const char *name;
+  const char *instance;
+  guint setting;
+  guint percent;
+  guint runs;
+  gboolean adopted;
+} SpeedCase;
+
+static const SpeedCase speed_cases[] = {
+  /* Guards against a slow server that counts as usual after its agent's restart. */
+  { "kept-over-a-restart", "i-1", 12, 160, 255, TRUE },
+  { "other-instance", "i-0", 12, 160, 255, FALSE },
+  { "out-of-range", "i-1", 12, 2005, 255, FALSE },
+  { "older-build", "i-1", 12, 0, 0, FALSE },
+  { "no-instance", "", 12, 160, 255, FALSE },
+  { "off", "i-1", 0, 160, 255, FALSE },
+};
+
+static void
+test_speed_seen (gconstpointer data)
+{
+  const SpeedCase *c = data;
+  guint64 adopted = counter_values[COUNTER_SPEEDS_ADOPTED];
+  guint64 rejected = counter_values[COUNTER_SPEEDS_REJECTED];
+  const Gw__ServerState *state;
+  Scene scene;
+
+  scene_open (&scene, c->setting);
+  state = next_state (&scene);
+  g_assert_nonnull (state);
+  g_assert_cmpuint (state->speed_percent, ==, 0);
+  g_assert_cmpuint (state->speed_runs, ==, 0);
+  receive_speed (&scene, c->instance, c->percent, c->runs);
+  state = next_state (&scene);
+  g_assert_cmpint (state != NULL, ==, c->adopted);
+  if (state != NULL)
+    {
+      g_assert_cmpuint (state->speed_percent, ==, c->percent);
+      g_assert_cmpuint (state->speed_runs, ==, c->runs);
+      g_assert_cmpuint (state->slowness_percent, ==, 100);
+    }
+  g_assert_cmpuint (counter_values[COUNTER_SPEEDS_ADOPTED] - adopted, ==, c->adopted);
+  g_assert_cmpuint (counter_values[COUNTER_SPEEDS_REJECTED] - rejected, ==, !c->adopted);
+  g_assert_null (next_state (&scene));
+  scene_close (&scene);
+}
+
 /* A fresh server must be reported as free before its agent has received any run order or
  * resource request. Free capacity used to be computed only when a run started or ended,
  * so entries saw the server as full, and those that sent no request placed nothing there.
@@ -112,5 +234,6 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/leased-agent/fresh-server-is-free", test_fresh_server_is_free);
+  ADD_CASES ("/leased-agent/speed", speed_cases, test_speed_seen);
   return g_test_run ();
 }
