Count capacity and place by the measured speeds of servers

Servers that take 0.6 and 1.6 times the usual run time for good counted as equal: capacity was counted in cores, and a server of 1.6 hovered at the threshold from which it is avoided.

Relative run times come from the speeds that agents report (relative_speed.c); all are 1 while their spread is within noise, but for single servers far slower than the others. Capacity, share, expected wait and Retry-After count cores over relative run time. Placement takes the earliest expected completion; a server on which a task misses its objective is taken once waiting for a faster one would end later. Observed run times are converted to those on the median server, restarts of stragglers compare times on both servers, and servers.far_factor replaces the fixed cost of distance.

--- a/src/dispatcher.c
+++ b/src/dispatcher.c
@@ -18,6 +18,7 @@
   dispatcher->ops = ops;
   dispatcher->ctx = ctx;
   dispatcher->median_slowness = 1;
+  dispatcher->speeds.fast = 1;
   dispatcher->candidate_servers = g_ptr_array_new ();
   TAILQ_INIT (&dispatcher->jobs);
   TAILQ_INIT (&dispatcher->servers);
--- a/src/dispatcher_order.c
+++ b/src/dispatcher_order.c
@@ -29,10 +29,17 @@
   INFEASIBLE,
 } Feasibility;
 
+/* Expected run time of a task on a fast server. */
+static double
+fast_task_ms (const LeasedJob *job)
+{
+  return job->task_ms * job->dispatcher->speeds.fast;
+}
+
 static Feasibility
 feasibility_of (const LeasedJob *job, gint64 now_ms)
 {
-  double ends_ms = now_ms + job->task_ms;
+  double ends_ms = now_ms + fast_task_ms (job);
 
   if (ends_ms <= job->objective_ms)
     return FEASIBLE_IN_TIME;
@@ -122,6 +129,14 @@
   return server->user_data != NULL && server->status.ready && !server->closed;
 }
 
+/* In thousandths of a core of the server of median speed: the work that a server of this
+ * speed gets done per ms on @cpu_milli. */
+static double
+work_per_ms (const LeasedServer *server, guint cpu_milli)
+{
+  return cpu_milli / server->relative_time;
+}
+
 static double
 capacity_of_servers (const Dispatcher *dispatcher)
 {
@@ -130,7 +145,7 @@
 
   TAILQ_FOREACH (server, &dispatcher->servers, link)
     if (server_is_usable (server))
-      capacity += server->status.capacity.cpu_milli;
+      capacity += work_per_ms (server, server->status.capacity.cpu_milli);
   return capacity;
 }
 
@@ -162,6 +177,43 @@
  * jobs would be expected to wait a second and be refused. */
 #define SHARE_MIN 0.05
 
+static void
+note_speeds (const Dispatcher *dispatcher, guint servers)
+{
+  event_note ("server-speeds", "-", "known=%u of=%u uneven=%d fast=%.2f",
+              dispatcher->speeds.known, servers, dispatcher->speeds.uneven,
+              dispatcher->speeds.fast);
+}
+
+/* A server that does not take orders now keeps its last relative time: its runs go on. */
+void
+dispatcher_update_speeds (Dispatcher *dispatcher)
+{
+  gboolean uneven_before = dispatcher->speeds.uneven;
+  GArray *speeds;
+  LeasedServer *server;
+  guint i = 0;
+
+  if (dispatcher->init.speed_runs == 0)
+    return;
+  speeds = g_array_new (FALSE, FALSE, sizeof (RelativeSpeed));
+  TAILQ_FOREACH (server, &dispatcher->servers, link)
+    {
+      RelativeSpeed speed = { server->status.speed_percent, server->status.speed_runs };
+
+      if (server_is_open (server))
+        g_array_append_val (speeds, speed);
+    }
+  dispatcher->speeds = relative_speed_compute ((RelativeSpeed *)(void *)speeds->data,
+                                               speeds->len, dispatcher->init.speed_runs);
+  TAILQ_FOREACH (server, &dispatcher->servers, link)
+    if (server_is_open (server))
+      server->relative_time = g_array_index (speeds, RelativeSpeed, i++).time;
+  g_array_unref (speeds);
+  if (dispatcher->speeds.uneven != uneven_before)
+    note_speeds (dispatcher, i);
+}
+
 void
 dispatcher_update_share (Dispatcher *dispatcher)
 {
@@ -171,12 +223,14 @@
   double own = 0;
   double all = 0;
 
+  dispatcher_update_speeds (dispatcher);
   TAILQ_FOREACH (server, &dispatcher->servers, link)
     {
       if (!server_is_usable (server))
         continue;
-      own += server->placed.cpu_milli;
-      all += server->placed.cpu_milli + server->status.used_by_others.cpu_milli;
+      own += work_per_ms (server, server->placed.cpu_milli);
+      all += work_per_ms (server, server->placed.cpu_milli
+                                      + server->status.used_by_others.cpu_milli);
     }
   dispatcher->share_ms = dispatcher->now_ms;
   /* The other entries' shares are not known yet. If they were assumed to use everything,
@@ -270,7 +324,7 @@
                              .rank_on_time = base_rank (job),
                              .rank_late = base_rank (job) / LATE_PART,
                              .work = waiting_work (job),
-                             .task_ms = job->task_ms,
+                             .task_ms = fast_task_ms (job),
                              .objective_ms = job->objective_ms,
                              .late_ms = job->late_ms,
                              .refusable = nothing_ordered (job) };
@@ -333,7 +387,7 @@
       if (!job->started)
         job_answer (job, LEASED_REFUSED, "cannot end in time",
                     dispatcher_wait_ms (dispatcher));
-      else if (dispatcher->now_ms + job->task_ms > job->spec.deadline_ms)
+      else if (dispatcher->now_ms + fast_task_ms (job) > job->spec.deadline_ms)
         job_answer (job, LEASED_GIVEN_UP, "lost runs cannot be repeated in time", 0);
       job_free_if_done (job);
     }
--- a/src/dispatcher_parts.h
+++ b/src/dispatcher_parts.h
@@ -4,6 +4,7 @@
  * dispatcher_requests.c: resource requests. */
 #include "arrivals.h"
 #include "dispatcher.h"
+#include "relative_speed.h"
 #include "runtimes.h"
 #include "throttle.h"
 
@@ -54,6 +55,7 @@
   gint64 late_ms;      /* useless to its caller after this */
   double typical_work; /* of a job of its queue, in ms x thousandths of a core */
   double rank;         /* lowest first */
+  double fast_factor;  /* run time on the fastest of its servers, over task_ms */
 };
 
 struct LeasedServer
@@ -68,6 +70,7 @@
   gint64 lease_until;      /* agent's clock */
   gint64 backoff_until_ms; /* nothing is placed before this */
   guint delay_ms;          /* of frames sent to its agent */
+  double relative_time;    /* its run time over that of the median server */
   Throttle request_throttle;
   gint64 requested_ms;   /* when the last resource request was sent */
   double requested_rank; /* of the job in that request */
@@ -115,6 +118,7 @@
   gint64 linked_ms;       /* when a server was last linked */
   gboolean arrived;       /* a job has, since dispatcher_shed_load () */
   double median_slowness; /* of the servers that take orders, at least 1 */
+  RelativeSpread speeds;  /* of the servers that take orders */
   gint64 now_ms;
 };
 
@@ -153,6 +157,9 @@
 /** dispatcher_update_share - update this entry's share of the servers' capacity. */
 void dispatcher_update_share (Dispatcher *dispatcher);
 
+/** dispatcher_update_speeds - update the servers' relative run times. */
+void dispatcher_update_speeds (Dispatcher *dispatcher);
+
 /** dispatcher_shed_load - refuse jobs to which the work ahead leaves too little time. */
 void dispatcher_shed_load (Dispatcher *dispatcher);
 
--- a/src/dispatcher_place.c
+++ b/src/dispatcher_place.c
@@ -14,6 +14,8 @@
 #define SLOWNESS_NORMAL 1.6
 /* Waiting for another server is not worth a gain of less than this. */
 #define SLOW_SLACK_MS 20
+/* Run time away from a job's data over that near it, unless it is set. */
+#define FAR_FACTOR 1.5
 /* How long a task avoids the server where it failed or hung. Bounded, since there may be
  * no other server. */
 #define AVOID_MS 100
@@ -118,11 +120,54 @@
          && demand_fits (&need, &(Demand){ 0 }, &task->job->spec.demand);
 }
 
+static double
+far_factor (const Dispatcher *dispatcher)
+{
+  return dispatcher->init.far_factor > 0 ? dispatcher->init.far_factor : FAR_FACTOR;
+}
+
+/* Expected run time of a task on @server, relative to a sound server of median speed near
+ * the job's data. Among servers of one speed the factors are added: a distant server that
+ * is slow is then chosen as it was before speeds were known. */
+static double
+time_factor (const LeasedServer *server, const LeasedJob *job)
+{
+  const Dispatcher *dispatcher = server->dispatcher;
+  double far = server_has_label (server, job->spec.rack) ? 1 : far_factor (dispatcher);
+
+  if (!dispatcher->speeds.uneven)
+    return slowness_of (server) + (far - 1);
+  return slowness_of (server) * server->relative_time * far;
+}
+
+static gboolean
+ends_in_time (const LeasedServer *server, const LeasedJob *job)
+{
+  double run_ms = job->task_ms * time_factor (server, job);
+
+  return server->dispatcher->now_ms + run_ms <= job->objective_ms;
+}
+
+/* Run time that a task loses on @server against one that it could wait for. */
+static double
+lost_ms_on (const LeasedServer *server, const LeasedJob *job)
+{
+  const Dispatcher *dispatcher = server->dispatcher;
+  double lost_ms = (slowness_of (server) - 1) * job->task_ms;
+
+  if (!dispatcher->speeds.uneven)
+    return lost_ms;
+  lost_ms *= server->relative_time;
+  if (ends_in_time (server, job))
+    return lost_ms;
+  return MAX (lost_ms, (time_factor (server, job) - job->fast_factor) * job->task_ms);
+}
+
 static gboolean
 is_suitable (const LeasedServer *server, const LeasedJob *job, const LeasedTask *task)
 {
   gint64 waited_ms = server->dispatcher->now_ms - task->waiting_since_ms;
-  double lost_ms = (slowness_of (server) - 1) * job->task_ms;
+  double lost_ms = lost_ms_on (server, job);
 
   if (!fits (server, task) || !server_is_trusted (server)
       || server_is_offered_for_better (server, job->rank)
@@ -138,16 +183,15 @@
          || tasks_of_job (server, job) < job->spec.most_per_server;
 }
 
-/* In expected run times: slowness, plus 0.5 away from the job's data, the share of failed
- * runs, and up to 0.01 for load, to break ties. */
+/* In expected run times: that on the server, the share of failed runs, and up to 0.01 for
+ * load, to break ties. */
 static double
 cost_of (const LeasedServer *server, const LeasedJob *job)
 {
   guint used = server->placed.cpu_milli + server->status.used_by_others.cpu_milli;
   double filled = (double)used / MAX (server->status.capacity.cpu_milli, 1);
-  double away = server_has_label (server, job->spec.rack) ? 0 : 0.5;
 
-  return slowness_of (server) + away + filled * 0.01
+  return time_factor (server, job) + filled * 0.01
          + server->status.failing_percent * 0.01;
 }
 
@@ -218,6 +262,25 @@
   return best;
 }
 
+/* Sets the factor of the fastest server that the job may wait for; one server that is far
+ * faster than the others does not count, since it is seldom free. */
+static void
+update_fast_factor (LeasedJob *job)
+{
+  const Dispatcher *dispatcher = job->dispatcher;
+  const LeasedServer *server;
+  double least = G_MAXDOUBLE;
+
+  if (!dispatcher->speeds.uneven || dispatcher->candidate_servers->len == 0)
+    return;
+  TAILQ_FOREACH (server, &dispatcher->servers, link)
+    if (server_is_open (server) && server_is_trusted (server)
+        && strcmp (server->status.service, job->spec.service) == 0
+        && server_has_label (server, job->spec.label))
+      least = MIN (least, time_factor (server, job));
+  job->fast_factor = MAX (least, dispatcher->speeds.fast);
+}
+
 static void
 task_place (LeasedTask *task, LeasedServer *server)
 {
@@ -309,6 +372,7 @@
   GPtrArray *chosen = g_ptr_array_new ();
   gboolean all = TRUE;
 
+  update_fast_factor (job);
   for (guint i = 0; i < job->spec.count && all; i++)
     {
       LeasedServer *server;
@@ -402,6 +466,15 @@
     dispatcher_shed_load (dispatcher);
 }
 
+/* The agent's estimate is for another server of the same speed. */
+static double
+elsewhere_ms_on (const LeasedServer *other,
+                 const LeasedTask *task,
+                 const TaskReport *report)
+{
+  return report->elsewhere_ms * other->relative_time / task->server->relative_time;
+}
+
 /* A run that hangs or is slow on a bad server can hold up its whole job. A restart loses
  * the work done, so it must end clearly sooner elsewhere, and before the deadline. */
 void
@@ -410,24 +483,28 @@
   LeasedJob *job = task->job;
   Dispatcher *dispatcher = job->dispatcher;
   LeasedServer *before = task->avoid;
+  LeasedServer *other;
+  double elsewhere_ms;
 
   update_server_stats (dispatcher);
   if (report->remaining_ms < STALLED_MS && slowness_of (task->server) <= SLOWNESS_NORMAL)
     return;
-  if (task->stopping || job->closed || task->state != TASK_PLACED
-      || report->remaining_ms < report->elsewhere_ms + STRAGGLER_GAIN_MS
-      || dispatcher->now_ms + report->elsewhere_ms > job->spec.deadline_ms)
+  if (task->stopping || job->closed || task->state != TASK_PLACED)
     return;
   task->avoid = task->server;
   task->waiting_since_ms = dispatcher->now_ms;
   gather_candidate_servers (dispatcher, job->spec.demand.cpu_milli);
-  if (choose_server (dispatcher, job, task, NULL) == NULL)
+  update_fast_factor (job);
+  other = choose_server (dispatcher, job, task, NULL);
+  elsewhere_ms = other != NULL ? elsewhere_ms_on (other, task, report) : 0;
+  if (other == NULL || report->remaining_ms < elsewhere_ms + STRAGGLER_GAIN_MS
+      || dispatcher->now_ms + elsewhere_ms > job->spec.deadline_ms)
     {
       task->avoid = before;
       return;
     }
   event_note ("straggler-restarted", job->spec.id,
-              "task=%u run=%u agent=%s remaining_ms=%u elsewhere_ms=%u", task->index,
-              task->run, task->server->name, report->remaining_ms, report->elsewhere_ms);
+              "task=%u run=%u agent=%s remaining_ms=%u elsewhere_ms=%.0f", task->index,
+              task->run, task->server->name, report->remaining_ms, elsewhere_ms);
   task_stop (task);
 }
--- a/src/dispatcher_servers.c
+++ b/src/dispatcher_servers.c
@@ -55,6 +55,7 @@
       server->dispatcher = dispatcher;
       server->agent = agent;
       server->name = g_strdup (name);
+      server->relative_time = 1;
       TAILQ_INIT (&server->tasks);
       TAILQ_INSERT_TAIL (&dispatcher->servers, server, link);
     }
@@ -177,13 +178,21 @@
                     job->spec.declared_ms, run_ms);
 }
 
+/* The run time on the server of median speed, which expected run times are about. Those
+ * observed would depend on which servers are used. */
+static guint
+median_run_ms (const LeasedTask *task, guint run_ms)
+{
+  return (guint)MAX (run_ms / task->server->relative_time, 1);
+}
+
 static void
 task_done (LeasedTask *task, guint run_ms)
 {
   LeasedJob *job = task->job;
 
   if (run_ms > 0)
-    observe_run_time (job, run_ms);
+    observe_run_time (job, median_run_ms (task, run_ms));
   task_detach (task);
   task->state = TASK_ENDED;
   job->ended++;
