Replay servers of different speed and tasks with a long tail

The replay's servers have run time factors; its agents report speeds exactly, with 10% noise, not at all, wrongly or late. A part of the tasks may take far longer than usual, arrivals may swing, and the central reference has all of it: it places a task on the slowest server on which it ends in time and waits for a faster one rather than end late. New mixes uneven-servers and uneven-few-fast.

--- a/tests/load_replay_parts.h
+++ b/tests/load_replay_parts.h
@@ -45,7 +45,8 @@
 {
   guint index;
   Demand capacity;
-  gint64 freed_ms; /* last end of a run */
+  double speed_noise; /* factor on the speed that its agent reports */
+  gint64 freed_ms;    /* last end of a run */
   Demand used;
   Demand *used_by; /* by entry */
   GPtrArray *runs;
@@ -111,6 +112,7 @@
   ServerLink *links;       /* entries x servers */
   GPtrArray *jobs;         /* of LoadJob */
   Submission *submissions; /* in the order of jobs */
+  guint first_open;        /* jobs before it have ended */
   GHashTable *by_id;       /* job id -> Submission */
   LoadIdle idle;           /* ms x thousandths of a core */
 };
@@ -139,3 +141,7 @@
 void agent_on_stop (Replay *replay, const Event *event);
 void agent_end_run (Replay *replay, Server *server, Run *run, TaskEvent how);
 void agent_send_state (Replay *replay, const Event *event);
+
+/** agent_report_speed - fill in what @server's agent knows of its run times. */
+void
+agent_report_speed (const Replay *replay, const Server *server, ServerStatus *status);
