--- a/src/dispatcher_parts.h
+++ b/src/dispatcher_parts.h
@@ -55,7 +55,7 @@
   gint64 late_ms;      /* useless to its caller after this */
   double typical_work; /* of a job of its queue, in ms x thousandths of a core */
   double rank;         /* lowest first */
-  double fast_factor;  /* run time on the fastest of its servers, over task_ms */
+  double fast_factor; /* run time on the fastest of its servers, over task_ms; 0: unset */
 };
 
 struct LeasedServer
--- a/src/dispatcher_place.c
+++ b/src/dispatcher_place.c
@@ -161,26 +161,46 @@
   return server->dispatcher->now_ms + run_ms <= job->objective_ms;
 }
 
+/* Factor of the fastest server that the job may wait for; one server that is far faster
+ * than the others does not count, since it is seldom free. Kept for one placement: with
+ * many jobs waiting it would otherwise be most of the work. */
+static double
+fast_factor_for (LeasedJob *job)
+{
+  const Dispatcher *dispatcher = job->dispatcher;
+  const LeasedServer *server;
+  double least = G_MAXDOUBLE;
+
+  if (job->fast_factor > 0)
+    return job->fast_factor;
+  TAILQ_FOREACH (server, &dispatcher->servers, link)
+    if (server_is_open (server) && server_is_trusted (server)
+        && strcmp (server->status.service, job->spec.service) == 0
+        && server_has_label (server, job->spec.label))
+      least = MIN (least, time_factor (server, job));
+  job->fast_factor = MAX (least, dispatcher->speeds.fast);
+  return job->fast_factor;
+}
+
 /* Run time that a task loses on @server against one that it could wait for. */
 static double
-lost_ms_on (const LeasedServer *server, const LeasedJob *job)
+lost_ms_on (const LeasedServer *server, LeasedJob *job)
 {
-  const Dispatcher *dispatcher = server->dispatcher;
   double lost_ms = (slowness_of (server) - 1) * job->task_ms;
 
-  if (!dispatcher->speeds.uneven)
+  if (!server->dispatcher->speeds.uneven)
     return lost_ms;
   lost_ms *= server->relative_time;
   if (ends_in_time (server, job))
     return lost_ms;
-  return MAX (lost_ms, (time_factor (server, job) - job->fast_factor) * job->task_ms);
+  return MAX (lost_ms,
+              (time_factor (server, job) - fast_factor_for (job)) * job->task_ms);
 }
 
 static gboolean
-is_suitable (const LeasedServer *server, const LeasedJob *job, const LeasedTask *task)
+is_suitable (const LeasedServer *server, LeasedJob *job, const LeasedTask *task)
 {
   gint64 waited_ms = server->dispatcher->now_ms - task->waiting_since_ms;
-  double lost_ms = lost_ms_on (server, job);
 
   if (!fits (server, task) || !server_is_trusted (server)
       || server_is_offered_for_better (server, job->rank)
@@ -190,7 +210,7 @@
     return FALSE;
   /* If only a slow server is free, waiting for another one may end the task sooner. Once
    * the task has waited as long as the slow server would cost it, it is placed there. */
-  if (lost_ms > server->dispatcher->wait_ms + waited_ms + SLOW_SLACK_MS)
+  if (lost_ms_on (server, job) > server->dispatcher->wait_ms + waited_ms + SLOW_SLACK_MS)
     return FALSE;
   return job->spec.most_per_server == 0
          || tasks_of_job (server, job) < job->spec.most_per_server;
@@ -288,7 +308,7 @@
  * placement; may be NULL. */
 static LeasedServer *
 choose_server (Dispatcher *dispatcher,
-               const LeasedJob *job,
+               LeasedJob *job,
                const LeasedTask *task,
                GPtrArray *chosen)
 {
@@ -314,25 +334,6 @@
   return best;
 }
 
-/* Sets the factor of the fastest server that the job may wait for; one server that is far
- * faster than the others does not count, since it is seldom free. */
-static void
-update_fast_factor (LeasedJob *job)
-{
-  const Dispatcher *dispatcher = job->dispatcher;
-  const LeasedServer *server;
-  double least = G_MAXDOUBLE;
-
-  if (!dispatcher->speeds.uneven || dispatcher->candidate_servers->len == 0)
-    return;
-  TAILQ_FOREACH (server, &dispatcher->servers, link)
-    if (server_is_open (server) && server_is_trusted (server)
-        && strcmp (server->status.service, job->spec.service) == 0
-        && server_has_label (server, job->spec.label))
-      least = MIN (least, time_factor (server, job));
-  job->fast_factor = MAX (least, dispatcher->speeds.fast);
-}
-
 static void
 task_place (LeasedTask *task, LeasedServer *server)
 {
@@ -434,7 +435,7 @@
   GPtrArray *chosen = g_ptr_array_new ();
   gboolean all = TRUE;
 
-  update_fast_factor (job);
+  job->fast_factor = 0;
   for (guint i = 0; i < job->spec.count && all; i++)
     {
       LeasedServer *server;
@@ -562,7 +563,7 @@
   task->avoid = task->server;
   task->waiting_since_ms = dispatcher->now_ms;
   gather_candidate_servers (dispatcher, job->spec.demand.cpu_milli);
-  update_fast_factor (job);
+  job->fast_factor = 0;
   other = choose_server (dispatcher, job, task, NULL);
   elsewhere_ms = other != NULL ? elsewhere_ms_on (other, task, report) : 0;
   if (other == NULL || report->remaining_ms < elsewhere_ms + STRAGGLER_GAIN_MS
