Stand-in server: restart under the same id, time of the start, time left

A backend server may restart under the id that it had and then counts its reports from 1 again. Nothing exercised that: the stand-in drew a new id with each start.

--- a/standins/server.c
+++ b/standins/server.c
@@ -7,7 +7,9 @@
  * POST /faults?mode=MODE sets the fault mode: "ok"; "mute" (no responses to orders, no
  * heartbeats); "late" (start and stop orders are executed after LATE_MS and not
  * answered); "hang" (tasks make no progress); "shrink" (half the capacity); "restart" (a
- * new instance); "drain" and "leave". */
+ * new instance); "reuse" (a new instance under the same id, which receives the late
+ * orders of the earlier one); "drain" and "leave". "drain" with remaining=MS says how
+ * long the server stays; it then exits its instance at that time. */
 #include "clock.h"
 #include "http.h"
 #include "listen.h"
@@ -81,6 +83,9 @@
   guint instance_count;
   char instance[32];
   gint64 started_ms;
+  gint64 born;        /* Unix ms */
+  gboolean says_born; /* earlier versions of the protocol do not */
+  gint64 leaves_ms;   /* own clock; 0: not said */
   gint64 token;
   gint64 lease_until; /* by server_ms () */
   gint64 n_ends;
@@ -153,10 +158,9 @@
 
       log_run (server, "crashed", task->name, task->run_id);
     }
-  server->instance_count++;
-  g_snprintf (server->instance, sizeof server->instance, "i-%d-%u", (int)getpid (),
-              server->instance_count);
   server->started_ms = clock_now_ms ();
+  server->born = MAX (g_get_real_time () / 1000, server->born + 1);
+  server->leaves_ms = 0;
   server->token = 0;
   server->lease_until = 0;
   server->n_ends = 0;
@@ -167,6 +171,22 @@
   g_hash_table_remove_all (server->finished);
 }
 
+static void
+begin_named_instance (Server *server)
+{
+  server->instance_count++;
+  g_snprintf (server->instance, sizeof server->instance, "i-%d-%u", (int)getpid (),
+              server->instance_count);
+  begin_instance (server);
+}
+
+static void
+append_born (const Server *server, GString *body)
+{
+  if (server->says_born)
+    g_string_append_printf (body, ",\"born\":%" G_GINT64_FORMAT, server->born);
+}
+
 static GString *
 format_runs (Server *server)
 {
@@ -191,7 +211,9 @@
           body, "%s[%" G_GINT64_FORMAT ",\"%s\",%" G_GINT64_FORMAT ",\"%s\",\"\"]",
           i > 0 ? "," : "", end->number, end->name, end->run_id, end->how);
     }
-  g_string_append (body, "]}");
+  g_string_append_c (body, ']');
+  append_born (server, body);
+  g_string_append_c (body, '}');
   return body;
 }
 
@@ -434,21 +456,36 @@
   server->acked_ms = clock_now_ms ();
 }
 
-static void
-send_report (Server *server, const char *what)
+static GString *
+format_report (Server *server)
 {
-  char *path = g_strdup_printf ("/Instances.%s/%s", what, server->instance);
-  char *body = g_strdup_printf (
+  GString *body = g_string_new (NULL);
+
+  g_string_printf (
+      body,
       "{\"service\":\"exchange\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\","
       "\"slots\":8,\"state\":\"%s\",\"capacity\":{\"cpu\":%u,\"mem_mb\":65536,\"gpu\":0},"
       "\"labels\":[\"a\",\"r1-1\"],\"clock_ms\":%" G_GINT64_FORMAT
-      ",\"seq\":%" G_GINT64_FORMAT "}",
+      ",\"seq\":%" G_GINT64_FORMAT,
       server->address, server->zone, server->draining ? "draining" : "ready",
       reported_cpu (server), server_ms (server), ++server->sequence);
+  append_born (server, body);
+  if (server->leaves_ms > 0)
+    g_string_append_printf (body, ",\"remaining_ms\":%" G_GINT64_FORMAT,
+                            MAX (server->leaves_ms - clock_now_ms (), 0));
+  g_string_append_c (body, '}');
+  return body;
+}
+
+static void
+send_report (Server *server, const char *what)
+{
+  char *path = g_strdup_printf ("/Instances.%s/%s", what, server->instance);
+  GString *body = format_report (server);
   HttpCall call = { .method = EVHTTP_REQ_POST,
                     .path = path,
-                    .body = body,
-                    .size = strlen (body),
+                    .body = body->str,
+                    .size = body->len,
                     .timeout_ms = 1000,
                     .done = on_report_done,
                     .ctx = server };
@@ -457,13 +494,13 @@
   server->sent_cpu = reported_cpu (server);
   http_pool_call (server->agent, &call);
   g_free (path);
-  g_free (body);
+  g_string_free (body, TRUE);
 }
 
 static void
 crash (Server *server)
 {
-  begin_instance (server);
+  begin_named_instance (server);
   server->down_until = clock_now_ms () + DOWN_MS;
 }
 
@@ -538,6 +575,8 @@
 
   execute_late_orders (server);
   advance_tasks (server);
+  if (server->leaves_ms > 0 && clock_now_ms () >= server->leaves_ms)
+    begin_named_instance (server);
   if (is_unresponsive (server))
     return;
   reply_to_waiters (server);
@@ -550,20 +589,26 @@
 {
   static const char *const names[] = { "ok", "mute", "late", "hang", "shrink" };
   char *mode = http_query_value (request, "mode");
+  char *remaining = http_query_value (request, "remaining");
 
   for (guint i = 0; i < G_N_ELEMENTS (names); i++)
     if (g_strcmp0 (mode, names[i]) == 0)
       server->mode = i;
   if (g_strcmp0 (mode, "restart") == 0)
+    begin_named_instance (server);
+  if (g_strcmp0 (mode, "reuse") == 0)
     begin_instance (server);
   if (g_strcmp0 (mode, "drain") == 0)
     server->draining = TRUE;
+  if (remaining != NULL)
+    server->leaves_ms = clock_now_ms () + atoi (remaining);
   if (g_strcmp0 (mode, "leave") == 0)
     send_report (server, "Leave");
   else if (!is_unresponsive (server) && server->agent != NULL)
     send_report (server, "Heartbeat");
   reply_status (server, request, 200, NULL);
   g_free (mode);
+  g_free (remaining);
 }
 
 /* Sets the agent's address, which is only known once the agent has started: the agent
@@ -616,6 +661,7 @@
     }
   server.cpu = argc > 1 ? (guint)atoi (argv[1]) : 4 * TASK_CPU;
   server.zone = argc > 2 ? argv[2] : "z";
+  server.says_born = argc > 3 && strcmp (argv[3], "born") == 0;
   server.acked_cpu = server.cpu;
   server.tasks = g_ptr_array_new_with_free_func (task_free);
   server.ended = g_ptr_array_new_with_free_func (end_free);
@@ -623,7 +669,7 @@
   server.late_orders = g_ptr_array_new_with_free_func (late_order_free);
   server.finished = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   server.log = g_string_new (NULL);
-  begin_instance (&server);
+  begin_named_instance (&server);
   evhttp_set_gencb (http, on_request, &server);
   event_add (tick, &interval);
   fprintf (stderr, "standin-server listens, http %s\n", server.address);
--- a/tests/platform_scene.c
+++ b/tests/platform_scene.c
@@ -284,7 +284,7 @@
 {
   const char *store[] = { STORE_EXE, NULL };
   char zone[] = "z\0\0"; /* room for a digit */
-  const char *server[] = { SERVER_EXE, "4000", zone, NULL };
+  const char *server[] = { SERVER_EXE, "4000", zone, NULL, NULL };
 
   memset (scene, 0, sizeof *scene);
   scene->harness = harness_new_bare ();
@@ -311,6 +311,9 @@
       if (init->zones > 0)
         zone[1] = (char)('0' + i % init->zones);
 
+      /* Both versions of the servers' protocol: with and without the time of the start.
+       */
+      server[3] = i % 2 == 0 ? "born" : "";
       scene->servers[i] = harness_spawn (scene->harness, name, server);
       scene->agents[i] = platform_start_agent (scene, i);
       platform_introduce (scene, i);
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -63,6 +63,16 @@
   return found;
 }
 
+static gboolean
+last_job_ran_on (PlatformScene *scene, guint server)
+{
+  char *text = g_strdup_printf ("%016x.0.0.", scene->jobs);
+  gboolean ran = run_is_logged (scene, server, text);
+
+  g_free (text);
+  return ran;
+}
+
 /* Cases. */
 
 static void
@@ -460,7 +470,45 @@
   expect_completed (scene, 1, "50", 20);
 }
 
+/* Guards against ignoring a server that restarts under the id that it had: its reports
+ * count from 1 again, and were taken for outdated until they passed the earlier count. */
+static void
+restart_under_the_id_is_served (PlatformScene *scene)
+{
+  Exchange *exchange;
+
+  harness_run_ms (scene->harness, 1500);
+  exchange = platform_start_job (scene, 0, "400", 8);
+  harness_wait (scene->harness, last_job_started, scene, "a start");
+  harness_fault (scene->harness, scene->servers[0], "reuse");
+  expect (scene, exchange, 200, "completed");
+  expect_completed (scene, 0, "100", 8);
+  g_assert_true (last_job_ran_on (scene, 0));
+}
+
+/* Guards against running a task twice at once: orders for the earlier start reach the new
+ * one under the same id, 2 s later. */
+static void
+orders_for_an_earlier_start_are_harmless (PlatformScene *scene)
+{
+  Exchange *exchange;
+
+  /* The leases of late orders outlast their delay by the clock of the new start. */
+  harness_run_ms (scene->harness, 1500);
+  harness_fault (scene->harness, scene->servers[0], "late");
+  exchange = platform_start_job (scene, 0, "200", 8);
+  harness_run_ms (scene->harness, 10);
+  harness_fault (scene->harness, scene->servers[0], "reuse");
+  harness_fault (scene->harness, scene->servers[0], "ok");
+  expect (scene, exchange, 200, "completed");
+  harness_run_ms (scene->harness, 2300);
+  expect_completed (scene, 0, "50", 8);
+}
+
 static const Case cases[] = {
+  { "restart-under-the-id-is-served", restart_under_the_id_is_served },
+  { "orders-for-an-earlier-start-are-harmless",
+    orders_for_an_earlier_start_are_harmless },
   { "bad-writers-change-nothing", bad_writers_change_nothing },
   { "jobs-are-answered", jobs_are_answered },
   { "input-is-checked", input_is_checked },
