Serve a backend server that restarts under the id that it had

Its reports count from 1 again and were ignored until they passed the earlier count; its runs were waited for in vain. Since calls cannot tell two starts under one id apart: - a list of runs with another time counts as one of a later instance; - runs that the earlier instance has not listed are held until the new one is cleared, as it may have carried out their starts; they would run twice at once otherwise; - the new instance's fencing token is above that of the earlier one, and a token that is refused again and again grows in doubled steps, as the server's clock began anew. A report of an earlier start is ignored (reports_stale), one that no longer says its start is refused.

--- a/src/counters.h
+++ b/src/counters.h
@@ -88,6 +88,13 @@
   X (ZONES_CLOSED_NOW, "zones_closed_now", "availability zones that are closed now")     \
   X (STARTS_ZONE_CLOSED, "starts_zone_closed",                                           \
      "starts refused because the availability zone is closed")                           \
+  X (STARTS_LEAVING, "starts_leaving", "starts accepted on a leaving backend server")    \
+  X (STARTS_LEAVING_REFUSED, "starts_leaving_refused",                                   \
+     "starts refused because the backend server leaves")                                 \
+  X (RUNS_CUT_OFF, "runs_cut_off",                                                       \
+     "runs reported that a leaving backend server cuts off")                             \
+  X (REPORTS_STALE, "reports_stale",                                                     \
+     "reports of an earlier start of the backend server ignored")                        \
   X (ROWS_REJECTED, "rows_rejected", "invalid rows and reports refused")                 \
   X (RESTARTS, "restarts", "components restarted by their supervisor")
 
--- a/src/runner.c
+++ b/src/runner.c
@@ -70,6 +70,7 @@
   g_free (runner->past_instances);
   g_hash_table_unref (runner->entry_leases);
   g_free (runner->instance);
+  g_free (runner->name);
   g_free (runner);
 }
 
--- a/src/runner.h
+++ b/src/runner.h
@@ -44,6 +44,8 @@
 typedef struct
 {
   const char *instance; /* one process lifetime of the server */
+  const char *name;     /* what calls to it name: the instances of one name cannot be told
+                           apart by them; NULL: calls name the instance */
   const char *service;
   const char *zone;
   const char *const *labels; /* NULL-terminated */
@@ -53,6 +55,7 @@
   guint remaining_ms; /* least time until a draining server ends; 0: not said */
   gint64 server_ms;   /* its clock */
   guint64 sequence;   /* counts the reports of one instance */
+  gboolean is_old;    /* kept from an earlier process; its age is unknown */
 } ServerFacts;
 
 typedef struct
@@ -76,6 +79,8 @@
   const ServerCalls *calls;
   gpointer server; /* handed to the calls */
   guint lease_ms;  /* length of the server's leases; it cuts longer ones to this */
+  guint
+      drain_ms; /* bound on starts after the server's drain notice; 0: none from it on */
 } RunnerInit;
 
 Runner *runner_new (const RunnerInit *init, const RunnerOps *ops, gpointer ctx);
@@ -110,6 +115,10 @@
 
 gboolean runner_ready (const Runner *runner);
 gboolean runner_draining (const Runner *runner);
+
+/** runner_leaving_ms - Return: a draining server accepts runs that end within this many
+ * ms; 0: it stays, or accepts none. */
+guint runner_leaving_ms (const Runner *runner, gint64 now_ms);
 guint runner_count (const Runner *runner);
 const char *runner_instance (const Runner *runner);
 const Demand *runner_capacity (const Runner *runner);
--- a/src/runner_calls.c
+++ b/src/runner_calls.c
@@ -27,6 +27,10 @@
  * sent with each tick. */
 #define RECONCILE_RETRIES 4
 
+/* Steps of the fencing token: the largest passes any clock that counts milliseconds since
+ * the start of a server, i.e. 34 years. */
+#define TOKEN_DOUBLINGS_MAX 40
+
 /* The state that a call was made in, to compare with when its answer comes. */
 typedef struct
 {
@@ -89,6 +93,12 @@
   runner->server_lease_until = MAX (runner->server_lease_until, call->lease_until);
 }
 
+static guint64
+next_token_step (Runner *runner)
+{
+  return G_GUINT64_CONSTANT (1) << MIN (runner->fenced++, TOKEN_DOUBLINGS_MAX);
+}
+
 /* Return: FALSE if the answer is outdated. */
 static gboolean
 take_reply (Runner *runner, const CallReply *reply, const Cookie *cookie)
@@ -102,6 +112,11 @@
   if (reply->end != CALL_UNANSWERED && cookie->long_poll == 0)
     runner->call_ms
         += CALL_TIME_RATE * (reply->now_ms - cookie->sent_ms - runner->call_ms);
+  if (reply->end == CALL_RESTARTED)
+    {
+      runner_restarted (runner);
+      return FALSE;
+    }
   if (reply->server_ms > 0)
     peer_clock_observe (&runner->clock, reply->server_ms, runner->now_ms);
   if (reply->end == CALL_OTHER_INSTANCE)
@@ -110,9 +125,14 @@
       return FALSE;
     }
   /* Another runner of this server has drawn a higher token from the server's clock, or a
-   * late call of an earlier one carried it: the clock's present value is above both. */
+   * late call of an earlier one carried it: the clock's present value is above both. Not
+   * if the server restarted under its name: its clock began anew, while calls to the
+   * instance before carried tokens from the earlier clock. Doubled steps pass these. */
   if (reply->end == CALL_FENCED && cookie->token == runner->token)
-    runner->token = MAX (runner->token + 1, (guint64)reply->server_ms);
+    runner->token
+        = MAX (runner->token + next_token_step (runner), (guint64)reply->server_ms);
+  if (reply->end == CALL_DONE)
+    runner->fenced = 0;
   return TRUE;
 }
 
@@ -182,6 +202,7 @@
       runner_send_reconcile (runner);
       break;
     case CALL_OTHER_INSTANCE:
+    case CALL_RESTARTED:
       break;
     }
 
@@ -273,6 +294,18 @@
   return any_new;
 }
 
+static void
+mark_listed (Runner *runner, const CallReply *reply)
+{
+  for (gsize i = 0; reply->is_certain && i < reply->n_running; i++)
+    {
+      Run *run = runner_find (runner, &reply->running[i].key);
+
+      if (run != NULL)
+        run->listed = TRUE;
+    }
+}
+
 static gboolean
 is_listed (const CallReply *reply, const RunKey *key)
 {
@@ -293,7 +326,7 @@
   for (run = TAILQ_FIRST (&runner->runs); run != NULL; run = next)
     {
       next = TAILQ_NEXT (run, link);
-      if (run->state != RUN_UNRESOLVED || run->token >= token)
+      if (run->state != RUN_UNRESOLVED || run->held || run->token >= token)
         continue;
       if (is_listed (reply, &run->key))
         run_set_running (runner, run);
@@ -307,6 +340,7 @@
 {
   if (reply->n_running == 0)
     {
+      runner_release_held (runner);
       runner_set_state (runner, INSTANCE_READY);
       return;
     }
@@ -347,6 +381,7 @@
   runner->listed_ms = runner->now_ms;
   if (take_ends (runner, reply))
     long_polls_expect_end (&runner->long_polls, runner->now_ms);
+  mark_listed (runner, reply);
   runner_take_progress (runner, reply);
   if (cookie->reconcile && runner->state == INSTANCE_CLEARING
       && cookie->token == runner->token)
--- a/src/runner_instance.c
+++ b/src/runner_instance.c
@@ -4,6 +4,8 @@
 
 #include <string.h>
 
+#define RESTARTED "backend server restarted"
+
 void
 runner_set_state (Runner *runner, InstanceState state)
 {
@@ -28,12 +30,9 @@
   runner->past_instances[0] = instance;
 }
 
-void
-runner_end_instance (Runner *runner, ReportKind kind, const char *reason)
+static void
+forget_instance (Runner *runner)
 {
-  if (runner->instance == NULL)
-    return;
-  runner_lose_all (runner, kind, reason);
   remember_instance (runner, g_steal_pointer (&runner->instance));
   runner->instance_epoch++;
   long_polls_reset (&runner->long_polls);
@@ -41,6 +40,62 @@
   runner_set_state (runner, INSTANCE_UNKNOWN);
 }
 
+void
+runner_end_instance (Runner *runner, ReportKind kind, const char *reason)
+{
+  if (runner->instance == NULL)
+    return;
+  runner_lose_all (runner, kind, reason);
+  forget_instance (runner);
+}
+
+/* An answered start may have been carried out by the new instance already, and one under
+ * way may reach it. If such a task were started elsewhere at once, it would run twice. A
+ * run that the earlier instance has listed ended with it. */
+static void
+hold_unlisted_runs (Runner *runner)
+{
+  Run *run;
+  Run *next;
+
+  for (run = TAILQ_FIRST (&runner->runs); run != NULL; run = next)
+    {
+      next = TAILQ_NEXT (run, link);
+      if (run->listed)
+        {
+          run_end (runner, run, REPORT_SERVER_ENDED, RESTARTED);
+          continue;
+        }
+      run->held = TRUE;
+      run->state = RUN_UNRESOLVED;
+    }
+}
+
+void
+runner_restarted (Runner *runner)
+{
+  if (runner->instance == NULL)
+    return;
+  hold_unlisted_runs (runner);
+  event_note ("server-restarted", "-", "server=%s held=%u", runner->instance,
+              runner->n_runs);
+  forget_instance (runner);
+}
+
+void
+runner_release_held (Runner *runner)
+{
+  Run *run;
+  Run *next;
+
+  for (run = TAILQ_FIRST (&runner->runs); run != NULL; run = next)
+    {
+      next = TAILQ_NEXT (run, link);
+      if (run->held)
+        run_end (runner, run, REPORT_SERVER_ENDED, RESTARTED);
+    }
+}
+
 static gboolean
 is_past_instance (const Runner *runner, const char *instance)
 {
@@ -74,22 +129,50 @@
   set_cold (runner, runner->now_ms < runner->cold_until_ms);
 }
 
+/* The clock of a server that restarts under its name begins anew, and calls to the
+ * earlier instance may reach this one: only a token above theirs fences them. The held
+ * runs are given up as all others if it does not answer for the length of a lease. */
+static void
+begin_restarted (Runner *runner, const ServerFacts *facts)
+{
+  runner_restarted (runner);
+  runner->token = MAX (runner->token + 1, (guint64)facts->server_ms);
+  runner->server_lease_until
+      = runner->n_runs > 0 ? facts->server_ms + runner->init.lease_ms : 0;
+}
+
+static void
+begin_other (Runner *runner, const ServerFacts *facts)
+{
+  runner_end_instance (runner, REPORT_SERVER_ENDED, RESTARTED);
+  runner_release_held (runner);
+  runner->token = (guint64)facts->server_ms;
+  runner->server_lease_until = 0;
+}
+
 /* Runs that an earlier incarnation of this process started may still go on there, and its
  * calls may still arrive. The server's own clock as fencing token is higher than any that
  * was drawn from it before, and needs no storage. */
 static void
 begin_instance (Runner *runner, const ServerFacts *facts)
 {
-  runner_end_instance (runner, REPORT_SERVER_ENDED, "backend server restarted");
+  const char *name = facts->name != NULL ? facts->name : facts->instance;
+
+  if (g_strcmp0 (runner->name, name) == 0)
+    begin_restarted (runner, facts);
+  else
+    begin_other (runner, facts);
+  g_free (runner->name);
+  runner->name = g_strdup (name);
   runner->instance = g_strdup (facts->instance);
   runner->instance_epoch++;
   runner->sequence = 0;
-  runner->token = (guint64)facts->server_ms;
+  runner->fenced = 0;
   runner->ends_seen = 0;
   runner->unanswered = 0;
   set_cold (runner, FALSE);
   server_health_init (&runner->server_health);
-  runner->server_lease_until = 0;
+  leaving_init (&runner->leaving, runner->init.drain_ms);
   memset (&runner->clock, 0, sizeof runner->clock);
   runner_set_state (runner, INSTANCE_CLEARING);
 }
--- a/src/runner_parts.h
+++ b/src/runner_parts.h
@@ -3,6 +3,7 @@
  * which to start and stop, runner_instance.c follows the instances of the backend server,
  * runner_calls.c makes the calls and handles their answers, runner_progress.c judges the
  * server's health by the runs' progress and ends. */
+#include "leaving.h"
 #include "long_polls.h"
 #include "peer_clock.h"
 #include "runner.h"
@@ -34,12 +35,14 @@
   gint64 valid_until_ms; /* the start is not sent again after this */
   guint expected_ms;
   gint64 started_ms;
-  guint percent;           /* of its work that is done */
-  gint64 progress_ms;      /* when that last changed */
-  gint64 reported_ms;      /* when it was last reported as a straggler */
-  gboolean counted;        /* its run time is counted in the server's health */
-  guint64 token;           /* fencing token of its last start */
-  guint starts;            /* sent */
+  guint percent;      /* of its work that is done */
+  gint64 progress_ms; /* when that last changed */
+  gint64 reported_ms; /* when it was last reported as a straggler */
+  gboolean counted;   /* its run time is counted in the server's health */
+  guint64 token;      /* fencing token of its last start */
+  guint starts;       /* sent */
+  gboolean listed;    /* by an answer that is certain to be from the present instance */
+  gboolean held;      /* until it is known whether a restarted server runs it */
   const char *stop_reason; /* NULL: it may run */
   gint64 stop_sent_ms;
 } Run;
@@ -71,12 +74,14 @@
   Demand used;
   GHashTable *entry_leases; /* incarnation -> gint64, ms: its runs may go on until then */
   char *instance;
+  char *name; /* that calls to it use, also of the last instance */
   char **past_instances;
   guint instance_epoch; /* raised at begin and end of an instance, to spot outdated
                            answers */
   InstanceState state;
   guint64 sequence;
   guint64 token;
+  guint fenced; /* calls refused for their token since the last that was carried out */
   guint64 ends_seen;
   PeerClock clock;
   gint64 server_lease_until; /* server's clock, ms: the end of the longest lease sent */
@@ -88,10 +93,12 @@
   Demand capacity;
   ServerHealth server_health;
   gboolean server_draining;
-  gint64 cold_until_ms;  /* just started: by its report it runs slower until then */
-  gboolean cold;         /* at the last runner_check_cold () */
-  double other_slowness; /* kept for the other state: warm while cold, and the reverse */
-  gboolean draining;     /* the agent */
+  Leaving leaving;        /* of this instance */
+  gboolean was_accepting; /* while leaving, at the last tick */
+  gint64 cold_until_ms;   /* just started: by its report it runs slower until then */
+  gboolean cold;          /* at the last runner_check_cold () */
+  double other_slowness;  /* kept for the other state: warm while cold, and the reverse */
+  gboolean draining;      /* the agent */
   gboolean zone_closed;
   LongPolls long_polls;
   gboolean reconciling; /* a reconciling call is under way */
@@ -122,6 +129,13 @@
 /** runner_end_instance - the server's instance has ended, and its runs end as @kind. */
 void runner_end_instance (Runner *runner, ReportKind kind, const char *reason);
 
+/** runner_restarted - another instance answers to the name of this one. What it may have
+ * been ordered in place of this one is held until it is cleared. */
+void runner_restarted (Runner *runner);
+
+/** runner_release_held - the server is certain to run none of the held runs. */
+void runner_release_held (Runner *runner);
+
 /* runner_calls.c */
 void runner_send_start (Runner *runner, Run *run);
 void runner_send_stop (Runner *runner, const RunKey *key);
--- a/src/server_calls.h
+++ b/src/server_calls.h
@@ -27,6 +27,8 @@
   CALL_NO_ROOM,    /* refused: the server's own capacity check failed */
   CALL_UNHEALTHY,  /* refused or not sent; nothing was done */
   CALL_OTHER_INSTANCE, /* refused: the backend server has restarted */
+  CALL_RESTARTED,      /* answered by a later instance, which calls cannot tell apart: it
+                          may have carried out this and earlier calls */
   CALL_REJECTED,       /* refused as malformed */
   CALL_UNANSWERED,     /* it may have been carried out, or may still be */
 } CallEnd;
@@ -57,8 +59,9 @@
 typedef struct
 {
   CallEnd end;
-  gint64 server_ms; /* the server's clock; 0: unknown */
-  gint64 now_ms;    /* own clock when the answer came */
+  gint64 server_ms;    /* the server's clock; 0: unknown */
+  gboolean is_certain; /* the answer itself says that it is from the instance called */
+  gint64 now_ms;       /* own clock when the answer came */
   const RunningRun *running;
   gsize n_running;
   const EndedRun *ended;
--- a/tests/test-decoders.c
+++ b/tests/test-decoders.c
@@ -13,6 +13,7 @@
 #define GOOD_CAPACITY "\"capacity\":{\"cpu\":16000,\"mem_mb\":100,\"gpu\":0}"
 #define GOOD_SERVICE "\"service\":\"s\""
 #define READY "\"state\":\"ready\""
+#define DRAINING "\"state\":\"draining\"," GOOD_CAPACITY
 
 typedef struct
 {
@@ -81,6 +82,37 @@
     "{" GOOD_SERVICE "," READY "," GOOD_CAPACITY
     ",\"cold_remaining_ms\":\"700\"," GOOD_REST "}",
     FALSE },
+  { "born",
+    "{" GOOD_SERVICE "," READY "," GOOD_CAPACITY ",\"born\":1796000000000," GOOD_REST "}",
+    TRUE },
+  { "born-is-a-text",
+    "{" GOOD_SERVICE "," READY "," GOOD_CAPACITY ",\"born\":\"1796000000000\"," GOOD_REST
+    "}",
+    FALSE },
+  { "born-is-null",
+    "{" GOOD_SERVICE "," READY "," GOOD_CAPACITY ",\"born\":null," GOOD_REST "}", FALSE },
+  { "born-with-a-fraction",
+    "{" GOOD_SERVICE "," READY "," GOOD_CAPACITY ",\"born\":1.5," GOOD_REST "}", FALSE },
+  { "born-before-the-epoch",
+    "{" GOOD_SERVICE "," READY "," GOOD_CAPACITY ",\"born\":0," GOOD_REST "}", FALSE },
+  { "born-in-no-year",
+    "{" GOOD_SERVICE "," READY "," GOOD_CAPACITY ",\"born\":1e15," GOOD_REST "}", FALSE },
+  { "remaining", "{" GOOD_SERVICE "," DRAINING ",\"remaining_ms\":2200," GOOD_REST "}",
+    TRUE },
+  { "nothing-remains", "{" GOOD_SERVICE "," DRAINING ",\"remaining_ms\":0," GOOD_REST "}",
+    TRUE },
+  { "remains-for-an-hour",
+    "{" GOOD_SERVICE "," DRAINING ",\"remaining_ms\":3600000," GOOD_REST "}", TRUE },
+  { "remains-for-longer",
+    "{" GOOD_SERVICE "," DRAINING ",\"remaining_ms\":3600001," GOOD_REST "}", FALSE },
+  { "negative-remaining",
+    "{" GOOD_SERVICE "," DRAINING ",\"remaining_ms\":-1," GOOD_REST "}", FALSE },
+  { "remaining-with-a-fraction",
+    "{" GOOD_SERVICE "," DRAINING ",\"remaining_ms\":0.5," GOOD_REST "}", FALSE },
+  { "remaining-is-a-text",
+    "{" GOOD_SERVICE "," DRAINING ",\"remaining_ms\":\"2200\"," GOOD_REST "}", FALSE },
+  { "remaining-is-null",
+    "{" GOOD_SERVICE "," DRAINING ",\"remaining_ms\":null," GOOD_REST "}", FALSE },
   { "labels-of-numbers",
     "{" GOOD_SERVICE "," READY "," GOOD_CAPACITY
     ",\"address\":\"10.0.0.1:80\",\"zone\":\"a\",\"clock_ms\":5,\"seq\":1,"
@@ -104,9 +136,70 @@
   server_report_clear (&report);
   g_assert_nonnull (server_report_read (body, "", &report));
   server_report_clear (&report);
+  g_assert_nonnull (server_report_read (body, "i-1#5", &report));
+  server_report_clear (&report);
   json_node_unref (root);
 }
 
+/* What a report says about the server's end and start. */
+typedef struct
+{
+  const char *name;
+  const char *fields;
+  const char *known; /* the last instance */
+  const char *instance;
+  guint remaining_ms;
+  ReportOrder order;
+} SaidCase;
+
+static const SaidCase said[] = {
+  { "neither", READY, NULL, "i-1", 0, REPORT_IS_NEXT },
+  { "remaining-of-a-draining-one", "\"state\":\"draining\",\"remaining_ms\":2200", NULL,
+    "i-1", 2200, REPORT_IS_NEXT },
+  /* A server that stays was taken for one that leaves. */
+  { "remaining-of-one-that-stays", READY ",\"remaining_ms\":2200", NULL, "i-1", 0,
+    REPORT_IS_NEXT },
+  { "born", READY ",\"born\":7000", NULL, "i-1#7000", 0, REPORT_IS_NEXT },
+  { "same-start", READY ",\"born\":7000", "i-1#7000", "i-1#7000", 0, REPORT_IS_NEXT },
+  /* A server that restarted under its id was not served. */
+  { "later-start", READY ",\"born\":7001", "i-1#7000", "i-1#7001", 0, REPORT_IS_NEXT },
+  { "born-is-newly-said", READY ",\"born\":7000", "i-1", "i-1#7000", 0, REPORT_IS_NEXT },
+  /* A delayed report of the earlier start ended the runs of the present one. */
+  { "earlier-start", READY ",\"born\":6999", "i-1#7000", "i-1#6999", 0, REPORT_IS_STALE },
+  { "earlier-start-with-more-digits", READY ",\"born\":9999", "i-1#10000", "i-1#9999", 0,
+    REPORT_IS_STALE },
+  { "born-is-no-longer-said", READY, "i-1#7000", "i-1", 0, REPORT_IS_VAGUE },
+  /* The clocks of two machines do not order their starts. */
+  { "earlier-start-of-another-id", READY ",\"born\":6999", "i-2#7000", "i-1#6999", 0,
+    REPORT_IS_NEXT },
+  { "another-id-without-born", READY, "i-2#7000", "i-1", 0, REPORT_IS_NEXT },
+};
+
+static void
+test_said (gconstpointer data)
+{
+  const SaidCase *c = data;
+  char *text = g_strdup_printf ("{" GOOD_SERVICE "," GOOD_CAPACITY ",%s," GOOD_REST "}",
+                                c->fields);
+  JsonNode *root;
+  JsonObject *body = json_parse_object (text, strlen (text), &root);
+  ServerReport report;
+  char *id;
+
+  g_assert_null (server_report_read (body, "i-1", &report));
+  g_assert_cmpstr (report.facts.instance, ==, c->instance);
+  g_assert_cmpstr (report.facts.name, ==, "i-1");
+  g_assert_cmpuint (report.facts.remaining_ms, ==, c->remaining_ms);
+  g_assert_cmpint (server_report_order (&report, c->known), ==, c->order);
+  id = server_instance_id (report.facts.instance);
+  g_assert_cmpstr (id, ==, "i-1");
+  g_assert_cmpint (server_instance_born (report.facts.instance), ==, report.born);
+  g_free (id);
+  server_report_clear (&report);
+  json_node_unref (root);
+  g_free (text);
+}
+
 typedef struct
 {
   const char *name;
@@ -377,6 +470,7 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  ADD_CASES ("/decoders/said", said, test_said);
   ADD_CASES ("/decoders/report", reports, test_report);
   ADD_CASES ("/decoders/rows", rows, test_rows);
   ADD_CASES ("/decoders/job", jobs, test_job);
--- a/tests/test-runner.c
+++ b/tests/test-runner.c
@@ -858,7 +858,187 @@
   start_running (scene, "l", 1000);
 }
 
+/* Restarts under one name: calls cannot tell the instances apart. */
+
+static void
+send_named (Scene *scene, const char *instance, guint64 sequence)
+{
+  ServerFacts facts = { .instance = instance,
+                        .name = "one",
+                        .service = "exchange",
+                        .zone = "fukuoka-a",
+                        .capacity = { 4000, 1000, 0 },
+                        .server_ms = scene->server_ms,
+                        .sequence = sequence };
+
+  runner_facts (scene->runner, &facts, scene->now);
+}
+
+static void
+named_ready (Scene *scene)
+{
+  scene_open (scene);
+  send_named (scene, "one#1", 50);
+  answer (scene, open_poll (scene), CALL_DONE);
+  runner_extend_lease (scene->runner, ENTRY, scene->now + 60000);
+  runner_tick (scene->runner, scene->now);
+}
+
+/* The clock and the count of reports begin anew. */
+static void
+restart_named (Scene *scene)
+{
+  scene->server_ms = 1000;
+  scene->ends = 0;
+  send_named (scene, "one#2", 1);
+}
+
+static void
+answer_certain (Scene *scene, Call *call, const char *job)
+{
+  RunningRun running = { key_of (job, 0, 1), 20 };
+  CallReply reply
+      = { .end = CALL_DONE, .is_certain = TRUE, .running = &running, .n_running = 1 };
+
+  answer_as (scene, call, reply);
+}
+
+/* Guards against a task that runs twice at once: an answered start had been carried out
+ * by the restarted server, and was ordered elsewhere as ended with the earlier instance.
+ */
+static void
+unlisted_runs_are_held (Scene *scene)
+{
+  named_ready (scene);
+  start_running (scene, "j", 1000);
+  restart_named (scene);
+  g_assert_cmpint (last_report (scene)->kind, ==, REPORT_STARTED);
+  answer_running (scene, open_poll (scene), "j", 0);
+  g_assert_cmpint (last_report (scene)->kind, ==, REPORT_STARTED);
+  g_assert_cmpstr (open_call (scene, CALLED_STOP)->key.job, ==, "j");
+  answer_ended (scene, open_long_poll (scene), "j", RUN_END_STOPPED);
+  g_assert_cmpint (last_report (scene)->kind, ==, REPORT_LOST);
+  g_assert_false (runner_ready (scene->runner));
+  advance (scene, RUNNER_TICK_MS);
+  answer (scene, open_poll (scene), CALL_DONE);
+  g_assert_true (runner_ready (scene->runner));
+  g_assert_cmpuint (runner_count (scene->runner), ==, 0);
+}
+
+/* Guards against a start under way that was reported as never run: the earlier instance
+ * may have run it. */
+static void
+start_under_way_is_held (Scene *scene)
+{
+  named_ready (scene);
+  order_start (scene, ENTRY, "j", 1000);
+  restart_named (scene);
+  g_assert_cmpuint (scene->n_reports, ==, 0);
+  answer (scene, open_call (scene, CALLED_START), CALL_DONE);
+  g_assert_cmpuint (scene->n_reports, ==, 0);
+  answer (scene, open_poll (scene), CALL_DONE);
+  g_assert_cmpint (last_report (scene)->kind, ==, REPORT_SERVER_ENDED);
+  g_assert_true (runner_ready (scene->runner));
+}
+
+/* Guards against a task that waits without need: its run was seen on the earlier instance
+ * and ended with it. */
+static void
+listed_runs_end_at_once (Scene *scene)
+{
+  named_ready (scene);
+  start_running (scene, "j", 1000);
+  answer_certain (scene, open_long_poll (scene), "j");
+  restart_named (scene);
+  g_assert_cmpint (last_report (scene)->kind, ==, REPORT_SERVER_ENDED);
+  g_assert_cmpuint (runner_count (scene->runner), ==, 0);
+}
+
+/* Guards against a list of the restarted server that is taken for one of the earlier
+ * instance: its runs would count as ended without a trace. */
+static void
+list_of_a_later_start (Scene *scene)
+{
+  named_ready (scene);
+  start_running (scene, "j", 1000);
+  answer (scene, open_long_poll (scene), CALL_RESTARTED);
+  g_assert_null (runner_instance (scene->runner));
+  g_assert_cmpint (last_report (scene)->kind, ==, REPORT_STARTED);
+  order_start (scene, ENTRY, "k", 1000);
+  g_assert_cmpstr (last_report (scene)->reason, ==, "backend server not ready");
+  restart_named (scene);
+  answer (scene, open_poll (scene), CALL_DONE);
+  g_assert_cmpint (last_report (scene)->kind, ==, REPORT_SERVER_ENDED);
+  g_assert_true (runner_ready (scene->runner));
+}
+
+/* Guards against calls to the earlier instance that the restarted one carries out: by its
+ * own clock, which began anew, the token would be lower than theirs. */
+static void
+restart_fences_earlier_calls (Scene *scene)
+{
+  guint64 before;
+
+  named_ready (scene);
+  start_running (scene, "j", 1000);
+  before = open_long_poll (scene)->call.token;
+  restart_named (scene);
+  g_assert_cmpuint (open_poll (scene)->call.token, >, before);
+}
+
+/* Guards against a server that refuses all calls until its clock has passed that of its
+ * earlier instance: a call with a token from that clock has reached it. */
+static void
+token_catches_up (Scene *scene)
+{
+  const guint64 highest = 90 * 24 * G_GUINT64_CONSTANT (3600000);
+
+  scene_open (scene);
+  scene->server_ms = 1000;
+  send_named (scene, "one#2", 1);
+  for (guint i = 0; i < 40 && !runner_ready (scene->runner); i++)
+    {
+      Call *call = open_poll (scene);
+
+      answer (scene, call, call->call.token < highest ? CALL_FENCED : CALL_DONE);
+      advance (scene, RUNNER_TICK_MS);
+    }
+  g_assert_true (runner_ready (scene->runner));
+}
+
+/* Guards against tasks that wait for a restarted server which does not answer. */
+static void
+held_runs_of_a_silent_server (Scene *scene)
+{
+  named_ready (scene);
+  start_running (scene, "j", 1000);
+  restart_named (scene);
+  advance (scene, LEASE_MS - RUNNER_TICK_MS);
+  g_assert_cmpint (last_report (scene)->kind, ==, REPORT_STARTED);
+  advance (scene, 2 * RUNNER_TICK_MS + LEASE_MS);
+  g_assert_cmpint (last_report (scene)->kind, ==, REPORT_SERVER_ENDED);
+}
+
+/* Guards against a delayed report of the earlier start that is taken for a new instance.
+ */
+static void
+report_of_an_earlier_start (Scene *scene)
+{
+  named_ready (scene);
+  restart_named (scene);
+  send_named (scene, "one#1", 51);
+  g_assert_cmpstr (runner_instance (scene->runner), ==, "one#2");
+}
+
 static const Case cases[] = {
+  { "unlisted-runs-are-held", unlisted_runs_are_held },
+  { "start-under-way-is-held", start_under_way_is_held },
+  { "listed-runs-end-at-once", listed_runs_end_at_once },
+  { "list-of-a-later-start", list_of_a_later_start },
+  { "restart-fences-earlier-calls", restart_fences_earlier_calls },
+  { "token-catches-up", token_catches_up },
+  { "held-runs-of-a-silent-server", held_runs_of_a_silent_server },
+  { "report-of-an-earlier-start", report_of_an_earlier_start },
   { "closed-zone-takes-nothing", closed_zone_takes_nothing },
   { "cold-server-is-no-slow-one", cold_server_is_no_slow_one },
   { "refusing-server-is-not-stormed", refusing_server_is_not_stormed },
