Accept runs that end before a leaving backend server does

The agent refused every start from the drain notice on. With servers.drain_ms and a server that says how long it stays, it accepts starts until 1 s before that bound if 1.5 times their expected run time plus 200 ms fits in what is left, by its own clock and also when a start is sent again; the refusal says why. leaving_ms tells the entries: at once when it begins or ends, else each 200 ms. Runs that the end of the server cuts off are reported as stragglers without progress, which entries of any build restart if another server is free. Events server-leaving, leaving-start, task-cut-off; counters starts_leaving, starts_leaving_refused, runs_cut_off. Without the setting or the time left nothing changes.

--- a/src/leased_agent.c
+++ b/src/leased_agent.c
@@ -295,7 +295,8 @@
                   gpointer ctx)
 {
   LeasedAgent *agent = g_new0 (LeasedAgent, 1);
-  RunnerInit runner = { calls, server, settings->server_lease_ms };
+  RunnerInit runner
+      = { calls, server, settings->server_lease_ms, settings->server_drain_ms };
   MeshInit mesh = { .base = base,
                     .hello = &agent->hello,
                     .heartbeat_ms = settings->heartbeat_ms,
--- a/src/leased_agent_state.c
+++ b/src/leased_agent_state.c
@@ -9,6 +9,8 @@
 /* A server is nearly full for an entry if others leave less than 1/NEARLY_FULL_PART of
  * its CPU. */
 #define NEARLY_FULL_PART 4
+/* How often leaving_ms is sent while it counts down, which the entries do themselves. */
+#define LEAVING_REFRESH_MS 200
 
 typedef struct
 {
@@ -19,6 +21,7 @@
   Trust trust;
   guint slowness_percent;
   guint failing_percent;
+  guint leaving_ms;
   Demand capacity;
   Demand used_by_others;
 } State;
@@ -61,6 +64,7 @@
   /* A surplus link is closed once its entry has no run here: it must order no more. */
   state.ready = runner_ready (agent->runner) && peer->surplus_ms == 0;
   state.draining = runner_draining (agent->runner);
+  state.leaving_ms = runner_leaving_ms (agent->runner, clock_now_ms ());
   state.closed = runner_zone_is_closed (agent->runner);
   state.trust = health->trust;
   state.slowness_percent = percent_in_steps (health->slowness, 20);
@@ -72,10 +76,28 @@
   return state;
 }
 
+static gboolean
+leaving_begins_or_ends (const State *state, const SentState *sent)
+{
+  return (state->leaving_ms > 0) != (sent->state.leaving_ms > 0);
+}
+
+static gboolean
+leaving_is_due (const State *state, const SentState *sent)
+{
+  return state->leaving_ms > 0 && clock_now_ms () - sent->sent_ms >= LEAVING_REFRESH_MS;
+}
+
 static gboolean
 state_differs (const State *state, const SentState *sent)
 {
-  return sent == NULL || memcmp (&sent->state, state, sizeof *state) != 0;
+  State counted_down = *state;
+
+  if (sent == NULL || leaving_begins_or_ends (state, sent)
+      || leaving_is_due (state, sent))
+    return TRUE;
+  counted_down.leaving_ms = sent->state.leaving_ms;
+  return memcmp (&sent->state, &counted_down, sizeof counted_down) != 0;
 }
 
 static gboolean
@@ -92,7 +114,8 @@
 {
   if (sent == NULL || state->offered || sent->state.ready != state->ready
       || sent->state.draining != state->draining || sent->state.closed != state->closed
-      || sent->state.trust != state->trust)
+      || sent->state.trust != state->trust || leaving_begins_or_ends (state, sent)
+      || leaving_is_due (state, sent))
     return TRUE;
   return is_nearly_full (state) || is_nearly_full (&sent->state);
 }
@@ -196,6 +219,7 @@
   agent->state.trust = (Gw__ServerState__Trust)state->trust;
   agent->state.slowness_percent = state->slowness_percent;
   agent->state.failing_percent = state->failing_percent;
+  agent->state.leaving_ms = state->leaving_ms;
   demand_to_wire (&state->capacity, &agent->capacity);
   demand_to_wire (&state->used_by_others, &agent->used_by_others);
   agent->state.capacity = &agent->capacity;
--- a/src/runner.c
+++ b/src/runner.c
@@ -156,18 +156,29 @@
   return until != NULL ? *until : 0;
 }
 
+const char *
+runner_leaving_refusal (const Runner *runner, guint expected_ms)
+{
+  if (!runner->server_draining)
+    return NULL;
+  return leaving_refusal (&runner->leaving, expected_ms, runner->now_ms);
+}
+
 /* Return: NULL, or why the start must be refused, capacity aside. */
 static const char *
 refusal (const Runner *runner, const RunRequest *request)
 {
+  const char *reason;
+
   if (runner->state != INSTANCE_READY)
     return "backend server not ready";
   if (runner_server_is_unresponsive (runner))
     return "backend server is silent";
   if (runner->draining)
     return "agent is leaving";
-  if (runner->server_draining)
-    return "backend server is draining";
+  reason = runner_leaving_refusal (runner, request->expected_ms);
+  if (reason != NULL)
+    return reason;
   if (runner->zone_closed)
     return "availability zone is closed";
   if (runner->now_ms > request->valid_until_ms)
@@ -179,6 +190,16 @@
   return NULL;
 }
 
+static void
+note_leaving_start (const Runner *runner, const Run *run)
+{
+  counter_add (COUNTER_STARTS_LEAVING, 1);
+  event_emit ("leaving-start", run->key.job,
+              "task=%u run=%u server=%s expected_ms=%u leaving_ms=%u", run->key.index,
+              run->key.run, runner->instance, run->expected_ms,
+              runner_leaving_ms (runner, runner->now_ms));
+}
+
 void
 runner_start (Runner *runner, const RunRequest *request, gint64 now_ms)
 {
@@ -190,6 +211,8 @@
     return;
   reason = refusal (runner, request);
   counter_add (COUNTER_STARTS_ZONE_CLOSED, reason != NULL && runner->zone_closed);
+  counter_add (COUNTER_STARTS_LEAVING_REFUSED,
+               runner_leaving_refusal (runner, request->expected_ms) != NULL);
   if (reason == NULL && !demand_fits (&runner->capacity, &runner->used, &request->demand))
     {
       runner->ops->no_room (request->entry, &request->resources, runner->ctx);
@@ -212,6 +235,8 @@
   TAILQ_INSERT_TAIL (&runner->runs, run, link);
   runner->n_runs++;
   demand_add (&runner->used, &run->demand);
+  if (runner->server_draining)
+    note_leaving_start (runner, run);
   runner_send_start (runner, run);
   runner->ops->changed (runner->ctx);
 }
@@ -337,6 +362,7 @@
   if (runner->state == INSTANCE_UNKNOWN)
     return;
   runner_check_cold (runner);
+  runner_check_leaving (runner);
   tick_server_health (runner);
   check_server_lease (runner);
   stop_unleased (runner);
@@ -382,6 +408,12 @@
   return runner->draining || runner->server_draining;
 }
 
+guint
+runner_leaving_ms (const Runner *runner, gint64 now_ms)
+{
+  return runner->draining ? 0 : leaving_accepts_ms (&runner->leaving, now_ms);
+}
+
 guint
 runner_count (const Runner *runner)
 {
--- a/src/runner_calls.c
+++ b/src/runner_calls.c
@@ -160,6 +160,15 @@
   run_end (runner, run, REPORT_NOT_STARTED, reason);
 }
 
+/* Without the bound on starts after the notice, a start that was sent before it may be
+ * sent again. */
+static gboolean
+may_resend_start (const Runner *runner, const Run *run)
+{
+  return runner->init.drain_ms == 0
+         || runner_leaving_refusal (runner, run->expected_ms) == NULL;
+}
+
 static void
 on_start_reply (const CallReply *reply, gpointer ctx, gpointer data)
 {
@@ -180,7 +189,8 @@
     case CALL_FENCED:
     case CALL_LATE:
       if (run->starts < STARTS_MAX && runner->now_ms <= run->valid_until_ms
-          && run->stop_reason == NULL && !runner->zone_closed)
+          && run->stop_reason == NULL && !runner->zone_closed
+          && may_resend_start (runner, run))
         runner_send_start (runner, run);
       else
         run_end (runner, run, REPORT_NOT_STARTED, "start came too late");
--- a/src/runner_instance.c
+++ b/src/runner_instance.c
@@ -129,6 +129,37 @@
   set_cold (runner, runner->now_ms < runner->cold_until_ms);
 }
 
+void
+runner_check_leaving (Runner *runner)
+{
+  gboolean accepts = runner_leaving_ms (runner, runner->now_ms) > 0;
+
+  if (accepts || runner->was_accepting)
+    runner->ops->changed (runner->ctx);
+  runner->was_accepting = accepts;
+}
+
+/* Takes what the report says about the server's end. */
+static void
+take_leaving (Runner *runner, const ServerFacts *facts)
+{
+  gboolean is_notice = facts->draining && !runner->leaving.leaves;
+  guint before = runner_leaving_ms (runner, runner->now_ms);
+  guint accepts;
+
+  leaving_report (&runner->leaving, facts->draining, facts->is_old, facts->remaining_ms,
+                  runner->now_ms);
+  accepts = runner_leaving_ms (runner, runner->now_ms);
+  if (is_notice)
+    event_note ("server-leaving", "-",
+                "server=%s remaining_ms=%u accepts_ms=%u bound_ms=%" G_GINT64_FORMAT
+                " runs=%u",
+                facts->instance, facts->remaining_ms, accepts,
+                MAX (runner->leaving.until_ms - runner->now_ms, 0), runner->n_runs);
+  if ((accepts > 0) != (before > 0))
+    runner->ops->changed (runner->ctx);
+}
+
 /* The clock of a server that restarts under its name begins anew, and calls to the
  * earlier instance may reach this one: only a token above theirs fences them. The held
  * runs are given up as all others if it does not answer for the length of a lease. */
@@ -196,6 +227,7 @@
             || memcmp (&runner->capacity, &facts->capacity, sizeof facts->capacity) != 0;
   runner->capacity = facts->capacity;
   runner->server_draining = facts->draining;
+  take_leaving (runner, facts);
   runner->cold_until_ms = runner->now_ms + facts->cold_ms;
   runner_check_cold (runner);
   if (changed)
--- a/src/runner_parts.h
+++ b/src/runner_parts.h
@@ -105,6 +105,10 @@
 };
 
 /* runner.c */
+
+/** runner_leaving_refusal - Return: NULL, or why the server accepts no start of a run
+ * that takes @expected_ms because it leaves. */
+const char *runner_leaving_refusal (const Runner *runner, guint expected_ms);
 Run *runner_find (const Runner *runner, const RunKey *key);
 void run_end (Runner *runner, Run *run, ReportKind kind, const char *reason);
 void runner_lose_all (Runner *runner, ReportKind kind, const char *reason);
@@ -123,6 +127,10 @@
 /* runner_instance.c */
 void runner_set_state (Runner *runner, InstanceState state);
 
+/** runner_check_leaving - tell the entries what a leaving server accepts as that counts
+ * down. */
+void runner_check_leaving (Runner *runner);
+
 /** runner_check_cold - update whether the server is still slow from its start. */
 void runner_check_cold (Runner *runner);
 
--- a/src/runner_progress.c
+++ b/src/runner_progress.c
@@ -1,4 +1,5 @@
 #define LOG_MODULE "runner"
+#include "counters.h"
 #include "events.h"
 #include "histograms.h"
 #include "runner_parts.h"
@@ -82,6 +83,30 @@
                           runner->ctx);
 }
 
+/* A run that its leaving server cuts off never ends there: it is reported as one that
+ * makes no progress, for which entries of any build start anew if another server is free.
+ */
+static void
+report_cut_off (Runner *runner, Run *run)
+{
+  double whole_ms = whole_run_ms (run);
+  double left_ms = whole_ms - (double)(runner->now_ms - run->started_ms);
+
+  if (whole_ms == 0 || !leaving_cuts_off (&runner->leaving, left_ms, runner->now_ms)
+      || runner->now_ms - run->reported_ms < REPORT_REPEAT_MS)
+    return;
+  run->reported_ms = runner->now_ms;
+  counter_add (COUNTER_RUNS_CUT_OFF, 1);
+  event_note ("task-cut-off", run->key.job,
+              "task=%u run=%u percent=%u elapsed_ms=%" G_GINT64_FORMAT
+              " left_ms=%.0f server_left_ms=%" G_GINT64_FORMAT,
+              run->key.index, run->key.run, run->percent,
+              runner->now_ms - run->started_ms, left_ms,
+              MAX (runner->leaving.ends_ms - runner->now_ms, 0));
+  runner->ops->straggles (run->entry, &run->key, STALLED_REMAINING_MS, (guint)whole_ms,
+                          runner->ctx);
+}
+
 /* Each run is counted once, as soon as its length can be estimated: counted at its end,
  * slow runs would count too late. */
 static void
@@ -124,6 +149,7 @@
       else if (run->percent > 0)
         moving++;
       report_straggler (runner, run);
+      report_cut_off (runner, run);
     }
   server_health_progress (&runner->server_health, stalled, moving, runner->now_ms);
   if (runner->server_health.trust == before)
--- a/tests/test-runner.c
+++ b/tests/test-runner.c
@@ -205,9 +205,9 @@
 }
 
 static void
-scene_open (Scene *scene)
+scene_open_with (Scene *scene, guint drain_ms)
 {
-  RunnerInit init = { &calls, scene, LEASE_MS };
+  RunnerInit init = { &calls, scene, LEASE_MS, drain_ms };
 
   memset (scene, 0, sizeof *scene);
   scene->now = 1000;
@@ -215,11 +215,17 @@
   scene->runner = runner_new (&init, &ops, scene);
 }
 
+static void
+scene_open (Scene *scene)
+{
+  scene_open_with (scene, 0);
+}
+
 /* A ready server without runs, and an entry with a long lease. */
 static void
-scene_ready (Scene *scene)
+scene_ready_with (Scene *scene, guint drain_ms)
 {
-  scene_open (scene);
+  scene_open_with (scene, drain_ms);
   send_facts (scene, "one", 1, FALSE);
   answer (scene, open_poll (scene), CALL_DONE);
   g_assert_true (runner_ready (scene->runner));
@@ -227,6 +233,12 @@
   runner_tick (scene->runner, scene->now);
 }
 
+static void
+scene_ready (Scene *scene)
+{
+  scene_ready_with (scene, 0);
+}
+
 static void
 scene_close (Scene *scene)
 {
@@ -247,18 +259,28 @@
 }
 
 static void
-order_start (Scene *scene, guint64 entry, const char *job, guint cpu)
+order_expected (Scene *scene,
+                guint64 entry,
+                const char *job,
+                guint cpu,
+                guint expected_ms)
 {
   RunRequest request = { .entry = entry,
                          .key = key_of (job, 0, 1),
                          .payload = "p",
                          .demand = { cpu, 10, 0 },
-                         .expected_ms = 100,
+                         .expected_ms = expected_ms,
                          .valid_until_ms = scene->now + 250 };
 
   runner_start (scene->runner, &request, scene->now);
 }
 
+static void
+order_start (Scene *scene, guint64 entry, const char *job, guint cpu)
+{
+  order_expected (scene, entry, job, cpu, 100);
+}
+
 static void
 answer_ended (Scene *scene, Call *call, const char *job, RunEnd how)
 {
@@ -858,6 +880,177 @@
   start_running (scene, "l", 1000);
 }
 
+/* Leaving servers. */
+
+#define DRAIN_MS 3000
+#define BOUND_MS 2000 /* DRAIN_MS less the margin for late starts */
+
+static void
+send_notice (Scene *scene, const char *instance, guint64 sequence, guint remaining_ms)
+{
+  ServerFacts facts = { .instance = instance,
+                        .service = "exchange",
+                        .zone = "fukuoka-a",
+                        .capacity = { 4000, 1000, 0 },
+                        .draining = TRUE,
+                        .remaining_ms = remaining_ms,
+                        .server_ms = scene->server_ms,
+                        .sequence = sequence };
+
+  runner_facts (scene->runner, &facts, scene->now);
+}
+
+static void
+expect_started (Scene *scene, const char *job)
+{
+  Call *call = open_call (scene, CALLED_START);
+
+  g_assert_nonnull (call);
+  g_assert_cmpstr (call->key.job, ==, job);
+}
+
+static void
+expect_refused (Scene *scene, const char *job, const char *reason)
+{
+  g_assert_cmpint (last_report (scene)->kind, ==, REPORT_NOT_STARTED);
+  g_assert_cmpstr (last_report (scene)->key.job, ==, job);
+  g_assert_cmpstr (last_report (scene)->reason, ==, reason);
+}
+
+/* Guards against capacity that lies idle during the notice, and against runs that end
+ * with their server. */
+static void
+leaving_server_takes_fitting_runs (Scene *scene)
+{
+  scene_ready_with (scene, DRAIN_MS);
+  send_notice (scene, "one", 2, 1000);
+  g_assert_cmpuint (runner_leaving_ms (scene->runner, scene->now), ==, 1000);
+  order_expected (scene, ENTRY, "j", 1000, 534);
+  expect_refused (scene, "j", "backend server ends before the run");
+  order_expected (scene, ENTRY, "k", 1000, 533);
+  expect_started (scene, "k");
+  answer (scene, open_call (scene, CALLED_START), CALL_DONE);
+  advance (scene, 400);
+  g_assert_cmpuint (runner_leaving_ms (scene->runner, scene->now), ==, 600);
+  order_expected (scene, ENTRY, "l", 1000, 267);
+  expect_refused (scene, "l", "backend server ends before the run");
+}
+
+/* Guards against a start after the users' bound, whatever an entry orders. */
+static void
+no_start_after_the_bound (Scene *scene)
+{
+  scene_ready_with (scene, DRAIN_MS);
+  send_notice (scene, "one", 2, 60000);
+  advance (scene, BOUND_MS - 1);
+  order_expected (scene, ENTRY, "j", 1000, 100);
+  expect_started (scene, "j");
+  answer (scene, open_call (scene, CALLED_START), CALL_DONE);
+  advance (scene, 1);
+  send_notice (scene, "one", 3, 60000);
+  g_assert_cmpuint (runner_leaving_ms (scene->runner, scene->now), ==, 0);
+  order_expected (scene, ENTRY, "k", 1000, 100);
+  expect_refused (scene, "k", "too long after the drain notice");
+}
+
+/* Guards against a start that is refused, and sent again after the bound. */
+static void
+no_repeated_start_after_the_bound (Scene *scene)
+{
+  guint calls;
+
+  scene_ready_with (scene, DRAIN_MS);
+  send_notice (scene, "one", 2, 60000);
+  advance (scene, BOUND_MS - 10);
+  order_expected (scene, ENTRY, "j", 1000, 100);
+  expect_started (scene, "j");
+  scene->now += 10;
+  calls = scene->n_calls;
+  answer (scene, open_call (scene, CALLED_START), CALL_FENCED);
+  expect_refused (scene, "j", "start came too late");
+  g_assert_cmpuint (scene->n_calls, ==, calls);
+}
+
+/* Guards against a bound that counts from the start of an agent: the notice may be older.
+ */
+static void
+agent_started_during_the_notice (Scene *scene)
+{
+  scene_open_with (scene, DRAIN_MS);
+  send_notice (scene, "one", 2, 60000);
+  answer (scene, open_poll (scene), CALL_DONE);
+  runner_extend_lease (scene->runner, ENTRY, scene->now + 60000);
+  order_start (scene, ENTRY, "j", 1000);
+  expect_refused (scene, "j", "backend server is draining");
+  send_notice (scene, "one", 3, 60000);
+  order_start (scene, ENTRY, "k", 1000);
+  expect_refused (scene, "k", "backend server is draining");
+}
+
+/* Guards against starts on a server that does not say how long it stays, or that no
+ * longer says so, and with the setting off. */
+static void
+notice_without_time (Scene *scene)
+{
+  scene_ready_with (scene, DRAIN_MS);
+  send_notice (scene, "one", 2, 0);
+  order_start (scene, ENTRY, "j", 1000);
+  expect_refused (scene, "j", "backend server is draining");
+  send_notice (scene, "one", 3, 2000);
+  order_start (scene, ENTRY, "k", 1000);
+  expect_started (scene, "k");
+  send_notice (scene, "one", 4, 0);
+  order_start (scene, ENTRY, "l", 1000);
+  expect_refused (scene, "l", "backend server is draining");
+}
+
+static void
+notice_with_the_setting_off (Scene *scene)
+{
+  scene_ready (scene);
+  start_running (scene, "j", 1000);
+  send_notice (scene, "one", 2, 2000);
+  order_start (scene, ENTRY, "k", 1000);
+  expect_refused (scene, "k", "backend server is draining");
+  advance (scene, 100);
+  answer_running (scene, open_poll (scene), "j", 20);
+  g_assert_cmpuint (scene->stragglers, ==, 0);
+}
+
+/* Guards against a restarted server that counts as leaving. */
+static void
+successor_of_a_leaving_server (Scene *scene)
+{
+  scene_ready_with (scene, DRAIN_MS);
+  send_notice (scene, "one", 2, 60000);
+  advance (scene, BOUND_MS);
+  send_facts (scene, "two", 1, FALSE);
+  answer (scene, open_poll (scene), CALL_DONE);
+  order_expected (scene, ENTRY, "j", 1000, 5000);
+  expect_started (scene, "j");
+}
+
+/* Guards against runs that are lost with their server while another is free, and against
+ * restarts of those that end before it. */
+static void
+run_that_is_cut_off_is_reported (Scene *scene)
+{
+  scene_ready_with (scene, DRAIN_MS);
+  start_running (scene, "j", 1000);
+  advance (scene, 100);
+  answer_running (scene, open_poll (scene), "j", 20);
+  send_notice (scene, "one", 2, 450);
+  advance (scene, 100);
+  answer_running (scene, open_poll (scene), "j", 40);
+  g_assert_cmpuint (scene->stragglers, ==, 0);
+  send_notice (scene, "one", 3, 200);
+  advance (scene, 100);
+  answer_running (scene, open_poll (scene), "j", 60);
+  g_assert_cmpuint (scene->stragglers, ==, 1);
+  g_assert_cmpuint (scene->remaining_ms, >, 10000);
+  g_assert_null (open_call (scene, CALLED_STOP));
+}
+
 /* Restarts under one name: calls cannot tell the instances apart. */
 
 static void
@@ -1031,6 +1224,14 @@
 }
 
 static const Case cases[] = {
+  { "leaving-server-takes-fitting-runs", leaving_server_takes_fitting_runs },
+  { "no-start-after-the-bound", no_start_after_the_bound },
+  { "no-repeated-start-after-the-bound", no_repeated_start_after_the_bound },
+  { "agent-started-during-the-notice", agent_started_during_the_notice },
+  { "notice-without-time", notice_without_time },
+  { "notice-with-the-setting-off", notice_with_the_setting_off },
+  { "successor-of-a-leaving-server", successor_of_a_leaving_server },
+  { "run-that-is-cut-off-is-reported", run_that_is_cut_off_is_reported },
   { "unlisted-runs-are-held", unlisted_runs_are_held },
   { "start-under-way-is-held", start_under_way_is_held },
   { "listed-runs-end-at-once", listed_runs_end_at_once },
