Place tasks that fit on a leaving backend server

An entry places a task there if its expected run time fits in what is left of the leaving_ms last reported, and only while no server that stays has room. A leaving server counts as no capacity in admission, is sent no resource requests, and is no place for a restarted run.

--- a/src/dispatcher_order.c
+++ b/src/dispatcher_order.c
@@ -119,7 +119,8 @@
 static gboolean
 server_is_usable (const LeasedServer *server)
 {
-  return server->user_data != NULL && server->status.ready && !server->closed;
+  return server->user_data != NULL && server->status.ready && !server->closed
+         && !server->leaves;
 }
 
 static double
--- a/src/dispatcher_parts.h
+++ b/src/dispatcher_parts.h
@@ -74,8 +74,10 @@
   Demand placed;
   guint n_placed;
   TAILQ_HEAD (, LeasedTask) tasks;
-  gboolean inventoried; /* its inventory has arrived over this link */
-  gboolean closed;      /* its availability zone is closed */
+  gboolean inventoried;    /* its inventory has arrived over this link */
+  gboolean closed;         /* its availability zone is closed */
+  gboolean leaves;         /* it drains, and has said until when it accepts runs */
+  gint64 leaving_until_ms; /* it accepts runs that end before; 0: none */
 };
 
 /* A job that completed less than RECENT_JOB_MS ago: its caller may not have received the
--- a/src/dispatcher_place.c
+++ b/src/dispatcher_place.c
@@ -2,6 +2,7 @@
 #include "dispatcher_parts.h"
 #include "events.h"
 #include "histograms.h"
+#include "leaving.h"
 
 #include <string.h>
 
@@ -21,6 +22,8 @@
 #define STALLED_MS 30000
 /* Expected gain required to restart a straggler. */
 #define STRAGGLER_GAIN_MS 40
+/* More than any other cost: a leaving server is used only while no other has room. */
+#define LEAVING_COST 1e9
 /* If frames to more than this share of the servers are delayed, the entry's own link is
  * congested. Tasks of a job that start together then go to one server, with one order and
  * one payload, unless another server is less slow or fails less. */
@@ -78,15 +81,35 @@
   g_assert_not_reached ();
 }
 
-gboolean
-server_is_open (const LeasedServer *server)
+static gboolean
+takes_orders (const LeasedServer *server)
 {
   return server->user_data != NULL && server->inventoried && server->status.ready
-         && !server->status.draining && !server->closed
-         && server->delay_ms < ORDER_DELAY_MAX_MS
+         && !server->closed && server->delay_ms < ORDER_DELAY_MAX_MS
          && server->dispatcher->now_ms >= server->backoff_until_ms;
 }
 
+gboolean
+server_is_open (const LeasedServer *server)
+{
+  return takes_orders (server) && !server->status.draining;
+}
+
+/* It leaves, and takes orders for runs that end before. */
+static gboolean
+accepts_short_runs (const LeasedServer *server)
+{
+  return takes_orders (server) && server->leaving_until_ms > server->dispatcher->now_ms;
+}
+
+static gboolean
+ends_before_server (const LeasedServer *server, const LeasedJob *job)
+{
+  return !server->status.draining
+         || leaving_fits (job->task_ms,
+                          server->leaving_until_ms - server->dispatcher->now_ms);
+}
+
 static gboolean
 has_room (const LeasedServer *server, const Demand *need)
 {
@@ -125,6 +148,7 @@
   double lost_ms = (slowness_of (server) - 1) * job->task_ms;
 
   if (!fits (server, task) || !server_is_trusted (server)
+      || !ends_before_server (server, job)
       || server_is_offered_for_better (server, job->rank)
       || (server == task->avoid && waited_ms < AVOID_MS)
       || strcmp (server->status.service, job->spec.service) != 0
@@ -170,7 +194,8 @@
 
   g_ptr_array_set_size (dispatcher->candidate_servers, 0);
   TAILQ_FOREACH (server, &dispatcher->servers, link)
-    if (server_is_open (server) && free_cpu (server) >= min_cpu)
+    if ((server_is_open (server) || accepts_short_runs (server))
+        && free_cpu (server) >= min_cpu)
       g_ptr_array_add (dispatcher->candidate_servers, server);
 }
 
@@ -206,7 +231,7 @@
 
       if (!is_suitable (server, job, task))
         continue;
-      cost = cost_of (server, job);
+      cost = cost_of (server, job) + (server->status.draining ? LEAVING_COST : 0);
       if (dispatcher->link_congested && chosen != NULL
           && g_ptr_array_find (chosen, server, NULL))
         cost -= COLOCATION_GAIN;
@@ -410,6 +435,7 @@
   LeasedJob *job = task->job;
   Dispatcher *dispatcher = job->dispatcher;
   LeasedServer *before = task->avoid;
+  LeasedServer *other;
 
   update_server_stats (dispatcher);
   if (report->remaining_ms < STALLED_MS && slowness_of (task->server) <= SLOWNESS_NORMAL)
@@ -421,7 +447,8 @@
   task->avoid = task->server;
   task->waiting_since_ms = dispatcher->now_ms;
   gather_candidate_servers (dispatcher, job->spec.demand.cpu_milli);
-  if (choose_server (dispatcher, job, task, NULL) == NULL)
+  other = choose_server (dispatcher, job, task, NULL);
+  if (other == NULL || other->status.draining)
     {
       task->avoid = before;
       return;
--- a/src/dispatcher_servers.c
+++ b/src/dispatcher_servers.c
@@ -420,6 +420,19 @@
   dispatcher->ops->pump (dispatcher->ctx);
 }
 
+/* Counted from the last event here, which is earlier than the report: runs then fit
+ * rather too seldom. That the server leaves is remembered, since it then has little time
+ * left also when it accepts nothing any more. */
+static void
+update_leaving (LeasedServer *server, const ServerStatus *status, gboolean other_instance)
+{
+  server->leaves = status->draining
+                   && (status->leaving_ms > 0 || (server->leaves && !other_instance));
+  server->leaving_until_ms = status->draining && status->leaving_ms > 0
+                                 ? server->dispatcher->now_ms + status->leaving_ms
+                                 : 0;
+}
+
 void
 dispatcher_server_status (LeasedServer *server, ServerStatus *status)
 {
@@ -430,10 +443,11 @@
       || server->status.closed != status->closed || server->status.trust != status->trust)
     event_note ("server-status", "-",
                 "agent=%s server=%s ready=%d draining=%d closed=%d cpu=%u trust=%d "
-                "slowness=%u failing=%u",
+                "slowness=%u failing=%u leaving_ms=%u",
                 server->name, status->instance, status->ready, status->draining,
                 status->closed, status->capacity.cpu_milli, status->trust,
-                status->slowness_percent, status->failing_percent);
+                status->slowness_percent, status->failing_percent, status->leaving_ms);
+  update_leaving (server, status, other_instance);
   server_status_free (&server->status);
   server->status = *status;
   update_closed (server);
--- a/tests/test-dispatcher.c
+++ b/tests/test-dispatcher.c
@@ -771,7 +771,171 @@
   g_assert_cmpuint (scene->orders[5].server, ==, 0);
 }
 
+/* Leaving servers. */
+
+static void
+set_leaving (Scene *scene, guint i, guint leaving_ms)
+{
+  ServerStatus status = { .capacity = { scene->capacity, 100000, 0 },
+                          .ready = TRUE,
+                          .draining = TRUE,
+                          .leaving_ms = leaving_ms,
+                          .slowness_percent = 100 };
+
+  set_status (scene, i, &status);
+}
+
+static guint
+orders_on (const Scene *scene, guint server)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < scene->n_orders; i++)
+    n += scene->orders[i].server == server;
+  return n;
+}
+
+/* Guards against tasks that wait while a leaving server has room for them, and against
+ * its use while another server is free. */
+static void
+leaving_server_is_the_last_choice (Scene *scene)
+{
+  scene_open (scene, 2000);
+  set_leaving (scene, 0, 2000);
+  submit (scene, "a", 4);
+  g_assert_cmpuint (orders_on (scene, 0), ==, 0);
+  submit (scene, "b", 1);
+  g_assert_cmpuint (orders_on (scene, 0), ==, 1);
+}
+
+/* Guards against tasks that end with their server: 100 ms x 1.5 + 200 ms must fit, by the
+ * time that has passed since the report. */
+static void
+leaving_server_gets_only_what_fits (Scene *scene)
+{
+  scene_open (scene, 1000);
+  set_leaving (scene, 0, 400);
+  set_leaving (scene, 1, 349);
+  set_leaving (scene, 2, 0);
+  submit (scene, "a", 3);
+  g_assert_cmpuint (scene->n_orders, ==, 1);
+  g_assert_cmpuint (orders_on (scene, 0), ==, 1);
+  report (scene, &scene->orders[0], TASK_DONE);
+  g_assert_cmpuint (scene->n_orders, ==, 2);
+  scene->now += 51;
+  report (scene, &scene->orders[1], TASK_DONE);
+  g_assert_cmpuint (scene->n_orders, ==, 2);
+}
+
+/* Guards against an agent of an older build, and one without the setting: its draining
+ * server gets nothing and counts as before. */
+static void
+draining_without_time_gets_nothing (Scene *scene)
+{
+  scene_open (scene, 2000);
+  for (guint i = 0; i < SERVERS; i++)
+    set_leaving (scene, i, 0);
+  submit (scene, "a", 1);
+  g_assert_cmpuint (scene->n_orders, ==, 0);
+  g_assert_cmpuint (scene->results, ==, 0);
+}
+
+/* Guards against requests for capacity that ends soon, and that cannot be waited for. */
+static void
+leaving_server_is_not_asked (Scene *scene)
+{
+  scene_open (scene, 1000);
+  for (guint i = 0; i < SERVERS; i++)
+    set_leaving (scene, i, 2000);
+  submit (scene, "a", 5);
+  g_assert_cmpuint (scene->n_orders, ==, 3);
+  g_assert_cmpuint (scene->n_requests, ==, 0);
+}
+
+/* Return: the wait told to a job that comes too late, i.e. all work here over the
+ * capacity that counts. */
+static guint
+told_wait_ms (Scene *scene, const char *id)
+{
+  LeasedSpec spec = spec_of (scene, id, 1, 100);
+
+  spec.arrived_ms = scene->now - 700;
+  dispatcher_submit (scene->dispatcher, &spec, on_done, scene, scene->now);
+  advance (scene, 1);
+  g_assert_cmpint (scene->last.end, ==, LEASED_REFUSED);
+  return scene->last.retry_after_ms;
+}
+
+/* Guards against jobs that are admitted on capacity that is about to end: only servers
+ * that stay count, also once the leaving one accepts nothing more. */
+static void
+leaving_server_is_no_capacity (Scene *scene)
+{
+  guint wait_ms;
+
+  scene_open (scene, 1000);
+  submit (scene, "a", 3);
+  wait_ms = told_wait_ms (scene, "b");
+  set_leaving (scene, 0, 2000);
+  set_leaving (scene, 1, 2000);
+  g_assert_cmpuint (told_wait_ms (scene, "c"), >=, 3 * wait_ms);
+  set_leaving (scene, 0, 0);
+  g_assert_cmpuint (told_wait_ms (scene, "d"), >=, 3 * wait_ms);
+  set_trust (scene, 0, TRUST_FULL);
+  set_trust (scene, 1, TRUST_FULL);
+  g_assert_cmpuint (told_wait_ms (scene, "e"), ==, wait_ms);
+}
+
+/* Guards against a build that counts a draining server without a time left in another way
+ * than before. */
+static void
+draining_server_without_time_is_capacity (Scene *scene)
+{
+  guint wait_ms;
+
+  scene_open (scene, 1000);
+  submit (scene, "a", 3);
+  wait_ms = told_wait_ms (scene, "b");
+  set_leaving (scene, 0, 0);
+  set_leaving (scene, 1, 0);
+  g_assert_cmpuint (told_wait_ms (scene, "c"), ==, wait_ms);
+}
+
+/* Guards against a run that is stopped and then waits: another server must be free now,
+ * and stay. */
+static void
+cut_off_run_needs_a_server_that_stays (Scene *scene)
+{
+  TaskReport cut_off = {
+    .event = TASK_STRAGGLES, .reason = "", .remaining_ms = 60000, .elsewhere_ms = 100
+  };
+
+  scene_open (scene, 1000);
+  submit (scene, "a", 1);
+  cut_off.key = scene->orders[0].key;
+  for (guint i = 0; i < SERVERS; i++)
+    set_leaving (scene, i, 2000);
+  dispatcher_reports (scene->servers[scene->orders[0].server], &cut_off, 1, FALSE,
+                      scene->now);
+  g_assert_false (scene->orders[0].stopped);
+  set_trust (scene, (scene->orders[0].server + 1) % SERVERS, TRUST_FULL);
+  dispatcher_reports (scene->servers[scene->orders[0].server], &cut_off, 1, FALSE,
+                      scene->now);
+  g_assert_true (scene->orders[0].stopped);
+  g_assert_cmpuint (scene->n_orders, ==, 1);
+  report (scene, &scene->orders[0], TASK_LOST);
+  g_assert_cmpuint (scene->n_orders, ==, 2);
+}
+
 static const Case cases[] = {
+  { "leaving-server-is-the-last-choice", leaving_server_is_the_last_choice },
+  { "leaving-server-gets-only-what-fits", leaving_server_gets_only_what_fits },
+  { "draining-without-time-gets-nothing", draining_without_time_gets_nothing },
+  { "leaving-server-is-not-asked", leaving_server_is_not_asked },
+  { "leaving-server-is-no-capacity", leaving_server_is_no_capacity },
+  { "draining-server-without-time-is-capacity",
+    draining_server_without_time_is_capacity },
+  { "cut-off-run-needs-a-server-that-stays", cut_off_run_needs_a_server_that_stays },
   { "completes", completes },
   { "keeps-within-capacity", keeps_within_capacity },
   { "failed-task-runs-again-elsewhere", failed_task_runs_again_elsewhere },
