--- a/src/runner_calls.c
+++ b/src/runner_calls.c
@@ -96,7 +96,10 @@
 static guint64
 next_token_step (Runner *runner)
 {
-  return G_GUINT64_CONSTANT (1) << MIN (runner->fenced++, TOKEN_DOUBLINGS_MAX);
+  guint doublings = MIN (runner->fenced, TOKEN_DOUBLINGS_MAX);
+
+  runner->fenced++;
+  return G_GUINT64_CONSTANT (1) << doublings;
 }
 
 /* Return: FALSE if the answer is outdated. */
--- a/tests/platform_scene.c
+++ b/tests/platform_scene.c
@@ -158,7 +158,7 @@
   char *settings = g_strdup_printf (
       "name = \"%s\"\nzone = \"z\"\nlisten.http = \"127.0.0.1:0\"\n"
       "links.heartbeat_ms = 120\nlinks.timeout_ms = 500\ntable.address = \"%s\"\n"
-      "entries.peers = [\"%s\"]\nbackend.address = \"%s\"\n",
+      "entries.peers = [\"%s\"]\nbackend.address = \"%s\"\nservers.drain_ms = 3000\n",
       name, scene->store->http, entry_address (scene, 0), scene->servers[i]->http);
   Process *process
       = harness_spawn_daemon (scene->harness, PLATFORM_AGENT_EXE, name, settings);
--- a/tests/test-dispatcher.c
+++ b/tests/test-dispatcher.c
@@ -878,9 +878,9 @@
   wait_ms = told_wait_ms (scene, "b");
   set_leaving (scene, 0, 2000);
   set_leaving (scene, 1, 2000);
-  g_assert_cmpuint (told_wait_ms (scene, "c"), >=, 3 * wait_ms);
+  g_assert_cmpuint (told_wait_ms (scene, "c"), >=, 3 * (guint64)wait_ms);
   set_leaving (scene, 0, 0);
-  g_assert_cmpuint (told_wait_ms (scene, "d"), >=, 3 * wait_ms);
+  g_assert_cmpuint (told_wait_ms (scene, "d"), >=, 3 * (guint64)wait_ms);
   set_trust (scene, 0, TRUST_FULL);
   set_trust (scene, 1, TRUST_FULL);
   g_assert_cmpuint (told_wait_ms (scene, "e"), ==, wait_ms);
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -1,6 +1,7 @@
 /* The platform's daemons with stand-ins of the store and the backend servers, one
  * sequence of events per case. */
 #include "cases.h"
+#include "clock.h"
 #include "explain.h"
 #include "platform_scene.h"
 
@@ -8,6 +9,8 @@
 
 /* A process writes its event lines every 100 ms. */
 #define EVENTS_FLUSHED_MS 250
+/* Enough for two reports of a backend server. */
+#define HEARTBEATS_MS 700
 
 static const PlatformInit configured = { .entries = 2, .servers = 2, .configured = TRUE };
 static const PlatformInit unconfigured = { .entries = 2, .servers = 2 };
@@ -261,6 +264,49 @@
   g_free (text);
 }
 
+/* Guards against tasks that wait while leaving servers have room for them, and against
+ * starts after the bound: servers.drain_ms less 1 s. */
+static void
+leaving_servers_take_short_tasks (PlatformScene *scene)
+{
+  gint64 noticed_ms;
+
+  harness_run_ms (scene->harness, HEARTBEATS_MS);
+  for (guint i = 0; i < scene->n_servers; i++)
+    harness_fault (scene->harness, scene->servers[i], "drain&remaining=2800");
+  noticed_ms = clock_now_ms ();
+  harness_run_ms (scene->harness, 100);
+  expect_completed (scene, 0, "10", 4);
+  expect_completed (scene, 1, "10", 4);
+  g_assert_cmpint (clock_now_ms (), <, noticed_ms + 2000);
+  harness_run_ms (scene->harness, (guint)(noticed_ms + 2100 - clock_now_ms ()));
+  /* Taken by the servers' next instances. */
+  expect_completed (scene, 0, "10", 4);
+  for (guint i = 0; i < scene->n_servers; i++)
+    g_assert_cmpuint (platform_starts (scene, i, noticed_ms + 2000, noticed_ms + 2800),
+                      ==, 0);
+}
+
+/* Guards against a run that is lost with its server: it is started anew where it can end.
+ */
+static void
+cut_off_run_starts_anew_elsewhere (PlatformScene *scene)
+{
+  Exchange *exchange;
+  guint i;
+
+  harness_run_ms (scene->harness, HEARTBEATS_MS);
+  exchange = platform_start_job (scene, 0, "1000", 1);
+  harness_wait (scene->harness, last_job_started, scene, "a start");
+  i = server_of_last_job (scene);
+  harness_run_ms (scene->harness, 300);
+  harness_fault (scene->harness, scene->servers[i], "drain&remaining=500");
+  expect (scene, exchange, 200, "completed");
+  g_assert_true (run_is_logged (scene, i, "stopped"));
+  g_assert_false (run_is_logged (scene, i, "crashed"));
+  g_assert_true (last_job_ran_on (scene, 1 - i));
+}
+
 /* An orderly end is logged once, not anew with each tick while the process flushes its
  * last frames. */
 static void
@@ -509,6 +555,8 @@
   { "restart-under-the-id-is-served", restart_under_the_id_is_served },
   { "orders-for-an-earlier-start-are-harmless",
     orders_for_an_earlier_start_are_harmless },
+  { "leaving-servers-take-short-tasks", leaving_servers_take_short_tasks },
+  { "cut-off-run-starts-anew-elsewhere", cut_off_run_starts_anew_elsewhere },
   { "bad-writers-change-nothing", bad_writers_change_nothing },
   { "jobs-are-answered", jobs_are_answered },
   { "input-is-checked", input_is_checked },
--- a/tests/test-runner.c
+++ b/tests/test-runner.c
@@ -1184,7 +1184,7 @@
 static void
 token_catches_up (Scene *scene)
 {
-  const guint64 highest = 90 * 24 * G_GUINT64_CONSTANT (3600000);
+  const guint64 highest = G_GUINT64_CONSTANT (7776000000); /* 90 days, ms */
 
   scene_open (scene);
   scene->server_ms = 1000;
