--- a/src/dispatcher_order.c
+++ b/src/dispatcher_order.c
@@ -126,7 +126,8 @@
 static gboolean
 server_is_usable (const LeasedServer *server)
 {
-  return server->user_data != NULL && server->status.ready && !server->closed;
+  return server->user_data != NULL && server->status.ready && !server->closed
+         && !server->leaves;
 }
 
 /* In thousandths of a core of the server of median speed: the work that a server of this
--- a/src/dispatcher_place.c
+++ b/src/dispatcher_place.c
@@ -3,6 +3,7 @@
 #include "dispatcher_parts.h"
 #include "events.h"
 #include "histograms.h"
+#include "leaving.h"
 
 #include <string.h>
 
@@ -36,6 +37,8 @@
 #define STALLED_MS 30000
 /* Expected gain required to restart a straggler. */
 #define STRAGGLER_GAIN_MS 40
+/* More than any other cost: a leaving server is used only while no other has room. */
+#define LEAVING_COST 1e9
 /* If frames to more than this share of the servers are delayed, the entry's own link is
  * congested. Tasks of a job that start together then go to one server, with one order and
  * one payload, unless another server is less slow or fails less. */
@@ -93,15 +96,35 @@
   g_assert_not_reached ();
 }
 
-gboolean
-server_is_open (const LeasedServer *server)
+static gboolean
+takes_orders (const LeasedServer *server)
 {
   return server->user_data != NULL && server->inventoried && server->status.ready
-         && !server->status.draining && !server->closed
-         && server->delay_ms < ORDER_DELAY_MAX_MS
+         && !server->closed && server->delay_ms < ORDER_DELAY_MAX_MS
          && server->dispatcher->now_ms >= server->backoff_until_ms;
 }
 
+gboolean
+server_is_open (const LeasedServer *server)
+{
+  return takes_orders (server) && !server->status.draining;
+}
+
+/* It leaves, and takes orders for runs that end before. */
+static gboolean
+accepts_short_runs (const LeasedServer *server)
+{
+  return takes_orders (server) && server->leaving_until_ms > server->dispatcher->now_ms;
+}
+
+static gboolean
+ends_before_server (const LeasedServer *server, const LeasedJob *job)
+{
+  return !server->status.draining
+         || leaving_fits (job->task_ms * server->relative_time,
+                          server->leaving_until_ms - server->dispatcher->now_ms);
+}
+
 static gboolean
 has_room (const LeasedServer *server, const Demand *need)
 {
@@ -203,6 +226,7 @@
   gint64 waited_ms = server->dispatcher->now_ms - task->waiting_since_ms;
 
   if (!fits (server, task) || !server_is_trusted (server)
+      || !ends_before_server (server, job)
       || server_is_offered_for_better (server, job->rank)
       || (server == task->avoid && waited_ms < AVOID_MS)
       || strcmp (server->status.service, job->spec.service) != 0
@@ -285,8 +309,8 @@
 
   g_ptr_array_set_size (dispatcher->candidate_servers, 0);
   TAILQ_FOREACH (server, &dispatcher->servers, link)
-    if (server_is_open (server) && !is_known_full (server)
-        && free_cpu (server) >= min_cpu)
+    if ((server_is_open (server) || accepts_short_runs (server))
+        && !is_known_full (server) && free_cpu (server) >= min_cpu)
       g_ptr_array_add (dispatcher->candidate_servers, server);
 }
 
@@ -322,7 +346,7 @@
 
       if (!is_suitable (server, job, task))
         continue;
-      cost = cost_of (server, job);
+      cost = cost_of (server, job) + (server->status.draining ? LEAVING_COST : 0);
       if (dispatcher->link_congested && chosen != NULL
           && g_ptr_array_find (chosen, server, NULL))
         cost -= COLOCATION_GAIN;
@@ -566,7 +590,8 @@
   job->fast_factor = 0;
   other = choose_server (dispatcher, job, task, NULL);
   elsewhere_ms = other != NULL ? elsewhere_ms_on (other, task, report) : 0;
-  if (other == NULL || report->remaining_ms < elsewhere_ms + STRAGGLER_GAIN_MS
+  if (other == NULL || other->status.draining
+      || report->remaining_ms < elsewhere_ms + STRAGGLER_GAIN_MS
       || dispatcher->now_ms + elsewhere_ms > job->spec.deadline_ms)
     {
       task->avoid = before;
--- a/src/leased_agent.c
+++ b/src/leased_agent.c
@@ -307,7 +307,8 @@
   RunnerInit runner = { .calls = calls,
                         .server = server,
                         .lease_ms = settings->server_lease_ms,
-                        .speed_runs = settings->speed_runs };
+                        .speed_runs = settings->speed_runs,
+                        .drain_ms = settings->server_drain_ms };
   MeshInit mesh = { .base = base,
                     .hello = &agent->hello,
                     .heartbeat_ms = settings->heartbeat_ms,
--- a/tests/platform_scene.c
+++ b/tests/platform_scene.c
@@ -160,7 +160,7 @@
       "name = \"%s\"\nzone = \"z\"\nlisten.http = \"127.0.0.1:0\"\n"
       "links.heartbeat_ms = 120\nlinks.timeout_ms = 500\ntable.address = \"%s\"\n"
       "entries.peers = [\"%s\"]\nbackend.address = \"%s\"\n"
-      "servers.speed_runs = 12\n",
+      "servers.speed_runs = 12\nservers.drain_ms = 3000\n",
       name, scene->store->http, entry_address (scene, 0), scene->servers[i]->http);
   Process *process
       = harness_spawn_daemon (scene->harness, PLATFORM_AGENT_EXE, name, settings);
@@ -286,7 +286,7 @@
 {
   const char *store[] = { STORE_EXE, NULL };
   char zone[] = "z\0\0"; /* room for a digit */
-  const char *server[] = { SERVER_EXE, "4000", zone, NULL };
+  const char *server[] = { SERVER_EXE, "4000", zone, NULL, NULL };
 
   memset (scene, 0, sizeof *scene);
   scene->harness = harness_new_bare ();
@@ -313,6 +313,9 @@
       if (init->zones > 0)
         zone[1] = (char)('0' + i % init->zones);
 
+      /* Both versions of the servers' protocol: with and without the time of the start.
+       */
+      server[3] = i % 2 == 0 ? "born" : "";
       scene->servers[i] = harness_spawn (scene->harness, name, server);
       scene->agents[i] = platform_start_agent (scene, i);
       platform_introduce (scene, i);
