--- a/src/arrivals.c
+++ b/src/arrivals.c
@@ -43,15 +43,35 @@
   arrivals->work[bucket_of (rank)] += work;
 }
 
+/* The rate that corresponds to decayed @work. */
+static double
+rate_of (const Arrivals *arrivals, double work, gint64 now_ms)
+{
+  gint64 counted_ms = now_ms - arrivals->first_ms - INRUSH_MS;
+  double seen = 1 - exp (-(double)MAX (counted_ms, 0) / DECAY_MS);
+
+  return work * decay_factor (arrivals, now_ms) / DECAY_MS / MAX (seen, SEEN_LEAST);
+}
+
 double
 arrivals_rate_below (const Arrivals *arrivals, double rank, gint64 now_ms)
 {
   guint bucket = bucket_of (rank);
-  gint64 counted_ms = now_ms - arrivals->first_ms - INRUSH_MS;
-  double seen = 1 - exp (-(double)MAX (counted_ms, 0) / DECAY_MS);
   double work = arrivals->work[bucket] / 2; /* half of its own bucket */
 
   for (guint i = 0; i < bucket; i++)
     work += arrivals->work[i];
-  return work * decay_factor (arrivals, now_ms) / DECAY_MS / MAX (seen, SEEN_LEAST);
+  return rate_of (arrivals, work, now_ms);
+}
+
+double
+arrivals_rate_in (const Arrivals *arrivals, guint bucket, gint64 now_ms)
+{
+  return rate_of (arrivals, arrivals->work[bucket], now_ms);
+}
+
+double
+arrivals_bucket_rank (guint bucket)
+{
+  return LOWEST_RANK * exp2 ((bucket + 0.5) / BUCKETS_PER_DOUBLING);
 }
--- a/src/arrivals.h
+++ b/src/arrivals.h
@@ -19,3 +19,9 @@
 /** arrivals_rate_below - work per ms that arrives with a rank below @rank. Grows from
  * zero in the first second: a burst right after a restart is no lasting rate. */
 double arrivals_rate_below (const Arrivals *arrivals, double rank, gint64 now_ms);
+
+/** arrivals_rate_in - the same, of bucket @bucket alone. */
+double arrivals_rate_in (const Arrivals *arrivals, guint bucket, gint64 now_ms);
+
+/** arrivals_bucket_rank - the rank in the middle of a bucket. */
+double arrivals_bucket_rank (guint bucket);
--- a/src/counters.h
+++ b/src/counters.h
@@ -88,6 +88,15 @@
   X (ZONES_CLOSED_NOW, "zones_closed_now", "availability zones that are closed now")     \
   X (STARTS_ZONE_CLOSED, "starts_zone_closed",                                           \
      "starts refused because the availability zone is closed")                           \
+  X (LOAD_VIEW_USED, "load_view_used",                                                   \
+     "1 while jobs are judged by the load of all entries")                               \
+  X (LOAD_VIEW_CHANGES, "load_view_changes",                                             \
+     "changes between judging by all entries and by the own share")                      \
+  X (LOAD_SUMMARIES_SENT, "load_summaries_sent", "summaries of the own load sent")       \
+  X (LOAD_SUMMARIES_STALE, "load_summaries_stale",                                       \
+     "summaries ignored: repeated, older, or of an entry that is not linked")            \
+  X (LOAD_SUMMARIES_MALFORMED, "load_summaries_malformed",                               \
+     "summaries ignored: a value or their number is out of range")                       \
   X (ROWS_REJECTED, "rows_rejected", "invalid rows and reports refused")                 \
   X (RESTARTS, "restarts", "components restarted by their supervisor")
 
