Admission: wait by the load of all entries while it is known

Cause: the share of the last second misses what waits at other entries. Change: with a complete and fresh view the longer of the wait by the own share and of the wait by all work over all servers counts, also for Retry-After. Each switch is an event and a metric. Without a view nothing changes.

--- a/src/admission.c
+++ b/src/admission.c
@@ -5,16 +5,46 @@
  */
 #define MAX_STRETCH 30.0
 
-/* Work ahead of the job gets this entry's share of the servers, less what arrives ahead
- * of the job meanwhile. Once its own tasks start, its rank falls: it is first in the
- * order at all entries and gets capacity wherever it frees. */
+/* What later arrivals with a rate of @arriving leave of a @rate of work. */
 static double
-expected_wait_ms (const AdmissionLoad *load, const AdmissionJob *job, double rank)
+share_left (double arriving, double rate)
+{
+  return MAX (1 - arriving / rate, 1 / MAX_STRETCH);
+}
+
+/* Work ahead of the job at this entry gets the entry's share of the servers, less what
+ * arrives ahead of the job meanwhile. */
+static double
+wait_by_share_ms (const AdmissionLoad *load, const AdmissionJob *job, double rank)
 {
   double arriving = arrivals_rate_below (load->arrivals, rank, load->now_ms);
-  double share_left = MAX (1 - arriving / load->rate, 1 / MAX_STRETCH);
 
-  return job->ahead / load->rate / share_left + job->work / load->capacity;
+  return job->ahead / load->rate / share_left (arriving, load->rate);
+}
+
+/* Work ahead of the job at all entries gets all servers. */
+static double
+wait_by_all_ms (const AdmissionLoad *load, const AdmissionJob *job, double rank)
+{
+  double ahead = job->ahead + load_view_waiting_below (load->others, rank);
+  double arriving = arrivals_rate_below (load->arrivals, rank, load->now_ms)
+                    + load_view_arriving_below (load->others, rank);
+
+  return ahead / load->capacity / share_left (arriving, load->capacity);
+}
+
+/* The longer wait counts if the load of the other entries is known: the one by the share
+ * alone misses what waits elsewhere, the one by all entries that an entry with much work
+ * does not get all servers at once. Once the job's own tasks start, its rank falls: it is
+ * first in the order at all entries and gets capacity wherever it frees. */
+static double
+expected_wait_ms (const AdmissionLoad *load, const AdmissionJob *job, double rank)
+{
+  double wait_ms = wait_by_share_ms (load, job, rank);
+
+  if (load->others != NULL)
+    wait_ms = MAX (wait_ms, wait_by_all_ms (load, job, rank));
+  return wait_ms + job->work / load->capacity;
 }
 
 /* Sums over the jobs in order of rank. */
--- a/src/admission.h
+++ b/src/admission.h
@@ -7,14 +7,16 @@
  * job refused too early could still have been served; one refused too late has made its
  * caller wait without use. */
 #include "arrivals.h"
+#include "load_view.h"
 
 /* The servers as this entry sees them; work is in ms x thousandths of a core. */
 typedef struct
 {
-  double rate;     /* work that this entry's runs complete per ms */
-  double capacity; /* of all servers, per ms */
-  const Arrivals *arrivals;
+  double rate;              /* work that this entry's runs complete per ms */
+  double capacity;          /* of all servers, per ms */
+  const Arrivals *arrivals; /* at this entry */
   gint64 now_ms;
+  const LoadView *others; /* load of the other entries; NULL: not known */
 } AdmissionLoad;
 
 typedef struct
@@ -30,7 +32,7 @@
 
   /* Set by admission_decide (). */
   gboolean refused;
-  double ahead;   /* work queued ahead of it */
+  double ahead;   /* work queued ahead of it at this entry */
   double wait_ms; /* expected */
 } AdmissionJob;
 
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -3,6 +3,7 @@
  * servers, reruns lost tasks and reports each job's result. Does no I/O: messages and the
  * time are passed in. */
 #include "closed_zones.h"
+#include "load_view.h"
 #include "peer_clock.h"
 #include "resource_request.h"
 #include "server_calls.h"
@@ -101,6 +102,7 @@
   guint speed_runs;            /* after which a server's own speed counts; 0: never */
   double far_factor;     /* run time away from a job's data over that near it; 0: 1.5 */
   guint reserve_percent; /* of the capacity, kept free for wide urgent jobs at most */
+  const LoadView *load_view; /* borrowed; NULL: the load of other entries is not known */
 } DispatcherInit;
 
 Dispatcher *
@@ -195,5 +197,9 @@
 /** dispatcher_jobs - number of jobs without a result or with runs still being stopped. */
 guint dispatcher_jobs (const Dispatcher *dispatcher);
 
+/** dispatcher_load_summary - fill in what waits and arrives here, and the capacity used;
+ * not the version and the interval. */
+void dispatcher_load_summary (const Dispatcher *dispatcher, LoadSummary *summary);
+
 /** dispatcher_waiting - number of waiting tasks. */
 guint dispatcher_waiting (const Dispatcher *dispatcher);
--- a/src/dispatcher_order.c
+++ b/src/dispatcher_order.c
@@ -4,10 +4,12 @@
  * Designed for overload: more work arrives than the servers can do, in wide urgent jobs,
  * long jobs and many narrow ones, at several entries at once. */
 #include "admission.h"
+#include "counters.h"
 #include "dispatcher_parts.h"
 #include "events.h"
 
 #include <math.h>
+#include <string.h>
 
 /* Each step of priority halves a job's benefit. Greater numbers count as this one. */
 #define PRIORITY_STEPS 8
@@ -162,6 +164,26 @@
  * jobs would be expected to wait a second and be refused. */
 #define SHARE_MIN 0.05
 
+/* Jobs are judged by the load of all entries while it is known, else by this entry's own
+ * load and share. */
+static void
+update_load_view (Dispatcher *dispatcher)
+{
+  const LoadView *view = dispatcher->init.load_view;
+  gboolean complete = view != NULL && load_view_is_complete (view, dispatcher->now_ms);
+
+  if (complete == dispatcher->sees_all_load)
+    return;
+  dispatcher->sees_all_load = complete;
+  counter_add (COUNTER_LOAD_VIEW_CHANGES, 1);
+  counter_set (COUNTER_LOAD_VIEW_USED, complete);
+  event_note ("load-view", "-", "by=%s parts=%u waiting=%.0f arriving=%.0f used=%.0f",
+              complete ? "all-entries" : "own-share", load_view_parts (view),
+              load_view_waiting_below (view, RANK_INFEASIBLE),
+              load_view_arriving_below (view, RANK_INFEASIBLE),
+              load_view_capacity_used (view));
+}
+
 void
 dispatcher_update_share (Dispatcher *dispatcher)
 {
@@ -178,6 +200,7 @@
       own += server->placed.cpu_milli;
       all += server->placed.cpu_milli + server->status.used_by_others.cpu_milli;
     }
+  update_load_view (dispatcher);
   dispatcher->share_ms = dispatcher->now_ms;
   /* The other entries' shares are not known yet. If they were assumed to use everything,
    * the first callers of a restarted entry would be refused. */
@@ -283,21 +306,37 @@
 {
   event_note ("job-crowded-out", job->spec.id,
               "work_ahead=%.0f rate=%.0f arriving=%.0f wait_ms=%.0f task_ms=%.0f "
-              "objective_left_ms=%" G_GINT64_FORMAT " age_ms=%" G_GINT64_FORMAT,
+              "objective_left_ms=%" G_GINT64_FORMAT " age_ms=%" G_GINT64_FORMAT
+              " ahead_elsewhere=%.0f",
               admission->ahead, load->rate,
               arrivals_rate_below (load->arrivals, admission->rank_late, load->now_ms),
               admission->wait_ms, job->task_ms, job->objective_ms - load->now_ms,
-              load->now_ms - job->spec.arrived_ms);
+              load->now_ms - job->spec.arrived_ms,
+              load->others != NULL
+                  ? load_view_waiting_below (load->others, admission->rank_late)
+                  : 0);
   job_answer (job, LEASED_REFUSED, "more urgent work takes all room",
               (guint)MIN (admission->wait_ms, RETRY_AFTER_SHED_MS));
   job_free_if_done (job);
 }
 
+static AdmissionLoad
+admission_load (const Dispatcher *dispatcher)
+{
+  AdmissionLoad load
+      = { .rate = rate_of_work (dispatcher),
+          .capacity = capacity_of_servers (dispatcher),
+          .arrivals = &dispatcher->arrivals,
+          .now_ms = dispatcher->now_ms,
+          .others = dispatcher->sees_all_load ? dispatcher->init.load_view : NULL };
+
+  return load;
+}
+
 void
 dispatcher_shed_load (Dispatcher *dispatcher)
 {
-  AdmissionLoad load = { rate_of_work (dispatcher), capacity_of_servers (dispatcher),
-                         &dispatcher->arrivals, dispatcher->now_ms };
+  AdmissionLoad load = admission_load (dispatcher);
   GPtrArray *jobs;
   AdmissionJob *admissions;
 
@@ -316,6 +355,39 @@
   g_ptr_array_unref (jobs);
 }
 
+void
+dispatcher_load_summary (const Dispatcher *dispatcher, LoadSummary *summary)
+{
+  const Arrivals *arrivals = &dispatcher->arrivals;
+  const LeasedJob *job;
+
+  memset (summary->waiting, 0, sizeof summary->waiting);
+  memset (summary->arriving, 0, sizeof summary->arriving);
+  TAILQ_FOREACH (job, &dispatcher->jobs, link)
+    if (!job->closed && job->waiting > 0 && !job->answered_before)
+      summary->waiting[load_summary_bucket (rank_of (job, dispatcher->now_ms))]
+          += (float)waiting_work (job);
+  for (guint i = 0; i < ARRIVALS_BUCKETS; i++)
+    summary->arriving[load_summary_bucket (arrivals_bucket_rank (i))]
+        += (float)arrivals_rate_in (arrivals, i, dispatcher->now_ms);
+  summary->capacity_used = (float)dispatcher->used_here;
+}
+
+/* The wait for the jobs here, and for those that wait at the other entries if these are
+ * known. */
+static guint
+retry_after_ms (const Dispatcher *dispatcher)
+{
+  double capacity = capacity_of_servers (dispatcher);
+  guint own_ms = dispatcher_wait_ms (dispatcher);
+  double others;
+
+  if (!dispatcher->sees_all_load || capacity <= 0)
+    return own_ms;
+  others = load_view_waiting_below (dispatcher->init.load_view, RANK_INFEASIBLE);
+  return (guint)MIN (own_ms + others / capacity, RETRY_AFTER_MAX_MS);
+}
+
 /* Refuses a job as soon as it is infeasible rather than at its deadline, so that its
  * caller can go elsewhere and feasible jobs take its place. */
 void
@@ -332,7 +404,7 @@
         continue;
       if (!job->started)
         job_answer (job, LEASED_REFUSED, "cannot end in time",
-                    dispatcher_wait_ms (dispatcher));
+                    retry_after_ms (dispatcher));
       else if (dispatcher->now_ms + job->task_ms > job->spec.deadline_ms)
         job_answer (job, LEASED_GIVEN_UP, "lost runs cannot be repeated in time", 0);
       job_free_if_done (job);
--- a/src/dispatcher_parts.h
+++ b/src/dispatcher_parts.h
@@ -114,6 +114,7 @@
   guint n_closed;         /* linked servers in closed availability zones */
   gint64 linked_ms;       /* when a server was last linked */
   gboolean arrived;       /* a job has, since dispatcher_shed_load () */
+  gboolean sees_all_load; /* the load of all entries is known, and decided by */
   double median_slowness; /* of the servers that take orders, at least 1 */
   gint64 now_ms;
 };
