--- a/src/leased_entry.c
+++ b/src/leased_entry.c
@@ -197,7 +197,10 @@
    * open. */
   leased_entry_zones_frame (ctx, frame);
   if (peer->is_entry)
-    leased_entry_config_frame (ctx, peer, frame);
+    {
+      leased_entry_config_frame (ctx, peer, frame);
+      leased_entry_load_frame (ctx, peer, frame);
+    }
   else
     take_agent_frame (peer, frame);
 }
@@ -208,6 +211,7 @@
   LeasedEntry *entry = ctx;
 
   memset (&peer->closed_zones_sent, 0, sizeof peer->closed_zones_sent);
+  leased_entry_load_up (entry, peer);
   if (!peer->is_entry)
     peer->data
         = dispatcher_server_up (entry->dispatcher, peer->incarnation, peer->name, peer);
@@ -217,7 +221,10 @@
 on_down (MeshPeer *peer, gpointer ctx)
 {
   if (peer->is_entry)
-    leased_entry_config_down (ctx, peer);
+    {
+      leased_entry_config_down (ctx, peer);
+      leased_entry_load_down (ctx, peer);
+    }
   else
     dispatcher_server_down (peer->data, clock_now_ms ());
 }
@@ -230,6 +237,7 @@
   frame->leaving = entry->draining_ms > 0;
   leased_entry_config_prepare (entry, peer, frame);
   leased_entry_zones_prepare (entry, peer, frame);
+  leased_entry_load_prepare (entry, peer, frame);
   if (!peer->is_entry && peer->data != NULL)
     dispatcher_server_lease_extended (peer->data, peer->lease_until);
 }
@@ -284,6 +292,7 @@
       mesh_tick (entry->mesh, now);
       leased_entry_config_tick (entry, now);
     }
+  leased_entry_load_tick (entry, now);
   dispatcher_tick (entry->dispatcher, now);
   drain_tick (entry, now);
 }
@@ -335,6 +344,8 @@
   mesh_seed (entry->mesh, settings->peers);
   entry->closed_zones = closed_zones_new ();
   dispatcher.closures = entry->closed_zones;
+  leased_entry_load_init (entry, settings->load_shared_ms);
+  dispatcher.load_view = entry->load_view;
   entry->dispatcher = dispatcher_new (&dispatcher, &dispatcher_ops, entry);
   entry->tick = event_new (base, -1, EV_PERSIST, on_tick, entry);
   entry->pump = event_new (base, -1, 0, on_pump, entry);
@@ -351,6 +362,7 @@
   listen_free (entry->frames);
   dispatcher_free (entry->dispatcher);
   mesh_free (entry->mesh);
+  load_view_free (entry->load_view);
   closed_zones_free (entry->closed_zones);
   catalog_unref (entry->catalog);
   event_free (entry->tick);
--- a/src/leased_entry_parts.h
+++ b/src/leased_entry_parts.h
@@ -1,7 +1,8 @@
 #pragma once
 /* Shared by the entry's source files: leased_entry.c has its lifecycle and the frames to
  * and from agents, leased_entry_config.c the exchange of the configuration among entries,
- * leased_entry_zones.c the closed availability zones. */
+ * leased_entry_load.c that of their load, leased_entry_zones.c the closed availability
+ * zones. */
 #include "closed_zones.h"
 #include "config_pull.h"
 #include "leased_entry.h"
@@ -26,6 +27,10 @@
   Catalog *catalog;
   ConfigPull config_pull;
   ClosedZones *closed_zones;
+  LoadView *load_view;          /* NULL: load is not exchanged */
+  guint load_shared_ms;         /* between two summaries to one peer */
+  LoadSummary load_summary;     /* the last one sent */
+  Gw__LoadSummary load_message; /* borrows from load_summary */
   struct event *tick;
   struct event *pump;
   ProcessStats *stats;
@@ -47,6 +52,25 @@
 /** leased_entry_zones_prepare - add closed zones to a frame if @peer needs an update. */
 void leased_entry_zones_prepare (LeasedEntry *entry, MeshPeer *peer, Gw__Frame *frame);
 
+/* leased_entry_load.c */
+
+/** leased_entry_load_init - @shared_ms: between two summaries; 0: exchange none. */
+void leased_entry_load_init (LeasedEntry *entry, guint shared_ms);
+
+/** leased_entry_load_frame - take the summary in another entry's frame, if any. */
+void leased_entry_load_frame (LeasedEntry *entry,
+                              const MeshPeer *peer,
+                              const Gw__Frame *frame);
+
+/** leased_entry_load_prepare - add a summary to a frame if one is due to @peer. */
+void leased_entry_load_prepare (LeasedEntry *entry, MeshPeer *peer, Gw__Frame *frame);
+void leased_entry_load_up (LeasedEntry *entry, MeshPeer *peer);
+void leased_entry_load_down (LeasedEntry *entry, const MeshPeer *peer);
+void leased_entry_load_tick (LeasedEntry *entry, gint64 now_ms);
+
+/** load_summary_from_wire - Return: FALSE if the number of values is another one. */
+gboolean load_summary_from_wire (const Gw__LoadSummary *message, LoadSummary *summary);
+
 /* leased_entry_config.c */
 void
 leased_entry_config_frame (LeasedEntry *entry, MeshPeer *peer, const Gw__Frame *frame);
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -51,7 +51,8 @@
   guint config_wanted_bytes; /* a longer one is not wanted; 0: any */
   gint64 config_asked_ms;    /* when it was last asked for a configuration; 0: never */
   ClosedZonesSent closed_zones_sent;
-  gpointer data; /* the user's record of this peer */
+  gint64 load_sent_ms; /* when it was last sent a summary of the load; 0: never */
+  gpointer data;       /* the user's record of this peer */
 } MeshPeer;
 
 typedef struct
@@ -103,6 +104,9 @@
 /** mesh_send_all - send every linked peer a frame in this event-loop iteration. */
 void mesh_send_all (Mesh *mesh);
 
+/** mesh_entries - number of entries that are known and not gone, the own one included. */
+guint mesh_entries (const Mesh *mesh);
+
 /** mesh_own_rank - rank of this entry among those it knows; 0: the first. */
 guint mesh_own_rank (const Mesh *mesh);
 
--- a/src/mesh_discovery.c
+++ b/src/mesh_discovery.c
@@ -72,6 +72,12 @@
   directory_set_own (mesh->directory, mesh->init.hello->frame_address, clock_now_ms ());
 }
 
+guint
+mesh_entries (const Mesh *mesh)
+{
+  return directory_size (mesh->directory);
+}
+
 guint
 mesh_own_rank (const Mesh *mesh)
 {
