--- a/tests/load_plan.h
+++ b/tests/load_plan.h
@@ -26,6 +26,20 @@
   LOAD_DECLARED_TENTH,     /* a tenth of the true one */
 } LoadDeclared;
 
+/* What happens to the summaries that entries send each other. */
+typedef enum
+{
+  LOAD_SUMMARIES_SOUND,
+  LOAD_SUMMARIES_LOST,       /* every other one */
+  LOAD_SUMMARIES_REPEATED,   /* each arrives twice */
+  LOAD_SUMMARIES_REORDERED,  /* each arrives again after the next one */
+  LOAD_SUMMARIES_MALFORMED,  /* every other one has a value that is not a number */
+  LOAD_SUMMARIES_NONE,       /* the first entry is an older build */
+  LOAD_SUMMARIES_FROZEN,     /* the first entry's stop after 5 s, its link stays */
+  LOAD_SUMMARIES_CUT,        /* the first entry's links are cut from 5 s to 9 s */
+  LOAD_SUMMARIES_TWO_STARTS, /* at 5 s the first entry is linked as a new incarnation */
+} LoadSummaryFault;
+
 typedef struct
 {
   guint entries;
@@ -44,6 +58,8 @@
   guint caller_skew;        /* callers of the first entry, relative to another; 0: 1 */
   guint32 seed;
   const LoadQueue *queues;
+  guint shared_ms; /* between two summaries of the load to other entries; 0: none */
+  LoadSummaryFault summary_fault;
 } LoadInit;
 
 typedef struct
--- a/tests/load_replay.c
+++ b/tests/load_replay.c
@@ -283,6 +283,7 @@
       handle_event (replay, event);
       g_sequence_remove (first);
     }
+  summaries_step (replay);
   for (guint i = 0; i < replay->init->entries; i++)
     {
       Entry *entry = &replay->entries[i];
@@ -305,6 +306,8 @@
 
   entry->replay = replay;
   entry->index = i;
+  entry->view = summaries_open (replay, entry);
+  init.load_view = entry->view;
   entry->dispatcher = dispatcher_new (&init, &ops, entry);
   for (guint j = 0; j < replay->init->servers; j++)
     {
@@ -340,6 +343,7 @@
 {
   for (guint i = 0; i < replay->init->entries; i++)
     dispatcher_free (replay->entries[i].dispatcher);
+  summaries_close (replay);
   for (guint i = 0; i < replay->init->servers; i++)
     {
       Server *server = &replay->servers[i];
--- a/tests/load_replay_parts.h
+++ b/tests/load_replay_parts.h
@@ -19,6 +19,7 @@
   Replay *replay;
   guint index;
   Dispatcher *dispatcher;
+  LoadView *view;
   gboolean pump_needed;
   double uplink_free_at;
   double downlink_free_at;
@@ -113,6 +114,7 @@
   Submission *submissions; /* in the order of jobs */
   GHashTable *by_id;       /* job id -> Submission */
   LoadIdle idle;           /* ms x thousandths of a core */
+  GQueue summaries;        /* on the way between entries, in order of arrival */
 };
 
 /** event_at - schedule an event. Return: the event, for the caller to fill in. */
@@ -133,6 +135,15 @@
 void link_reply_heartbeat (Replay *replay, const Event *event);
 void link_open (Replay *replay, Entry *entry, Server *server);
 
+/* load_summaries.c */
+
+/** summaries_open - Return: the view of @entry; NULL if no summaries are exchanged. */
+LoadView *summaries_open (Replay *replay, Entry *entry);
+
+/** summaries_step - deliver what has arrived, send what is due. */
+void summaries_step (Replay *replay);
+void summaries_close (Replay *replay);
+
 /* load_agents.c */
 void agent_state_changed (Replay *replay, Server *server);
 void agent_on_order (Replay *replay, const Event *event);
--- a/tests/load_table.c
+++ b/tests/load_table.c
@@ -14,6 +14,8 @@
 static double option_load = 0;
 static char *option_mix = NULL;
 static gboolean option_brief = FALSE;
+static int option_shared = 0;
+static double option_burst = 0;
 
 static const GOptionEntry options[] = {
   { "seeds", 's', 0, G_OPTION_ARG_INT, &option_seeds, "Seeds per row", "N" },
@@ -21,6 +23,10 @@
   { "load", 'l', 0, G_OPTION_ARG_DOUBLE, &option_load, "Only this load", "PART" },
   { "mix", 'm', 0, G_OPTION_ARG_STRING, &option_mix, "Only this mix", "NAME" },
   { "brief", 'b', 0, G_OPTION_ARG_NONE, &option_brief, "Means of all rows only", NULL },
+  { "shared", 'i', 0, G_OPTION_ARG_INT, &option_shared,
+    "Entries exchange summaries of their load at this interval", "MS" },
+  { "burst", 'u', 0, G_OPTION_ARG_DOUBLE, &option_burst,
+    "Factor on the arrivals from 5 s to 9 s", "FACTOR" },
   { NULL }
 };
 
@@ -28,6 +34,7 @@
 {
   double earned;
   double served;
+  double on_time;
   double refused;
   double given_up;
   double held;
@@ -54,6 +61,7 @@
         = MIN (worst, ratio (result->queues[i].earned, result->queues[i].total_benefit));
   row->earned += ratio (all->earned, all->total_benefit) / option_seeds;
   row->served += ratio (all->served, all->jobs) / option_seeds;
+  row->on_time += ratio (all->on_time, all->jobs) / option_seeds;
   row->refused += ratio (all->refused, all->jobs) / option_seeds;
   row->given_up += ratio (all->given_up, all->jobs) / option_seeds;
   row->held += ratio (all->late_unstarted, all->total_benefit) / option_seeds;
@@ -68,12 +76,12 @@
 static void
 print_row (const char *mix, guint n, double load, const Row *ours, const Row *central)
 {
-  g_print ("%-14s %2u %4.2f  %.3f %.3f %.3f  %.3f %.3f %.3f %.3f %.3f  %.3f %.3f %.3f  "
-           "%.3f %.3f %.3f\n",
-           mix, n, load, ours->earned, ours->served, ours->worst, ours->refused,
-           ours->given_up, ours->held, ours->used, ours->wasted, ours->idle.fresh,
-           ours->idle.offered, ours->idle.unseen, central->earned, central->served,
-           central->worst);
+  g_print ("%-14s %2u %4.2f  %.3f %.3f %.3f %.3f  %.3f %.3f %.3f %.3f %.3f  %.3f %.3f "
+           "%.3f  %.3f %.3f %.3f\n",
+           mix, n, load, ours->earned, ours->served, ours->on_time, ours->worst,
+           ours->refused, ours->given_up, ours->held, ours->used, ours->wasted,
+           ours->idle.fresh, ours->idle.offered, ours->idle.unseen, central->earned,
+           central->served, central->worst);
 }
 
 static void
@@ -87,6 +95,13 @@
       LoadInit init = load_init_from_mix (mix, load, n, (guint32)seed);
       LoadResult result = { 0 };
 
+      init.shared_ms = (guint)option_shared;
+      if (option_burst > 0)
+        {
+          init.burst = option_burst;
+          init.burst_from_ms = 5000;
+          init.burst_to_ms = 9000;
+        }
       load_replay (&init, &result);
       add_result (&ours, &init, &result);
       load_central (&init, &result);
@@ -96,6 +111,7 @@
     print_row (mix->name, n, load, &ours, &central);
   sum->earned += ours.earned;
   sum->served += ours.served;
+  sum->on_time += ours.on_time;
   sum->worst += ours.worst;
   sum->held += ours.held;
   sum_central->earned += central.earned;
@@ -108,23 +124,24 @@
 {
   Row sum = { 0 };
   Row central = { 0 };
+  guint n_loads = option_load > 0 ? 1 : G_N_ELEMENTS (loads);
   guint rows = 0;
 
   for (guint i = 0; i < G_N_ELEMENTS (entries); i++)
-    for (guint j = 0; j < G_N_ELEMENTS (loads); j++)
+    for (guint j = 0; j < n_loads; j++)
       {
-        if ((option_entries > 0 && entries[i] != (guint)option_entries)
-            || (option_load > 0 && loads[j] != option_load))
+        if (option_entries > 0 && entries[i] != (guint)option_entries)
           continue;
-        replay_row (mix, entries[i], loads[j], &sum, &central);
+        replay_row (mix, entries[i], option_load > 0 ? option_load : loads[j], &sum,
+                    &central);
         rows++;
       }
   if (rows == 0)
     return;
-  g_print ("%-14s mean     %.4f %.4f %.4f  held %.4f  central %.4f %.4f %.4f\n",
-           mix->name, sum.earned / rows, sum.served / rows, sum.worst / rows,
-           sum.held / rows, central.earned / rows, central.served / rows,
-           central.worst / rows);
+  g_print ("%-14s mean     %.4f %.4f %.4f %.4f  held %.4f  central %.4f %.4f %.4f\n",
+           mix->name, sum.earned / rows, sum.served / rows, sum.on_time / rows,
+           sum.worst / rows, sum.held / rows, central.earned / rows,
+           central.served / rows, central.worst / rows);
 }
 
 int
@@ -143,10 +160,10 @@
     }
   g_option_context_free (context);
   if (!option_brief)
-    g_print (
-        "%-14s en load  earned served worst-queue  refused given-up held used wasted  "
-        "idle: fresh offered unseen  central: earned served worst-queue\n",
-        "mix");
+    g_print ("%-14s en load  earned served on-time worst-queue  refused given-up held "
+             "used wasted  "
+             "idle: fresh offered unseen  central: earned served worst-queue\n",
+             "mix");
   for (guint i = 0; i < load_n_mixes; i++)
     if (option_mix == NULL || g_str_equal (option_mix, load_mixes[i].name))
       replay_mix (&load_mixes[i]);
--- a/tests/platform_scene.c
+++ b/tests/platform_scene.c
@@ -122,9 +122,9 @@
       "listen.metrics = \"127.0.0.1:0\"\n"
       "listen.advertise_frames = \"%s\"\n"
       "links.heartbeat_ms = 120\nlinks.timeout_ms = 500\ntable.address = \"%s\"\n"
-      "entries.peers = [%s]\ndrain.grace_ms = 300\ndrain.limit_ms = 4000\n",
+      "entries.peers = [%s]\ndrain.grace_ms = 300\ndrain.limit_ms = 4000\n%s",
       name, scene->relays[i] != NULL ? relay_address (scene->relays[i]) : "",
-      store_address (scene, i), peers);
+      store_address (scene, i), peers, scene->settings != NULL ? scene->settings : "");
   Process *process
       = harness_spawn_daemon (scene->harness, PLATFORM_ENTRY_EXE, name, settings);
 
@@ -290,6 +290,7 @@
   scene->harness = harness_new_bare ();
   scene->n_entries = init->entries;
   scene->n_servers = init->servers;
+  scene->settings = init->settings;
   scene->store = harness_spawn (scene->harness, "store", store);
   if (init->configured)
     platform_put_config (scene, PLATFORM_PREFIX);
--- a/tests/platform_scene.h
+++ b/tests/platform_scene.h
@@ -21,6 +21,7 @@
   Relay *relays[PLATFORM_MAX]; /* fault proxies for the entries' frames, or NULL */
   Relay *store_relay;          /* between the last entry and the store, or NULL */
   RelayLine *line;             /* limits what the last entry receives, or NULL */
+  const char *settings;        /* further ones of the entries */
   guint jobs;
   guint version;
 } PlatformScene;
@@ -33,6 +34,7 @@
   gboolean configured;
   guint zones;            /* servers are spread over z0, z1, ...; 0: all in z */
   guint line_bytes_per_s; /* limit of what the last entry receives in total; 0: none */
+  const char *settings;   /* further ones of the entries, as lines; NULL: none */
 } PlatformInit;
 
 void platform_scene_open (PlatformScene *scene, const PlatformInit *init);
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -511,11 +511,63 @@
   platform_scene_close (&scene);
 }
 
+static guint64
+entry_counter (PlatformScene *scene, guint entry, const char *name)
+{
+  return harness_counter (scene->harness, scene->entries[entry]->metrics, name);
+}
+
+static gboolean
+both_see_all_load (gpointer ctx)
+{
+  return entry_counter (ctx, 0, "load_view_used") == 1
+         && entry_counter (ctx, 1, "load_view_used") == 1;
+}
+
+static gboolean
+first_sees_own_load (gpointer ctx)
+{
+  return entry_counter (ctx, 0, "load_view_used") == 0;
+}
+
+#define SHARED_MS 480
+#define EXCHANGE_MS 3000
+/* A summary is due an eighth of its interval early. */
+#define SUMMARIES_MAX ((guint64)(EXCHANGE_MS / (SHARED_MS * 7 / 8) + 1))
+
+/* Guards against summaries that never get through between two real entries, against more
+ * than one in each interval, and against decisions on the load of an entry that has died.
+ */
+static void
+test_load_is_exchanged (void)
+{
+  static const PlatformInit init = {
+    .entries = 2, .servers = 2, .configured = TRUE, .settings = "load.shared_ms = 480\n"
+  };
+  PlatformScene scene;
+  guint64 sent;
+
+  platform_scene_open (&scene, &init);
+  harness_wait (scene.harness, both_see_all_load, &scene, "the load of both entries");
+  expect (&scene, platform_start_job (&scene, 0, "50", 8), 200, "completed");
+  sent = entry_counter (&scene, 0, "load_summaries_sent");
+  harness_run_ms (scene.harness, EXCHANGE_MS);
+  sent = entry_counter (&scene, 0, "load_summaries_sent") - sent;
+  g_assert_cmpuint (sent, >=, SUMMARIES_MAX / 2);
+  g_assert_cmpuint (sent, <=, SUMMARIES_MAX);
+  g_assert_cmpuint (entry_counter (&scene, 0, "load_summaries_malformed"), ==, 0);
+  g_assert_cmpuint (entry_counter (&scene, 0, "load_view_changes"), ==, 1);
+  process_kill (scene.harness, scene.entries[1]);
+  harness_wait (scene.harness, first_sees_own_load, &scene, "the loss of the second");
+  platform_scene_close (&scene);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   ADD_CASES ("/platform", cases, test_case);
   g_test_add_func ("/platform/no-configuration", test_no_configuration);
+  g_test_add_func ("/platform/load-is-exchanged", test_load_is_exchanged);
   return g_test_run ();
 }
