--- a/src/dispatcher_parts.h
+++ b/src/dispatcher_parts.h
@@ -120,6 +120,7 @@
   guint n_closed;         /* linked servers in closed availability zones */
   gint64 linked_ms;       /* when a server was last linked */
   gboolean arrived;       /* a job has, since dispatcher_shed_load () */
+  gboolean sees_all_load; /* the load of all entries is known, and decided by */
   double median_slowness; /* of the servers that take orders, at least 1 */
   RelativeSpread speeds;  /* of the servers that take orders */
   double free_part;       /* of the capacity of the servers that take orders */
