--- a/src/dispatcher.c
+++ b/src/dispatcher.c
@@ -116,6 +116,24 @@
   return runtimes;
 }
 
+void
+dispatcher_keep_queues (Dispatcher *dispatcher,
+                        DispatcherHasQueue has_queue,
+                        gpointer ctx)
+{
+  GHashTableIter iter;
+  gpointer queue;
+
+  g_hash_table_iter_init (&iter, dispatcher->runtimes);
+  while (g_hash_table_iter_next (&iter, &queue, NULL))
+    {
+      if (has_queue (queue, ctx))
+        continue;
+      event_note ("runtimes-dropped", "-", "queue=%s", (const char *)queue);
+      g_hash_table_iter_remove (&iter);
+    }
+}
+
 static void
 remember_completed (Dispatcher *dispatcher, const char *id)
 {
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -185,6 +185,15 @@
 /** dispatcher_cancel - the caller disconnected: stop the job, do not call LeasedDone. */
 void dispatcher_cancel (LeasedJob *job, gint64 now_ms);
 
+typedef gboolean (*DispatcherHasQueue) (const char *queue, gpointer ctx);
+
+/** dispatcher_keep_queues - drop the run times learned of queues for which @has_queue
+ * returns FALSE; call when the configuration changes.
+ */
+void dispatcher_keep_queues (Dispatcher *dispatcher,
+                             DispatcherHasQueue has_queue,
+                             gpointer ctx);
+
 /** dispatcher_pump - place the waiting tasks that fit. */
 void dispatcher_pump (Dispatcher *dispatcher, gint64 now_ms);
 
--- a/src/dispatcher_servers.c
+++ b/src/dispatcher_servers.c
@@ -170,11 +170,14 @@
   job->dispatcher->n_waiting++;
 }
 
+/* Nothing is learned of a queue that left the configuration while its last tasks ran. */
 static void
 observe_run_time (const LeasedJob *job, guint run_ms)
 {
-  runtimes_observe (dispatcher_runtimes (job->dispatcher, job->spec.queue),
-                    job->spec.declared_ms, run_ms);
+  Runtimes *runtimes = g_hash_table_lookup (job->dispatcher->runtimes, job->spec.queue);
+
+  if (runtimes != NULL)
+    runtimes_observe (runtimes, job->spec.declared_ms, run_ms);
 }
 
 static void
--- a/src/leased_entry_config.c
+++ b/src/leased_entry_config.c
@@ -176,6 +176,28 @@
       link_touch (peer->link);
 }
 
+static gboolean
+is_in_set (const char *name, gpointer ctx)
+{
+  return g_hash_table_contains (ctx, name);
+}
+
+/* A set of names: a search of the catalog for each queue is quadratic in their number. */
+static void
+drop_left_queues (LeasedEntry *entry)
+{
+  GHashTable *names = g_hash_table_new (g_str_hash, g_str_equal);
+
+  for (guint i = 0; i < entry->catalog->queues->len; i++)
+    {
+      const JobQueue *queue = g_ptr_array_index (entry->catalog->queues, i);
+
+      g_hash_table_add (names, queue->name);
+    }
+  dispatcher_keep_queues (entry->dispatcher, is_in_set, names);
+  g_hash_table_unref (names);
+}
+
 void
 leased_entry_set_catalog (LeasedEntry *entry, Catalog *catalog)
 {
@@ -193,6 +215,7 @@
   catalog_ref (catalog);
   catalog_unref (entry->catalog);
   entry->catalog = catalog;
+  drop_left_queues (entry);
   leased_entry_send_all (entry);
 }
 
--- a/tests/test-dispatcher.c
+++ b/tests/test-dispatcher.c
@@ -198,6 +198,17 @@
   dispatcher_pump (scene->dispatcher, scene->now);
 }
 
+static void
+report_done (Scene *scene, Order *order, guint run_ms)
+{
+  TaskReport report
+      = { .key = order->key, .event = TASK_DONE, .reason = "", .run_ms = run_ms };
+
+  order->open = FALSE;
+  dispatcher_reports (scene->servers[order->server], &report, 1, FALSE, scene->now);
+  dispatcher_pump (scene->dispatcher, scene->now);
+}
+
 static void
 advance (Scene *scene, guint ms)
 {
@@ -521,6 +532,51 @@
   g_assert_false (scene->orders[0].stopped);
 }
 
+/* @n jobs of one task each, of which every @tail_every-th takes 7 times as long. */
+static void
+learn_runs (Scene *scene, guint n, guint run_ms, guint tail_every)
+{
+  for (guint i = 1; i <= n; i++)
+    {
+      char *id = g_strdup_printf ("learned-%u", i);
+
+      submit (scene, id, 1);
+      report (scene, &scene->orders[scene->n_orders - 1], TASK_STARTED);
+      report_done (scene, &scene->orders[scene->n_orders - 1],
+                   tail_every > 0 && i % tail_every == 0 ? run_ms * 7 : run_ms);
+      scene->now += 5;
+      g_free (id);
+    }
+}
+
+static gboolean
+has_no_queue (const char *queue, gpointer ctx)
+{
+  return FALSE;
+}
+
+static gboolean
+has_queue (const char *queue, gpointer ctx)
+{
+  return strcmp (queue, "claims") == 0;
+}
+
+/* The run times of each queue that was ever configured were kept for the life of the
+ * entry: callers that name their queues by the day filled its memory. */
+static void
+queue_that_left_is_forgotten (Scene *scene)
+{
+  scene_open (scene, 2000);
+  learn_runs (scene, 20, 40, 0);
+  dispatcher_keep_queues (scene->dispatcher, has_queue, NULL);
+  submit (scene, "a", 1);
+  g_assert_cmpuint (scene->orders[scene->n_orders - 1].expected_ms, ==, 40);
+  dispatcher_keep_queues (scene->dispatcher, has_no_queue, NULL);
+  report_done (scene, &scene->orders[scene->n_orders - 1], 40);
+  submit (scene, "b", 1);
+  g_assert_cmpuint (scene->orders[scene->n_orders - 1].expected_ms, ==, 100);
+}
+
 typedef struct
 {
   const char *name;
@@ -801,6 +857,7 @@
   { "bystander-runs-alone-and-is-served", bystander_runs_alone_and_is_served },
   { "suspect-waits-for-an-empty-server", suspect_waits_for_an_empty_server },
   { "late-orders-hold-back", late_orders_hold_back },
+  { "queue-that-left-is-forgotten", queue_that_left_is_forgotten },
 };
 
 static void
