--- a/src/dispatcher_place.c
+++ b/src/dispatcher_place.c
@@ -25,11 +25,11 @@
 #define STRAGGLER_GAIN_MS 40
 /* Share of a queue's runs that are usual, however long. */
 #define USUAL_QUANTILE 0.99
-/* The agent's slowness is a moving average of the logarithms of run times; its
- * standard deviation is 0.285 of theirs (its weight is 0.15). Up to five of these it may
- * be high by chance: with 3% of the runs seven times as long it is above 1.8 after 0.005%
- * of the runs, and above five deviations after 0.001%. A server that turns three times
- * slower exceeds them within 5 to 10 runs. */
+/* The agent's slowness is a moving average of the logarithms of run times, with a weight of
+ * 0.15: its standard deviation is 0.285 of theirs. Up to five of these it may be high by
+ * chance: with 3% of the runs seven times as long it is above 1.8 after 0.008% of the runs,
+ * and above five deviations after 0.0005%. A server that turns three times slower exceeds
+ * them within 5 to 10 runs. */
 #define SLOWNESS_DEVIATIONS (5 * 0.285)
 /* If frames to more than this share of the servers are delayed, the entry's own link is
  * congested. Tasks of a job that start together then go to one server, with one order and
