--- a/src/counters.h
+++ b/src/counters.h
@@ -85,6 +85,10 @@
      "tasks given up because their backend servers kept ending")                         \
   X (TASKS_LEFT_FAST_FREE, "tasks_left_fast_free",                                       \
      "tasks placed on slower servers, in time, to leave faster ones free")               \
+  X (OBJECTIVES_RAISED, "objectives_raised",                                             \
+     "waiting jobs whose objective was raised by a long run")                            \
+  X (STRAGGLERS_KEPT, "stragglers_kept",                                                 \
+     "slow runs not restarted, as long ones are usual in their queue")                   \
   X (ZONES_CLOSED, "zones_closed", "availability zones seen to be closed")               \
   X (ZONES_OPENED, "zones_opened", "availability zones seen to be opened again")         \
   X (ZONES_CLOSED_NOW, "zones_closed_now", "availability zones that are closed now")     \
--- a/src/dispatcher_servers.c
+++ b/src/dispatcher_servers.c
@@ -177,11 +177,36 @@
   job->dispatcher->n_waiting++;
 }
 
+/* Nothing is learned of a queue that left the configuration while its last tasks ran. */
 static void
 observe_run_time (const LeasedJob *job, guint run_ms)
 {
-  runtimes_observe (dispatcher_runtimes (job->dispatcher, job->spec.queue),
-                    job->spec.declared_ms, run_ms);
+  Runtimes *runtimes = g_hash_table_lookup (job->dispatcher->runtimes, job->spec.queue);
+
+  if (runtimes != NULL)
+    runtimes_observe (runtimes, job->spec.declared_ms, run_ms);
+}
+
+/* What the task would have taken at usual speed. On a server that is slow now a long run
+ * says nothing of the task, and callers do not count it. */
+static void
+observe_own_time (const LeasedTask *task, double run_ms)
+{
+  double slowness = task->server->status.slowness_percent / 100.0;
+
+  job_observe_run (task->job, run_ms / MAX (slowness, 1) / task->server->relative_time);
+}
+
+void
+dispatcher_follow_runs (Dispatcher *dispatcher)
+{
+  const LeasedServer *server;
+  const LeasedTask *task;
+
+  TAILQ_FOREACH (server, &dispatcher->servers, link)
+    TAILQ_FOREACH (task, &server->tasks, on_server)
+      if (task->started_ms > 0 && task->job->waiting > 0)
+        observe_own_time (task, (double)(dispatcher->now_ms - task->started_ms));
 }
 
 /* The run time on the server of median speed, which expected run times are about. Those
@@ -199,6 +224,7 @@
 
   if (run_ms > 0)
     observe_run_time (job, median_run_ms (task, run_ms));
+  observe_own_time (task, run_ms);
   task_detach (task);
   task->state = TASK_ENDED;
   job->ended++;
--- a/tests/load_plan.h
+++ b/tests/load_plan.h
@@ -78,8 +78,9 @@
   guint speed_runs; /* as in DispatcherInit */
   double tail_part; /* of the tasks that take tail_factor times as long */
   double tail_factor;
-  double swing;   /* arrivals vary by this part around their mean, as a sine */
-  guint swing_ms; /* its period */
+  double swing;        /* arrivals vary by this part around their mean, as a sine */
+  guint swing_ms;      /* its period */
+  gboolean run_shapes; /* as in DispatcherInit */
   guint32 seed;
   const LoadQueue *queues;
   guint shared_ms; /* between two summaries of the load to other entries; 0: none */
@@ -167,3 +168,4 @@
 /* The objective: the longest task's run time x LOAD_STRETCH + LOAD_TARGET_MS. */
 #define LOAD_TARGET_MS 60
 #define LOAD_STRETCH 1.6
+#define LOAD_TAIL_FACTOR 7
--- a/tests/load_replay.c
+++ b/tests/load_replay.c
@@ -306,8 +306,9 @@
 static void
 open_entry (Replay *replay, guint i)
 {
-  DispatcherInit init
-      = { .server_lease_ms = SERVER_LEASE_MS, .speed_runs = replay->init->speed_runs };
+  DispatcherInit init = { .server_lease_ms = SERVER_LEASE_MS,
+                          .speed_runs = replay->init->speed_runs,
+                          .run_shapes = replay->init->run_shapes };
   Entry *entry = &replay->entries[i];
   Demand none = { 0 };
 
--- a/tests/load_table.c
+++ b/tests/load_table.c
@@ -18,6 +18,8 @@
 static gboolean option_brief = FALSE;
 static int option_shared = 0;
 static double option_burst = 0;
+static int option_tail = 0;
+static gboolean option_shapes = FALSE;
 
 static const GOptionEntry options[] = {
   { "seeds", 's', 0, G_OPTION_ARG_INT, &option_seeds, "Seeds per row", "N" },
@@ -28,6 +30,10 @@
     "Use servers' speeds from N runs on", "N" },
   { "speeds", 'p', 0, G_OPTION_ARG_INT, &option_speeds, "Reported speeds (LoadSpeeds)",
     "N" },
+  { "tail", 't', 0, G_OPTION_ARG_INT, &option_tail,
+    "Percentage of tasks that take 7 times as long", "N" },
+  { "run-shapes", 'R', 0, G_OPTION_ARG_NONE, &option_shapes, "With load.run_shapes",
+    NULL },
   { "brief", 'b', 0, G_OPTION_ARG_NONE, &option_brief, "Means of all rows only", NULL },
   { "shared", 'i', 0, G_OPTION_ARG_INT, &option_shared,
     "Entries exchange summaries of their load at this interval", "MS" },
@@ -81,6 +87,15 @@
   row->idle.unseen += result->idle.unseen / option_seeds;
 }
 
+/* The load stays: fewer tasks of a longer mean. */
+static void
+set_tail (LoadInit *init)
+{
+  init->tail_part = option_tail / 100.0;
+  init->tail_factor = LOAD_TAIL_FACTOR;
+  init->burst /= 1 + init->tail_part * (init->tail_factor - 1);
+}
+
 static void
 print_row (const char *mix, guint n, double load, const Row *ours, const Row *central)
 {
@@ -112,6 +127,9 @@
           init.burst_from_ms = 5000;
           init.burst_to_ms = 9000;
         }
+      init.run_shapes = option_shapes;
+      if (option_tail > 0)
+        set_tail (&init);
       load_replay (&init, &result);
       add_result (&ours, &init, &result);
       load_central (&init, &result);
@@ -124,6 +142,8 @@
   sum->on_time += ours.on_time;
   sum->worst += ours.worst;
   sum->held += ours.held;
+  sum->refused += ours.refused;
+  sum->wasted += ours.wasted;
   sum_central->earned += central.earned;
   sum_central->served += central.served;
   sum_central->worst += central.worst;
@@ -148,10 +168,11 @@
       }
   if (rows == 0)
     return;
-  g_print ("%-14s mean     %.4f %.4f %.4f %.4f  held %.4f  central %.4f %.4f %.4f\n",
+  g_print ("%-14s mean     %.4f %.4f %.4f %.4f  held %.4f refused %.4f wasted %.4f  "
+           "central %.4f %.4f %.4f\n",
            mix->name, sum.earned / rows, sum.served / rows, sum.on_time / rows,
-           sum.worst / rows, sum.held / rows, central.earned / rows,
-           central.served / rows, central.worst / rows);
+           sum.worst / rows, sum.held / rows, sum.refused / rows, sum.wasted / rows,
+           central.earned / rows, central.served / rows, central.worst / rows);
 }
 
 int
--- a/tests/test-dispatcher.c
+++ b/tests/test-dispatcher.c
@@ -205,6 +205,17 @@
   dispatcher_pump (scene->dispatcher, scene->now);
 }
 
+static void
+report_done (Scene *scene, Order *order, guint run_ms)
+{
+  TaskReport report
+      = { .key = order->key, .event = TASK_DONE, .reason = "", .run_ms = run_ms };
+
+  order->open = FALSE;
+  dispatcher_reports (scene->servers[order->server], &report, 1, FALSE, scene->now);
+  dispatcher_pump (scene->dispatcher, scene->now);
+}
+
 static void
 advance (Scene *scene, guint ms)
 {
@@ -669,6 +680,149 @@
   g_assert_cmpuint (server_for_data_at_slow (scene, 3), ==, 0);
 }
 
+static void
+open_with_shapes (Scene *scene, guint capacity, gboolean run_shapes)
+{
+  DispatcherInit init = { .server_lease_ms = SERVER_LEASE_MS, .run_shapes = run_shapes };
+
+  scene_open_with (scene, capacity, &init);
+}
+
+/* @n jobs of one task each, of which every @tail_every-th takes 7 times as long. */
+static void
+learn_runs (Scene *scene, guint n, guint run_ms, guint tail_every)
+{
+  for (guint i = 1; i <= n; i++)
+    {
+      char *id = g_strdup_printf ("learned-%u", i);
+
+      submit (scene, id, 1);
+      report (scene, &scene->orders[scene->n_orders - 1], TASK_STARTED);
+      report_done (scene, &scene->orders[scene->n_orders - 1],
+                   tail_every > 0 && i % tail_every == 0 ? run_ms * 7 : run_ms);
+      scene->now += 5;
+      g_free (id);
+    }
+}
+
+static gboolean
+has_no_queue (const char *queue, gpointer ctx)
+{
+  return FALSE;
+}
+
+static gboolean
+has_queue (const char *queue, gpointer ctx)
+{
+  return strcmp (queue, "claims") == 0;
+}
+
+/* The run times of each queue that was ever configured were kept for the life of the
+ * entry: callers that name their queues by the day filled its memory. */
+static void
+queue_that_left_is_forgotten (Scene *scene)
+{
+  scene_open (scene, 2000);
+  learn_runs (scene, 20, 40, 0);
+  dispatcher_keep_queues (scene->dispatcher, has_queue, NULL);
+  submit (scene, "a", 1);
+  g_assert_cmpuint (scene->orders[scene->n_orders - 1].expected_ms, ==, 40);
+  dispatcher_keep_queues (scene->dispatcher, has_no_queue, NULL);
+  report_done (scene, &scene->orders[scene->n_orders - 1], 40);
+  submit (scene, "b", 1);
+  g_assert_cmpuint (scene->orders[scene->n_orders - 1].expected_ms, ==, 100);
+}
+
+/* A job of four tasks of which three run, for 400 ms already where 120 ms are expected;
+ * then a new job arrives and one of the three ends. Return: the job that gets its place.
+ */
+static const char *
+next_after_long_run (Scene *scene, gboolean run_shapes, guint learned)
+{
+  open_with_shapes (scene, 1000, run_shapes);
+  learn_runs (scene, learned, 100, 33);
+  submit (scene, "a", 4);
+  for (guint i = 1; i <= 3; i++)
+    report (scene, &scene->orders[scene->n_orders - i], TASK_STARTED);
+  for (guint i = 0; i < 20; i++)
+    advance (scene, 20);
+  submit (scene, "b", 1);
+  report_done (scene, &scene->orders[scene->n_orders - 1], 400);
+  return scene->orders[scene->n_orders - 1].key.job;
+}
+
+/* Callers count from the slowest task. By the mean a job with a long one was ranked as
+ * late and its last task went behind new jobs, so that it did end late. */
+static void
+long_run_keeps_its_job_first (Scene *scene)
+{
+  g_assert_cmpstr (next_after_long_run (scene, TRUE, 200), ==, "a");
+}
+
+/* The same with the setting off, and with too few runs: as by the mean. */
+static void
+long_run_is_late_without_shapes (Scene *scene)
+{
+  g_assert_cmpstr (next_after_long_run (scene, FALSE, 200), ==, "b");
+}
+
+static void
+long_run_is_late_with_few_runs (Scene *scene)
+{
+  g_assert_cmpstr (next_after_long_run (scene, TRUE, 50), ==, "b");
+}
+
+/* Reports a run of 350 ms that would take 100 ms elsewhere, from a server of this
+ * slowness. Return: whether it is stopped. */
+static gboolean
+long_run_is_stopped (Scene *scene, guint tail_every, guint slowness, guint remaining_ms)
+{
+  ServerStatus slow
+      = { .capacity = { 1000, 100000, 0 }, .ready = TRUE, .slowness_percent = slowness };
+  TaskReport straggler = { .event = TASK_STRAGGLES,
+                           .reason = "",
+                           .remaining_ms = remaining_ms,
+                           .elsewhere_ms = 100 };
+  Order *order;
+
+  open_with_shapes (scene, 1000, TRUE);
+  learn_runs (scene, 200, 100, tail_every);
+  submit (scene, "a", 1);
+  order = &scene->orders[scene->n_orders - 1];
+  report (scene, order, TASK_STARTED);
+  set_status (scene, order->server, &slow);
+  advance (scene, 100);
+  straggler.key = order->key;
+  dispatcher_reports (scene->servers[order->server], &straggler, 1, FALSE, scene->now);
+  return order->stopped;
+}
+
+/* On a quiet day 1,500 runs were stopped, none of them stalled: where 3% of the runs take
+ * 7 times as long, two of them in a row make a sound server look slow. */
+static void
+usual_long_run_goes_on (Scene *scene)
+{
+  g_assert_false (long_run_is_stopped (scene, 20, 165, 250));
+}
+
+static void
+outlier_is_stopped (Scene *scene)
+{
+  g_assert_true (long_run_is_stopped (scene, 0, 165, 250));
+}
+
+static void
+long_run_on_slow_server_is_stopped (Scene *scene)
+{
+  g_assert_true (long_run_is_stopped (scene, 20, 300, 250));
+}
+
+static void
+stalled_run_is_stopped (Scene *scene)
+{
+  g_assert_true (long_run_is_stopped (scene, 20, 100, 60000));
+}
+
 typedef struct
 {
   const char *name;
@@ -1121,6 +1275,14 @@
   { "straggler-leaves-a-fast-server", straggler_leaves_a_fast_server },
   { "fast-server-is-worth-the-distance", fast_server_is_worth_the_distance },
   { "distance-is-worth-a-slow-server", distance_is_worth_a_slow_server },
+  { "queue-that-left-is-forgotten", queue_that_left_is_forgotten },
+  { "long-run-keeps-its-job-first", long_run_keeps_its_job_first },
+  { "long-run-is-late-without-shapes", long_run_is_late_without_shapes },
+  { "long-run-is-late-with-few-runs", long_run_is_late_with_few_runs },
+  { "usual-long-run-goes-on", usual_long_run_goes_on },
+  { "outlier-is-stopped", outlier_is_stopped },
+  { "long-run-on-slow-server-is-stopped", long_run_on_slow_server_is_stopped },
+  { "stalled-run-is-stopped", stalled_run_is_stopped },
 };
 
 static void
