--- a/src/leased_entry.c
+++ b/src/leased_entry.c
@@ -326,7 +326,6 @@
   DispatcherInit dispatcher = { .server_lease_ms = settings->server_lease_ms,
                                 .speed_runs = settings->speed_runs,
                                 .far_factor = settings->far_factor,
-                                .reserve_percent = settings->reserve_percent,
                                 .run_shapes = settings->run_shapes > 0 };
   MeshInit mesh
       = { .base = base,
--- a/src/settings.c
+++ b/src/settings.c
@@ -108,8 +108,6 @@
     "0: none at once." },
   { "load.shared_ms", KIND_NUMBER, SETTINGS_LEASED_ENTRY, AT (load_shared_ms), "0", 0,
     60000, "Interval at which entries exchange summaries of their load; 0: never." },
-  { "load.reserve_percent", KIND_NUMBER, SETTINGS_LEASED_ENTRY, AT (reserve_percent), "0",
-    0, 50, "Most of the servers' capacity that is kept free for wide urgent jobs." },
   { "load.run_shapes", KIND_NUMBER, SETTINGS_LEASED_ENTRY, AT (run_shapes), "0", 0, 1,
     "1: jobs are ranked, and stragglers told, by the distribution of a queue's run "
     "times; "
--- a/src/settings.h
+++ b/src/settings.h
@@ -37,7 +37,6 @@
   double far_factor;     /* run time away from a job's data over that near it */
   guint server_drain_ms; /* after its notice, a leaving server gets no new work */
   guint load_shared_ms;  /* between two summaries of the load to other entries; 0: none */
-  guint reserve_percent; /* of the capacity, kept free for wide urgent jobs at most */
   guint run_shapes; /* 1: the distribution of run times counts, not their mean alone */
 
   char **entries; /* an agent's: HTTP addresses of the entries */
