--- a/tests/test-explorer.c
+++ b/tests/test-explorer.c
@@ -114,6 +114,7 @@
   GOptionContext *context = g_option_context_new (NULL);
 
   g_test_init (&argc, &argv, NULL);
+  g_test_set_nonfatal_assertions ();
   g_option_context_add_main_entries (context, entries, NULL);
   g_option_context_parse (context, &argc, &argv, NULL);
   g_option_context_free (context);
