Platform: an answer of an earlier start does not end the present one

An answer with an older "born" than that of the instance called was taken as CALL_RESTARTED. The runner ended the present instance and kept it among the past ones, whose reports it ignores, so the server was lost until its next restart.

It now counts as no answer, and its clock is not taken either.

--- a/tests/test-decoders.c
+++ b/tests/test-decoders.c
@@ -175,6 +175,43 @@
   { "another-id-without-born", READY, "i-2#7000", "i-1", 0, REPORT_IS_NEXT },
 };
 
+/* Answers to a call to the start born at 7000. */
+typedef struct
+{
+  const char *name;
+  const char *body;
+  CallEnd end;
+  CallEnd found;
+  gboolean is_certain;
+  gint64 server_ms;
+} AnswerCase;
+
+static const AnswerCase answers[] = {
+  { "same-start", "{\"born\":7000}", CALL_DONE, CALL_DONE, TRUE, 5 },
+  { "not-said", "{}", CALL_DONE, CALL_DONE, FALSE, 5 },
+  { "not-a-time", "{\"born\":\"7001\"}", CALL_DONE, CALL_DONE, FALSE, 5 },
+  { "other-id", "{\"born\":7001}", CALL_OTHER_INSTANCE, CALL_OTHER_INSTANCE, FALSE, 5 },
+  { "later-start", "{\"born\":7001}", CALL_DONE, CALL_RESTARTED, FALSE, 5 },
+  /* An answer of the earlier process ended the present instance, whose reports then
+   * counted as those of a past one: the server was lost for good. */
+  { "earlier-start", "{\"born\":6999}", CALL_DONE, CALL_UNANSWERED, FALSE, 0 },
+};
+
+static void
+test_answer (gconstpointer data)
+{
+  const AnswerCase *c = data;
+  CallReply reply = { .end = c->end, .server_ms = 5 };
+  JsonNode *root;
+  JsonObject *body = json_parse_object (c->body, strlen (c->body), &root);
+
+  server_answer_check_born (body, 7000, &reply);
+  g_assert_cmpint (reply.end, ==, c->found);
+  g_assert_cmpint (reply.is_certain, ==, c->is_certain);
+  g_assert_cmpint (reply.server_ms, ==, c->server_ms);
+  json_node_unref (root);
+}
+
 static void
 test_said (gconstpointer data)
 {
@@ -471,6 +508,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   ADD_CASES ("/decoders/said", said, test_said);
+  ADD_CASES ("/decoders/answer-of-a-start", answers, test_answer);
   ADD_CASES ("/decoders/report", reports, test_report);
   ADD_CASES ("/decoders/rows", rows, test_rows);
   ADD_CASES ("/decoders/job", jobs, test_job);
