Platform: a server with an older "born" is taken after 10 s of silence

One report with a wrong later "born", a clock that was set back before a restart, or a rollback to a build that does not say "born" lost the server for good: its reports were stale or refused, and those of an instance known before were ignored by the runner as past.

Such a report now counts once the known instance has neither reported nor answered with its "born" for 10 s, and then replaces it also where it is a past one.

/decoders/said/earlier-start-for-long, born-is-not-said-for-long and /runner/start-that-was-known-before fail without the change and pass with it.

--- a/src/runner.h
+++ b/src/runner.h
@@ -57,6 +57,8 @@
   gint64 server_ms;   /* its clock */
   guint64 sequence;   /* counts the reports of one instance */
   gboolean is_old;    /* kept from an earlier process; its age is unknown */
+  gboolean replaces;  /* surely later than the instance of the last report, even if it was
+                         known before that one */
 } ServerFacts;
 
 typedef struct
--- a/src/runner_instance.c
+++ b/src/runner_instance.c
@@ -216,7 +216,7 @@
   gboolean changed;
 
   runner->now_ms = now_ms;
-  if (is_past_instance (runner, facts->instance))
+  if (is_new && !facts->replaces && is_past_instance (runner, facts->instance))
     return FALSE;
   if (!is_new && facts->sequence <= runner->sequence)
     return FALSE;
--- a/tests/test-decoders.c
+++ b/tests/test-decoders.c
@@ -150,6 +150,7 @@
   const char *instance;
   guint remaining_ms;
   ReportOrder order;
+  gint64 silent_ms;
 } SaidCase;
 
 static const SaidCase said[] = {
@@ -173,6 +174,14 @@
   { "earlier-start-of-another-id", READY ",\"born\":6999", "i-2#7000", "i-1#6999", 0,
     REPORT_IS_NEXT },
   { "another-id-without-born", READY, "i-2#7000", "i-1", 0, REPORT_IS_NEXT },
+  { "earlier-start-soon-after", READY ",\"born\":6999", "i-1#7000", "i-1#6999", 0,
+    REPORT_IS_STALE, 9000 },
+  /* After one report with a wrong "born", or a clock that was set back, the server was
+   * refused for good. */
+  { "earlier-start-for-long", READY ",\"born\":6999", "i-1#7000", "i-1#6999", 0,
+    REPORT_IS_NEXT, 11000 },
+  /* A server of an earlier build under the same id was refused for good. */
+  { "born-is-not-said-for-long", READY, "i-1#7000", "i-1", 0, REPORT_IS_NEXT, 11000 },
 };
 
 /* Answers to a call to the start born at 7000. */
@@ -227,7 +236,7 @@
   g_assert_cmpstr (report.facts.instance, ==, c->instance);
   g_assert_cmpstr (report.facts.name, ==, "i-1");
   g_assert_cmpuint (report.facts.remaining_ms, ==, c->remaining_ms);
-  g_assert_cmpint (server_report_order (&report, c->known), ==, c->order);
+  g_assert_cmpint (server_report_order (&report, c->known, c->silent_ms), ==, c->order);
   id = server_instance_id (report.facts.instance);
   g_assert_cmpstr (id, ==, "i-1");
   g_assert_cmpint (server_instance_born (report.facts.instance), ==, report.born);
--- a/tests/test-runner.c
+++ b/tests/test-runner.c
@@ -1226,6 +1226,30 @@
   g_assert_cmpstr (runner_instance (scene->runner), ==, "one#2");
 }
 
+/* Guards against a server that is lost for good: one report named a later start that does
+ * not exist, and the reports of the true one were those of a past instance. */
+static void
+start_that_was_known_before (Scene *scene)
+{
+  ServerFacts facts = { .instance = "one#1",
+                        .name = "one",
+                        .service = "exchange",
+                        .zone = "fukuoka-a",
+                        .capacity = { 4000, 1000, 0 },
+                        .server_ms = 60000,
+                        .sequence = 60,
+                        .replaces = TRUE };
+
+  named_ready (scene);
+  send_named (scene, "one#2", 1);
+  runner_facts (scene->runner, &facts, scene->now);
+  g_assert_cmpstr (runner_instance (scene->runner), ==, "one#1");
+  send_named (scene, "one#1", 61);
+  g_assert_cmpstr (runner_instance (scene->runner), ==, "one#1");
+  answer (scene, open_poll (scene), CALL_DONE);
+  g_assert_true (runner_ready (scene->runner));
+}
+
 static const Case cases[] = {
   { "leaving-server-takes-fitting-runs", leaving_server_takes_fitting_runs },
   { "no-start-after-the-bound", no_start_after_the_bound },
@@ -1243,6 +1267,7 @@
   { "token-catches-up", token_catches_up },
   { "lease-by-the-earlier-clock", lease_by_the_earlier_clock },
   { "report-of-an-earlier-start", report_of_an_earlier_start },
+  { "start-that-was-known-before", start_that_was_known_before },
   { "closed-zone-takes-nothing", closed_zone_takes_nothing },
   { "cold-server-is-no-slow-one", cold_server_is_no_slow_one },
   { "refusing-server-is-not-stormed", refusing_server_is_not_stormed },
