Runner: starts under way when a server leaves are held

When a server with "born" left, all its runs were reported lost at once. A start under way could still reach the next instance under the same id before a higher token fenced it, while its entry had started the task elsewhere: it ran twice.

Runs that the instance has not listed are now held until the next instance is cleared, as after a restart, or for 3 s if none follows. Servers without "born" are handled as before: calls tell their instances apart.

/runner/start-under-way-at-the-end-is-held and left-server-holds-no-start-for-long fail without the change and pass with it; the explorer simulates no leave calls.

--- a/src/runner.c
+++ b/src/runner.c
@@ -361,6 +361,7 @@
 {
   runner->now_ms = now_ms;
   forget_past_runs (runner);
+  runner_check_held (runner);
   if (runner->state == INSTANCE_UNKNOWN)
     return;
   runner_check_cold (runner);
--- a/src/runner_instance.c
+++ b/src/runner_instance.c
@@ -5,6 +5,9 @@
 #include <string.h>
 
 #define RESTARTED "backend server restarted"
+/* A call is over after 150 ms. A server that restarts at once has reported by then; jobs
+ * are not to wait longer for one that does not. */
+#define HELD_AFTER_LEAVE_MS 3000
 
 void
 runner_set_state (Runner *runner, InstanceState state)
@@ -53,7 +56,7 @@
  * way may reach it. If such a task were started elsewhere at once, it would run twice. A
  * run that the earlier instance has listed ended with it. */
 static void
-hold_unlisted_runs (Runner *runner)
+hold_unlisted_runs (Runner *runner, ReportKind kind, const char *reason)
 {
   Run *run;
   Run *next;
@@ -63,7 +66,7 @@
       next = TAILQ_NEXT (run, link);
       if (run->listed)
         {
-          run_end (runner, run, REPORT_SERVER_ENDED, RESTARTED);
+          run_end (runner, run, kind, reason);
           continue;
         }
       run->held = TRUE;
@@ -76,7 +79,8 @@
 {
   if (runner->instance == NULL)
     return;
-  hold_unlisted_runs (runner);
+  hold_unlisted_runs (runner, REPORT_SERVER_ENDED, RESTARTED);
+  runner->held_until_ms = 0;
   event_note ("server-restarted", "-", "server=%s held=%u", runner->instance,
               runner->n_runs);
   forget_instance (runner);
@@ -96,6 +100,15 @@
     }
 }
 
+void
+runner_check_held (Runner *runner)
+{
+  if (runner->held_until_ms == 0 || runner->now_ms < runner->held_until_ms)
+    return;
+  runner->held_until_ms = 0;
+  runner_release_held (runner);
+}
+
 static gboolean
 is_past_instance (const Runner *runner, const char *instance)
 {
@@ -199,6 +212,7 @@
   runner->instance_epoch++;
   runner->sequence = 0;
   runner->fenced = 0;
+  runner->held_until_ms = 0;
   runner->ends_seen = 0;
   runner->unanswered = 0;
   set_cold (runner, FALSE);
@@ -247,6 +261,15 @@
 runner_server_left (Runner *runner, const char *instance, gint64 now_ms)
 {
   runner->now_ms = now_ms;
-  if (g_strcmp0 (runner->instance, instance) == 0)
-    runner_end_instance (runner, REPORT_LOST, "backend server left");
+  if (g_strcmp0 (runner->instance, instance) != 0)
+    return;
+  /* It may restart under its name, and a start under way may reach that instance. */
+  if (strcmp (runner->name, instance) != 0)
+    {
+      hold_unlisted_runs (runner, REPORT_LOST, "backend server left");
+      runner->held_until_ms = now_ms + HELD_AFTER_LEAVE_MS;
+      forget_instance (runner);
+      return;
+    }
+  runner_end_instance (runner, REPORT_LOST, "backend server left");
 }
--- a/src/runner_parts.h
+++ b/src/runner_parts.h
@@ -85,6 +85,7 @@
   InstanceState state;
   guint64 sequence;
   guint64 token;
+  gint64 held_until_ms; /* held runs end then if no instance follows; 0: no bound */
   guint fenced; /* calls refused for their token since the last that was carried out */
   guint64 ends_seen;
   PeerClock clock;
@@ -150,6 +151,9 @@
 /** runner_release_held - the server is certain to run none of the held runs. */
 void runner_release_held (Runner *runner);
 
+/** runner_check_held - release them if no instance has followed the one that left. */
+void runner_check_held (Runner *runner);
+
 /* runner_calls.c */
 void runner_send_start (Runner *runner, Run *run);
 void runner_send_stop (Runner *runner, const RunKey *key);
--- a/tests/test-runner.c
+++ b/tests/test-runner.c
@@ -1134,6 +1134,40 @@
   g_assert_true (runner_ready (scene->runner));
 }
 
+/* Guards against a task that runs twice at once: a start under way when the server left
+ * was ordered elsewhere, and the next start under the same id carried it out. */
+static void
+start_under_way_at_the_end_is_held (Scene *scene)
+{
+  named_ready (scene);
+  start_running (scene, "j", 1000);
+  answer_certain (scene, open_long_poll (scene), "j");
+  order_start (scene, ENTRY, "k", 1000);
+  scene->n_reports = 0;
+  runner_server_left (scene->runner, "one#1", scene->now);
+  g_assert_cmpuint (scene->n_reports, ==, 1);
+  g_assert_cmpstr (last_report (scene)->key.job, ==, "j");
+  restart_named (scene);
+  answer_running (scene, open_poll (scene), "k", 0);
+  g_assert_cmpuint (scene->n_reports, ==, 1);
+  g_assert_cmpstr (open_call (scene, CALLED_STOP)->key.job, ==, "k");
+  answer_ended (scene, open_long_poll (scene), "k", RUN_END_STOPPED);
+  g_assert_cmpint (last_report (scene)->kind, ==, REPORT_LOST);
+}
+
+/* Guards against a task that waits for good for a server that does not restart. */
+static void
+left_server_holds_no_start_for_long (Scene *scene)
+{
+  named_ready (scene);
+  order_start (scene, ENTRY, "k", 1000);
+  runner_server_left (scene->runner, "one#1", scene->now);
+  g_assert_cmpuint (scene->n_reports, ==, 0);
+  advance (scene, 3000 + RUNNER_TICK_MS);
+  g_assert_cmpint (last_report (scene)->kind, ==, REPORT_SERVER_ENDED);
+  g_assert_cmpuint (runner_count (scene->runner), ==, 0);
+}
+
 /* Guards against a task that waits without need: its run was seen on the earlier instance
  * and ended with it. */
 static void
@@ -1261,6 +1295,8 @@
   { "run-that-is-cut-off-is-reported", run_that_is_cut_off_is_reported },
   { "unlisted-runs-are-held", unlisted_runs_are_held },
   { "start-under-way-is-held", start_under_way_is_held },
+  { "start-under-way-at-the-end-is-held", start_under_way_at_the_end_is_held },
+  { "left-server-holds-no-start-for-long", left_server_holds_no_start_for_long },
   { "listed-runs-end-at-once", listed_runs_end_at_once },
   { "list-of-a-later-start", list_of_a_later_start },
   { "restart-fences-earlier-calls", restart_fences_earlier_calls },
