--- a/src/runner_progress.c
+++ b/src/runner_progress.c
@@ -141,8 +141,8 @@
   return (double)(run->progress_ms - run->started_ms) * 100 / run->percent;
 }
 
-/* Whether the server is slow, and by more than the spread of run times explains. A cold
- * server says so itself. */
+/* Whether the server is slow, and by more than the spread of run times explains. Runs on
+ * a cold server are not in the sequential test. */
 static gboolean
 is_slow (const Runner *runner)
 {
