--- a/src/dispatcher_parts.h
+++ b/src/dispatcher_parts.h
@@ -1,7 +1,8 @@
 #pragma once
 /* Private to the dispatcher. dispatcher.c: jobs; dispatcher_servers.c: servers and their
  * reports; dispatcher_order.c: order and refusal; dispatcher_place.c: placement;
- * dispatcher_requests.c: resource requests. */
+ * dispatcher_stragglers.c: restart of slow runs; dispatcher_requests.c: resource
+ * requests. */
 #include "arrivals.h"
 #include "dispatcher.h"
 #include "relative_speed.h"
@@ -193,6 +194,9 @@
 
 gboolean server_has_label (const LeasedServer *server, const char *label);
 
+/* Run times up to this factor are within the variation between tasks. */
+#define SLOWNESS_NORMAL 1.6
+
 /** server_is_open - it takes orders, if it has free capacity. */
 gboolean server_is_open (const LeasedServer *server);
 
@@ -202,6 +206,21 @@
 /** server_note_no_room - its agent refused a start, for lack of free capacity. */
 void server_note_no_room (LeasedServer *server);
 
+/** server_slowness - its deviation from its own speed, over that of the median server; 1
+ * up to SLOWNESS_NORMAL.
+ */
+double server_slowness (const LeasedServer *server);
+
+/** dispatcher_update_server_stats - update what placement derives from all servers. */
+void dispatcher_update_server_stats (Dispatcher *dispatcher);
+
+/** dispatcher_server_elsewhere - the server that a new run of a placed @task would get
+ * now; NULL: none.
+ */
+LeasedServer *dispatcher_server_elsewhere (LeasedTask *task);
+
+/* dispatcher_stragglers.c */
+
 /** dispatcher_handle_straggler - stop a slow run if it ends sooner on another server. */
 void dispatcher_handle_straggler (LeasedTask *task, const TaskReport *report);
 
--- a/src/dispatcher_place.c
+++ b/src/dispatcher_place.c
@@ -5,7 +5,6 @@
 #include "histograms.h"
 #include "leaving.h"
 
-#include <math.h>
 #include <string.h>
 
 /* An agent refuses an order that is older than this when it arrives. */
@@ -13,8 +12,6 @@
 /* No orders are sent to a server while frames to it are delayed this much: they would
  * queue behind the earlier ones, be refused as too old and be sent again. */
 #define ORDER_DELAY_MAX_MS 60
-/* Run times up to this factor are within the variation between tasks. */
-#define SLOWNESS_NORMAL 1.6
 /* Waiting for another server is not worth a gain of less than this. */
 #define SLOW_SLACK_MS 20
 /* Run time away from a job's data over that near it, unless it is set. */
@@ -34,20 +31,8 @@
 /* How long a task avoids the server where it failed or hung. Bounded, since there may be
  * no other server. */
 #define AVOID_MS 100
-/* An agent reports at least this as remaining time of a run that makes no progress. */
-#define STALLED_MS 30000
-/* Expected gain required to restart a straggler. */
-#define STRAGGLER_GAIN_MS 40
 /* More than any other cost: a leaving server is used only while no other has room. */
 #define LEAVING_COST 1e9
-/* Share of a queue's runs that are usual, however long. */
-#define USUAL_QUANTILE 0.99
-/* The agent's slowness is a moving average of the logarithms of run times, with a weight
- * of 0.15: its standard deviation is 0.285 of theirs. Up to five of these it may be high
- * by chance: with 3% of the runs seven times as long it is above 1.8 after 0.008% of the
- * runs, and above five deviations after 0.0005%. A server that turns three times slower
- * exceeds them within 5 to 10 runs. */
-#define SLOWNESS_DEVIATIONS (5 * 0.285)
 /* If frames to more than this share of the servers are delayed, the entry's own link is
  * congested. Tasks of a job that start together then go to one server, with one order and
  * one payload, unless another server is less slow or fails less. */
@@ -78,8 +63,8 @@
 }
 
 /* Relative to the median server: if all are slow, the estimates are wrong. */
-static double
-slowness_of (const LeasedServer *server)
+double
+server_slowness (const LeasedServer *server)
 {
   double slowness
       = server->status.slowness_percent / 100.0 / server->dispatcher->median_slowness;
@@ -181,8 +166,8 @@
   double far = server_has_label (server, job->spec.rack) ? 1 : far_factor (dispatcher);
 
   if (!dispatcher->speeds.uneven)
-    return slowness_of (server) + (far - 1);
-  return slowness_of (server) * server->relative_time * far;
+    return server_slowness (server) + (far - 1);
+  return server_slowness (server) * server->relative_time * far;
 }
 
 static gboolean
@@ -218,7 +203,7 @@
 static double
 lost_ms_on (const LeasedServer *server, LeasedJob *job)
 {
-  double lost_ms = (slowness_of (server) - 1) * job->task_ms;
+  double lost_ms = (server_slowness (server) - 1) * job->task_ms;
 
   if (!server->dispatcher->speeds.uneven)
     return lost_ms;
@@ -367,6 +352,16 @@
   return best;
 }
 
+LeasedServer *
+dispatcher_server_elsewhere (LeasedTask *task)
+{
+  Dispatcher *dispatcher = task->job->dispatcher;
+
+  gather_candidate_servers (dispatcher, task->job->spec.demand.cpu_milli);
+  task->job->fast_factor = 0;
+  return choose_server (dispatcher, task->job, task, NULL);
+}
+
 static void
 task_place (LeasedTask *task, LeasedServer *server)
 {
@@ -503,8 +498,8 @@
 
 /* Updates what is derived from all servers: their median slowness, whether trust levels
  * apply, whether the own link is congested, and counts. */
-static void
-update_server_stats (Dispatcher *dispatcher)
+void
+dispatcher_update_server_stats (Dispatcher *dispatcher)
 {
   GArray *all = g_array_new (FALSE, FALSE, sizeof (double));
   const LeasedServer *server;
@@ -552,7 +547,7 @@
       dispatcher_decline_offers (dispatcher);
       return;
     }
-  update_server_stats (dispatcher);
+  dispatcher_update_server_stats (dispatcher);
   dispatcher_refuse_zone_closed (dispatcher);
   dispatcher->wait_ms = dispatcher_wait_ms (dispatcher);
   jobs = dispatcher_order (dispatcher);
@@ -567,76 +562,3 @@
   if (dispatcher->arrived)
     dispatcher_shed_load (dispatcher);
 }
-
-/* The agent's estimate is for another server of the same speed. */
-static double
-elsewhere_ms_on (const LeasedServer *other,
-                 const LeasedTask *task,
-                 const TaskReport *report)
-{
-  return report->elsewhere_ms * other->relative_time / task->server->relative_time;
-}
-
-/* Whether runs of the task's queue are often as long as this one, on servers that are not
- * at fault. A stalled run is reported with a remaining time beyond all that is usual. */
-static gboolean
-is_usual_run (const LeasedTask *task, const TaskReport *report)
-{
-  const Runtimes *shape = job_shape (task->job);
-  guint declared_ms = task->job->spec.declared_ms;
-  double whole_ms = report->remaining_ms;
-  double by_chance;
-
-  if (shape == NULL)
-    return FALSE;
-  if (task->started_ms > 0)
-    whole_ms += (double)(task->job->dispatcher->now_ms - task->started_ms);
-  whole_ms /= task->server->relative_time;
-  by_chance = exp (SLOWNESS_DEVIATIONS * runtimes_log_spread (shape, declared_ms));
-  return whole_ms <= runtimes_quantile (shape, declared_ms, USUAL_QUANTILE)
-         && slowness_of (task->server) <= MAX (by_chance, SLOWNESS_NORMAL);
-}
-
-/* A run that hangs or is slow on a bad server can hold up its whole job. A restart loses
- * the work done, so it must end clearly sooner elsewhere, and before the deadline. */
-void
-dispatcher_handle_straggler (LeasedTask *task, const TaskReport *report)
-{
-  LeasedJob *job = task->job;
-  Dispatcher *dispatcher = job->dispatcher;
-  LeasedServer *before = task->avoid;
-  LeasedServer *other;
-  double elsewhere_ms;
-
-  update_server_stats (dispatcher);
-  if (report->remaining_ms < STALLED_MS && slowness_of (task->server) <= SLOWNESS_NORMAL)
-    return;
-  if (task->stopping || job->closed || task->state != TASK_PLACED)
-    return;
-  if (is_usual_run (task, report))
-    {
-      counter_add (COUNTER_STRAGGLERS_KEPT, 1);
-      event_emit ("straggler-kept", job->spec.id,
-                  "task=%u run=%u agent=%s remaining_ms=%u elsewhere_ms=%u", task->index,
-                  task->run, task->server->name, report->remaining_ms,
-                  report->elsewhere_ms);
-      return;
-    }
-  task->avoid = task->server;
-  task->waiting_since_ms = dispatcher->now_ms;
-  gather_candidate_servers (dispatcher, job->spec.demand.cpu_milli);
-  job->fast_factor = 0;
-  other = choose_server (dispatcher, job, task, NULL);
-  elsewhere_ms = other != NULL ? elsewhere_ms_on (other, task, report) : 0;
-  if (other == NULL || other->status.draining
-      || report->remaining_ms < elsewhere_ms + STRAGGLER_GAIN_MS
-      || dispatcher->now_ms + elsewhere_ms > job->spec.deadline_ms)
-    {
-      task->avoid = before;
-      return;
-    }
-  event_note ("straggler-restarted", job->spec.id,
-              "task=%u run=%u agent=%s remaining_ms=%u elsewhere_ms=%.0f", task->index,
-              task->run, task->server->name, report->remaining_ms, elsewhere_ms);
-  task_stop (task);
-}
