Do not wait for fast servers that are too small for the job

Cause: the run time that a task loses on a slow server was taken against the fastest server of its service and label, also if the task cannot fit there. With a free slow server and smaller fast ones the task waited for up to that loss, although nothing could free.

Change: only servers whose capacity holds the task count as ones to wait for.

Result: /dispatcher/small-fast-servers-are-not-waited-for failed before (0 orders) and passes.

--- a/src/dispatcher_place.c
+++ b/src/dispatcher_place.c
@@ -193,6 +193,7 @@
   TAILQ_FOREACH (server, &dispatcher->servers, link)
     if (server_is_open (server) && server_is_trusted (server)
         && strcmp (server->status.service, job->spec.service) == 0
+        && demand_fits (&server->status.capacity, &(Demand){ 0 }, &job->spec.demand)
         && server_has_label (server, job->spec.label))
       least = MIN (least, time_factor (server, job));
   job->fast_factor = MAX (least, dispatcher->speeds.fast);
--- a/tests/test-dispatcher.c
+++ b/tests/test-dispatcher.c
@@ -609,6 +609,28 @@
   g_assert_cmpuint (scene->orders[1].server, ==, 1);
 }
 
+/* A task that fits only on the slow server waited there for fast servers that are too
+ * small for it. */
+static void
+small_fast_servers_are_not_waited_for (Scene *scene)
+{
+  ServerStatus large = { .capacity = { 4000, 100000, 0 },
+                         .ready = TRUE,
+                         .slowness_percent = 100,
+                         .speed_percent = 300,
+                         .speed_runs = 200 };
+  LeasedSpec spec;
+
+  open_uneven (scene, (guint[]){ 300, 100, 100 }, 0);
+  set_status (scene, 0, &large);
+  spec = spec_of (scene, "a", 1, 100);
+  spec.demand.cpu_milli = 2000;
+  dispatcher_submit (scene->dispatcher, &spec, on_done, scene, scene->now);
+  dispatcher_pump (scene->dispatcher, scene->now);
+  g_assert_cmpuint (scene->n_orders, ==, 1);
+  g_assert_cmpuint (scene->orders[0].server, ==, 0);
+}
+
 static gboolean
 straggler_is_stopped (Scene *scene, guint remaining_ms)
 {
@@ -1270,6 +1292,7 @@
   { "fastest-server-gets-the-task", fastest_server_gets_the_task },
   { "slow-but-sound-server-is-used-at-once", slow_but_sound_server_is_used_at_once },
   { "late-server-is-taken-after-a-wait", late_server_is_taken_after_a_wait },
+  { "small-fast-servers-are-not-waited-for", small_fast_servers_are_not_waited_for },
   { "refused-order-goes-to-another-server", refused_order_goes_to_another_server },
   { "straggler-stays-on-a-fast-server", straggler_stays_on_a_fast_server },
   { "straggler-leaves-a-fast-server", straggler_leaves_a_fast_server },
