Forget the relative run time of a replaced server

Cause: the relative run time was kept when an agent reported another instance, until the next tick, and for as long as the new instance took no orders: placement, capacity and the run times learned used the speed of the instance before.

Change: it is 1 (not known) from the first status of another instance on.

Result: /dispatcher/new-instance-has-no-known-speed failed before (order to server 2) and passes.

--- a/src/dispatcher_servers.c
+++ b/src/dispatcher_servers.c
@@ -491,6 +491,8 @@
                 status->closed, status->capacity.cpu_milli, status->trust,
                 status->slowness_percent, status->failing_percent, status->leaving_ms);
   update_leaving (server, status, other_instance);
+  if (other_instance)
+    server->relative_time = 1;
   server_status_free (&server->status);
   server->status = *status;
   update_closed (server);
--- a/tests/test-dispatcher.c
+++ b/tests/test-dispatcher.c
@@ -106,7 +106,8 @@
 {
   ServerStatus status = *template;
 
-  status.instance = g_strdup_printf ("instance-%u", i);
+  status.instance = template->instance != NULL ? g_strdup (template->instance)
+                                               : g_strdup_printf ("instance-%u", i);
   status.service = g_strdup ("exchange");
   status.zone = g_strdup ("fukuoka-a");
   status.labels
@@ -631,6 +632,21 @@
   g_assert_cmpuint (scene->orders[0].server, ==, 0);
 }
 
+/* Until the next tick a new instance counted as fast as the one that it replaced. */
+static void
+new_instance_has_no_known_speed (Scene *scene)
+{
+  ServerStatus fresh = { .instance = (char *)"replacement",
+                         .capacity = { 1000, 100000, 0 },
+                         .ready = TRUE,
+                         .slowness_percent = 100 };
+
+  open_uneven (scene, (guint[]){ 160, 100, 60 }, 0);
+  set_status (scene, 2, &fresh);
+  submit (scene, "a", 1);
+  g_assert_cmpuint (scene->orders[0].server, ==, 1);
+}
+
 static gboolean
 straggler_is_stopped (Scene *scene, guint remaining_ms)
 {
@@ -1293,6 +1309,7 @@
   { "slow-but-sound-server-is-used-at-once", slow_but_sound_server_is_used_at_once },
   { "late-server-is-taken-after-a-wait", late_server_is_taken_after_a_wait },
   { "small-fast-servers-are-not-waited-for", small_fast_servers_are_not_waited_for },
+  { "new-instance-has-no-known-speed", new_instance_has_no_known_speed },
   { "refused-order-goes-to-another-server", refused_order_goes_to_another_server },
   { "straggler-stays-on-a-fast-server", straggler_stays_on_a_fast_server },
   { "straggler-leaves-a-fast-server", straggler_leaves_a_fast_server },
