Compute the factor of the fastest server once for alike jobs of a placement

Cause: for each waiting job that a free server would make late, all servers were searched for the fastest that it may wait for: jobs x servers in each placement.

Change: the factor is shared by the jobs of a placement with the same service, label, rack and demand.

--- a/src/dispatcher.c
+++ b/src/dispatcher.c
@@ -21,6 +21,7 @@
   dispatcher->median_slowness = 1;
   dispatcher->speeds.fast = 1;
   dispatcher->candidate_servers = g_ptr_array_new ();
+  dispatcher->fast_factors = fast_factors_new ();
   TAILQ_INIT (&dispatcher->jobs);
   TAILQ_INIT (&dispatcher->servers);
   TAILQ_INIT (&dispatcher->recent);
@@ -98,6 +99,7 @@
   while ((recent = TAILQ_FIRST (&dispatcher->recent)) != NULL)
     recent_free (dispatcher, recent);
   g_ptr_array_unref (dispatcher->candidate_servers);
+  g_hash_table_unref (dispatcher->fast_factors);
   g_hash_table_unref (dispatcher->by_id);
   g_hash_table_unref (dispatcher->closing);
   g_hash_table_unref (dispatcher->recent_ids);
--- a/src/dispatcher_parts.h
+++ b/src/dispatcher_parts.h
@@ -115,6 +115,7 @@
   double wait_ms;               /* estimated wait of a task for free capacity */
   GPtrArray *ordered;           /* waiting jobs by rank, during dispatcher_pump () */
   GPtrArray *candidate_servers; /* that may take a task of these jobs */
+  GHashTable *fast_factors;     /* set of jobs; used during one placement */
   Arrivals arrivals;
   double used_here; /* thousandths of a core of own runs, decaying by SHARE_DECAY_MS */
   double used_by_all;
@@ -206,6 +207,11 @@
 /** server_note_no_room - its agent refused a start, for lack of free capacity. */
 void server_note_no_room (LeasedServer *server);
 
+/** fast_factors_new - set of jobs with a known fast_factor, one for each choice of
+ * servers.
+ */
+GHashTable *fast_factors_new (void);
+
 /** server_slowness - its deviation from its own speed, over that of the median server; 1
  * up to SLOWNESS_NORMAL.
  */
--- a/src/dispatcher_place.c
+++ b/src/dispatcher_place.c
@@ -178,25 +178,66 @@
   return server->dispatcher->now_ms + run_ms <= job->objective_ms;
 }
 
+/* Jobs that could wait for the same servers, near the same data. */
+static guint
+hash_options (gconstpointer key)
+{
+  const LeasedSpec *spec = &((const LeasedJob *)key)->spec;
+
+  return g_str_hash (spec->service) ^ g_str_hash (spec->label) * 31
+         ^ g_str_hash (spec->rack) * 961 ^ spec->demand.cpu_milli;
+}
+
+static gboolean
+has_same_options (gconstpointer a, gconstpointer b)
+{
+  const LeasedSpec *left = &((const LeasedJob *)a)->spec;
+  const LeasedSpec *right = &((const LeasedJob *)b)->spec;
+
+  return strcmp (left->service, right->service) == 0
+         && strcmp (left->label, right->label) == 0
+         && strcmp (left->rack, right->rack) == 0
+         && memcmp (&left->demand, &right->demand, sizeof left->demand) == 0;
+}
+
+GHashTable *
+fast_factors_new (void)
+{
+  return g_hash_table_new (hash_options, has_same_options);
+}
+
 /* Factor of the fastest server that the job may wait for; one server that is far faster
- * than the others does not count, since it is seldom free. Kept for one placement: with
- * many jobs waiting it would otherwise be most of the work. */
+ * than the others does not count, since it is seldom free. */
 static double
-fast_factor_for (LeasedJob *job)
+compute_fast_factor (const LeasedJob *job)
 {
   const Dispatcher *dispatcher = job->dispatcher;
   const LeasedServer *server;
   double least = G_MAXDOUBLE;
 
-  if (job->fast_factor > 0)
-    return job->fast_factor;
   TAILQ_FOREACH (server, &dispatcher->servers, link)
     if (server_is_open (server) && server_is_trusted (server)
         && strcmp (server->status.service, job->spec.service) == 0
         && demand_fits (&server->status.capacity, &(Demand){ 0 }, &job->spec.demand)
         && server_has_label (server, job->spec.label))
       least = MIN (least, time_factor (server, job));
-  job->fast_factor = MAX (least, dispatcher->speeds.fast);
+  return MAX (least, dispatcher->speeds.fast);
+}
+
+/* Kept for one placement and for all jobs with the same options: computed for each of 142
+ * waiting jobs over 240 servers, it took 3 ms of each placement. */
+static double
+fast_factor_for (LeasedJob *job)
+{
+  GHashTable *kept = job->dispatcher->fast_factors;
+  const LeasedJob *same;
+
+  if (job->fast_factor > 0)
+    return job->fast_factor;
+  same = g_hash_table_lookup (kept, job);
+  job->fast_factor = same != NULL ? same->fast_factor : compute_fast_factor (job);
+  if (same == NULL)
+    g_hash_table_add (kept, job);
   return job->fast_factor;
 }
 
@@ -302,6 +343,7 @@
 {
   LeasedServer *server;
 
+  g_hash_table_remove_all (dispatcher->fast_factors);
   g_ptr_array_set_size (dispatcher->candidate_servers, 0);
   TAILQ_FOREACH (server, &dispatcher->servers, link)
     if ((server_is_open (server) || accepts_short_runs (server))
@@ -358,9 +400,13 @@
 {
   Dispatcher *dispatcher = task->job->dispatcher;
 
+  LeasedServer *server;
+
   gather_candidate_servers (dispatcher, task->job->spec.demand.cpu_milli);
   task->job->fast_factor = 0;
-  return choose_server (dispatcher, task->job, task, NULL);
+  server = choose_server (dispatcher, task->job, task, NULL);
+  g_hash_table_remove_all (dispatcher->fast_factors);
+  return server;
 }
 
 static void
@@ -556,6 +602,7 @@
   gather_candidate_servers (dispatcher, min_cpu_of (jobs));
   for (guint i = 0; i < jobs->len; i++)
     place_job (dispatcher, g_ptr_array_index (jobs, i));
+  g_hash_table_remove_all (dispatcher->fast_factors);
   if (dispatcher->n_waiting > 0)
     dispatcher_send_resource_requests (dispatcher, jobs);
   dispatcher->ordered = NULL;
--- a/tests/test-dispatcher.c
+++ b/tests/test-dispatcher.c
@@ -632,6 +632,31 @@
   g_assert_cmpuint (scene->orders[0].server, ==, 0);
 }
 
+/* Guards against a factor that is kept for a job of another size: the large task would
+ * wait for the servers that only the small one can have. */
+static void
+each_size_waits_for_its_own_servers (Scene *scene)
+{
+  ServerStatus large = { .capacity = { 4000, 100000, 0 },
+                         .ready = TRUE,
+                         .slowness_percent = 100,
+                         .speed_percent = 300,
+                         .speed_runs = 200 };
+  LeasedSpec spec;
+
+  open_uneven (scene, (guint[]){ 300, 100, 100 }, 0);
+  set_status (scene, 0, &large);
+  submit (scene, "small", 3);
+  g_assert_cmpuint (scene->n_orders, ==, 2);
+  spec = spec_of (scene, "large", 1, 100);
+  spec.demand.cpu_milli = 2000;
+  dispatcher_submit (scene->dispatcher, &spec, on_done, scene, scene->now);
+  dispatcher_pump (scene->dispatcher, scene->now);
+  g_assert_cmpuint (scene->n_orders, ==, 3);
+  g_assert_cmpstr (scene->orders[2].key.job, ==, "large");
+  g_assert_cmpuint (scene->orders[2].server, ==, 0);
+}
+
 /* Until the next tick a new instance counted as fast as the one that it replaced. */
 static void
 new_instance_has_no_known_speed (Scene *scene)
@@ -1329,6 +1354,7 @@
   { "slow-but-sound-server-is-used-at-once", slow_but_sound_server_is_used_at_once },
   { "late-server-is-taken-after-a-wait", late_server_is_taken_after_a_wait },
   { "small-fast-servers-are-not-waited-for", small_fast_servers_are_not_waited_for },
+  { "each-size-waits-for-its-own-servers", each_size_waits_for_its_own_servers },
   { "new-instance-has-no-known-speed", new_instance_has_no_known_speed },
   { "short-runs-are-learned-exactly", short_runs_are_learned_exactly },
   { "refused-order-goes-to-another-server", refused_order_goes_to_another_server },
