Move the choice among servers into its own file

What a server costs a job moves to src/dispatcher_costs.c unchanged.

test-dispatcher passes as before.

--- a/scripts/ablation.sh
+++ b/scripts/ablation.sh
@@ -24,7 +24,7 @@
 slowness~src/dispatcher_parts.h~s/#define SLOWNESS_NORMAL 1.6/#define SLOWNESS_NORMAL 1e9/~slow servers are avoided
 trust~src/dispatcher_place.c~s/#define DISTRUSTED_SHARE 0.34/#define DISTRUSTED_SHARE -1/~servers that fail or hang are avoided
 stragglers~src/dispatcher_stragglers.c~s/#define STRAGGLER_GAIN_MS 40/#define STRAGGLER_GAIN_MS 1000000/~runs on bad servers are restarted elsewhere
-rack~src/dispatcher_place.c~s/#define FAR_FACTOR 1.5/#define FAR_FACTOR 1.0/~tasks run near their data
+rack~src/dispatcher_costs.c~s/#define FAR_FACTOR 1.5/#define FAR_FACTOR 1.0/~tasks run near their data
 eager-dialling~src/mesh.c~s/#define EAGER_FOR_MS 3000/#define EAGER_FOR_MS 0/~restarting entries are dialled every 50 ms
 learned-times~src/runtimes.c~s/#define MIN_SAMPLES 8/#define MIN_SAMPLES 1000000000/~run times are learned
 '
--- a/src/dispatcher_parts.h
+++ b/src/dispatcher_parts.h
@@ -1,8 +1,8 @@
 #pragma once
 /* Private to the dispatcher. dispatcher.c: jobs; dispatcher_servers.c: servers and their
  * reports; dispatcher_order.c: order and refusal; dispatcher_place.c: placement;
- * dispatcher_stragglers.c: restart of slow runs; dispatcher_requests.c: resource
- * requests. */
+ * dispatcher_costs.c: choice among servers; dispatcher_stragglers.c: restart of slow
+ * runs; dispatcher_requests.c: resource requests. */
 #include "arrivals.h"
 #include "dispatcher.h"
 #include "relative_speed.h"
@@ -195,9 +195,6 @@
 
 gboolean server_has_label (const LeasedServer *server, const char *label);
 
-/* Run times up to this factor are within the variation between tasks. */
-#define SLOWNESS_NORMAL 1.6
-
 /** server_is_open - it takes orders, if it has free capacity. */
 gboolean server_is_open (const LeasedServer *server);
 
@@ -207,23 +204,45 @@
 /** server_note_no_room - its agent refused a start, for lack of free capacity. */
 void server_note_no_room (LeasedServer *server);
 
-/** fast_factors_new - set of jobs with a known fast_factor, one for each choice of
- * servers.
+/** dispatcher_update_server_stats - update what placement derives from all servers. */
+void dispatcher_update_server_stats (Dispatcher *dispatcher);
+
+/** dispatcher_server_elsewhere - the server that a new run of a placed @task would get
+ * now; NULL: none.
  */
-GHashTable *fast_factors_new (void);
+LeasedServer *dispatcher_server_elsewhere (LeasedTask *task);
+
+/* dispatcher_costs.c */
+
+/* Run times up to this factor are within the variation between tasks. */
+#define SLOWNESS_NORMAL 1.6
 
 /** server_slowness - its deviation from its own speed, over that of the median server; 1
  * up to SLOWNESS_NORMAL.
  */
 double server_slowness (const LeasedServer *server);
 
-/** dispatcher_update_server_stats - update what placement derives from all servers. */
-void dispatcher_update_server_stats (Dispatcher *dispatcher);
+/** fast_factors_new - set of jobs with a known fast_factor, one for each choice of
+ * servers.
+ */
+GHashTable *fast_factors_new (void);
 
-/** dispatcher_server_elsewhere - the server that a new run of a placed @task would get
- * now; NULL: none.
+/** server_ends_in_time - whether a task of @job that starts there now meets the
+ * objective.
  */
-LeasedServer *dispatcher_server_elsewhere (LeasedTask *task);
+gboolean server_ends_in_time (const LeasedServer *server, const LeasedJob *job);
+
+/** server_lost_ms - run time that a task loses there against one that it could wait for.
+ */
+double server_lost_ms (const LeasedServer *server, LeasedJob *job);
+
+/** dispatcher_saves_fast_servers - whether tasks that can end in time on slower servers
+ * leave the faster ones free.
+ */
+gboolean dispatcher_saves_fast_servers (const Dispatcher *dispatcher);
+
+/** server_cost - for the choice among servers: in expected run times of @job. */
+double server_cost (const LeasedServer *server, const LeasedJob *job);
 
 /* dispatcher_stragglers.c */
 
--- a/src/dispatcher_place.c
+++ b/src/dispatcher_place.c
@@ -14,20 +14,9 @@
 #define ORDER_DELAY_MAX_MS 60
 /* Waiting for another server is not worth a gain of less than this. */
 #define SLOW_SLACK_MS 20
-/* Run time away from a job's data over that near it, unless it is set. */
-#define FAR_FACTOR 1.5
 /* How long a server that refused an order for lack of free capacity is taken to be full:
  * the least time between two states of its agent. */
 #define FULL_MS 15
-/* With a smaller part of the capacity free, faster servers are left to tasks that need
- * them. In the replay 0.05 earns less and 0.2 no more, and with 0.2 the median response
- * under steady load of 0.9 is longer than without speeds. */
-#define FREE_PART_MIN 0.1
-/* Weights of a relative run time when faster servers are to be left free: less than any
- * cost of distance or of slowness, more than that of load; and of a missed objective:
- * more than any. */
-#define SAVING 0.1
-#define MISSED_COST 1000
 /* How long a task avoids the server where it failed or hung. Bounded, since there may be
  * no other server. */
 #define AVOID_MS 100
@@ -62,16 +51,6 @@
   return n;
 }
 
-/* Relative to the median server: if all are slow, the estimates are wrong. */
-double
-server_slowness (const LeasedServer *server)
-{
-  double slowness
-      = server->status.slowness_percent / 100.0 / server->dispatcher->median_slowness;
-
-  return slowness > SLOWNESS_NORMAL ? slowness : 1;
-}
-
 /* Trust levels are a circuit breaker: TRUST_PROBE allows one run, on a server that is
  * otherwise idle, TRUST_NONE allows none. */
 gboolean
@@ -150,112 +129,6 @@
          && demand_fits (&need, &(Demand){ 0 }, &task->job->spec.demand);
 }
 
-static double
-far_factor (const Dispatcher *dispatcher)
-{
-  return dispatcher->init.far_factor > 0 ? dispatcher->init.far_factor : FAR_FACTOR;
-}
-
-/* Expected run time of a task on @server, relative to a sound server of median speed near
- * the job's data. Among servers of one speed the factors are added: a distant server that
- * is slow is then chosen as it was before speeds were known. */
-static double
-time_factor (const LeasedServer *server, const LeasedJob *job)
-{
-  const Dispatcher *dispatcher = server->dispatcher;
-  double far = server_has_label (server, job->spec.rack) ? 1 : far_factor (dispatcher);
-
-  if (!dispatcher->speeds.uneven)
-    return server_slowness (server) + (far - 1);
-  return server_slowness (server) * server->relative_time * far;
-}
-
-static gboolean
-ends_in_time (const LeasedServer *server, const LeasedJob *job)
-{
-  double run_ms = job->task_ms * time_factor (server, job);
-
-  return server->dispatcher->now_ms + run_ms <= job->objective_ms;
-}
-
-/* Jobs that could wait for the same servers, near the same data. */
-static guint
-hash_options (gconstpointer key)
-{
-  const LeasedSpec *spec = &((const LeasedJob *)key)->spec;
-
-  return g_str_hash (spec->service) ^ g_str_hash (spec->label) * 31
-         ^ g_str_hash (spec->rack) * 961 ^ spec->demand.cpu_milli;
-}
-
-static gboolean
-has_same_options (gconstpointer a, gconstpointer b)
-{
-  const LeasedSpec *left = &((const LeasedJob *)a)->spec;
-  const LeasedSpec *right = &((const LeasedJob *)b)->spec;
-
-  return strcmp (left->service, right->service) == 0
-         && strcmp (left->label, right->label) == 0
-         && strcmp (left->rack, right->rack) == 0
-         && memcmp (&left->demand, &right->demand, sizeof left->demand) == 0;
-}
-
-GHashTable *
-fast_factors_new (void)
-{
-  return g_hash_table_new (hash_options, has_same_options);
-}
-
-/* Factor of the fastest server that the job may wait for; one server that is far faster
- * than the others does not count, since it is seldom free. */
-static double
-compute_fast_factor (const LeasedJob *job)
-{
-  const Dispatcher *dispatcher = job->dispatcher;
-  const LeasedServer *server;
-  double least = G_MAXDOUBLE;
-
-  TAILQ_FOREACH (server, &dispatcher->servers, link)
-    if (server_is_open (server) && server_is_trusted (server)
-        && strcmp (server->status.service, job->spec.service) == 0
-        && demand_fits (&server->status.capacity, &(Demand){ 0 }, &job->spec.demand)
-        && server_has_label (server, job->spec.label))
-      least = MIN (least, time_factor (server, job));
-  return MAX (least, dispatcher->speeds.fast);
-}
-
-/* Kept for one placement and for all jobs with the same options: computed for each of 142
- * waiting jobs over 240 servers, it took 3 ms of each placement. */
-static double
-fast_factor_for (LeasedJob *job)
-{
-  GHashTable *kept = job->dispatcher->fast_factors;
-  const LeasedJob *same;
-
-  if (job->fast_factor > 0)
-    return job->fast_factor;
-  same = g_hash_table_lookup (kept, job);
-  job->fast_factor = same != NULL ? same->fast_factor : compute_fast_factor (job);
-  if (same == NULL)
-    g_hash_table_add (kept, job);
-  return job->fast_factor;
-}
-
-/* Run time that a task loses on @server against one that it could wait for. */
-static double
-lost_ms_on (const LeasedServer *server, LeasedJob *job)
-{
-  double lost_ms = (server_slowness (server) - 1) * job->task_ms;
-
-  if (!server->dispatcher->speeds.uneven)
-    return lost_ms;
-  lost_ms *= server->relative_time;
-  if (ends_in_time (server, job))
-    return lost_ms;
-  return MAX (lost_ms,
-              (time_factor (server, job) - fast_factor_for (job)) * job->task_ms);
-}
-
 static gboolean
 is_suitable (const LeasedServer *server, LeasedJob *job, const LeasedTask *task)
 {
@@ -270,45 +143,13 @@
     return FALSE;
   /* If only a slow server is free, waiting for another one may end the task sooner. Once
    * the task has waited as long as the slow server would cost it, it is placed there. */
-  if (lost_ms_on (server, job) > server->dispatcher->wait_ms + waited_ms + SLOW_SLACK_MS)
+  if (server_lost_ms (server, job)
+      > server->dispatcher->wait_ms + waited_ms + SLOW_SLACK_MS)
     return FALSE;
   return job->spec.most_per_server == 0
          || tasks_of_job (server, job) < job->spec.most_per_server;
 }
 
-/* Whether tasks that can end in time on slower servers leave the faster ones free. */
-static gboolean
-saves_fast_servers (const Dispatcher *dispatcher)
-{
-  return dispatcher->speeds.uneven && dispatcher->free_part < FREE_PART_MIN;
-}
-
-/* The earliest completion costs least, as long as there is free capacity. After that, the
- * slowest server near the task's data on which it ends in time: the faster ones are left
- * to tasks that need them. */
-static double
-time_cost (const LeasedServer *server, const LeasedJob *job)
-{
-  double factor = time_factor (server, job);
-
-  if (!saves_fast_servers (server->dispatcher))
-    return factor;
-  if (!ends_in_time (server, job))
-    return factor + MISSED_COST;
-  return factor / server->relative_time - server->relative_time * SAVING;
-}
-
-/* In expected run times: that on the server, the share of failed runs, and up to 0.01 for
- * load, to break ties. */
-static double
-cost_of (const LeasedServer *server, const LeasedJob *job)
-{
-  guint used = server->placed.cpu_milli + server->status.used_by_others.cpu_milli;
-  double filled = (double)used / MAX (server->status.capacity.cpu_milli, 1);
-
-  return time_cost (server, job) + filled * 0.01 + server->status.failing_percent * 0.01;
-}
-
 /* Entries prefer the same fast servers: many orders for one freed slot, of which all but
  * one are refused and repeated at once, while others stay free. */
 void
@@ -383,7 +224,7 @@
 
       if (!is_suitable (server, job, task))
         continue;
-      cost = cost_of (server, job) + (server->status.draining ? LEAVING_COST : 0);
+      cost = server_cost (server, job) + (server->status.draining ? LEAVING_COST : 0);
       if (dispatcher->link_congested && chosen != NULL
           && g_ptr_array_find (chosen, server, NULL))
         cost -= COLOCATION_GAIN;
@@ -498,8 +339,9 @@
 {
   const Dispatcher *dispatcher = server->dispatcher;
 
-  if (saves_fast_servers (dispatcher) && server->relative_time > dispatcher->speeds.fast
-      && ends_in_time (server, job))
+  if (dispatcher_saves_fast_servers (dispatcher)
+      && server->relative_time > dispatcher->speeds.fast
+      && server_ends_in_time (server, job))
     counter_add (COUNTER_TASKS_LEFT_FAST_FREE, 1);
 }
 
