Count a running task's length up to what is usual in the objective

Cause: with load.run_shapes the objective of a job rises with its longest run so far. A run that hung raised it for as long as it hung: at 2 s of a 100 ms task the job still counted as in time, and its other tasks went before new jobs.

Change: a run that has not ended counts up to the 0.99 quantile of its queue, as in the test for stragglers; a run that ends counts in full.

Result: /dispatcher/hung-run-does-not-raise-the-objective failed before and passes.

--- a/src/dispatcher_parts.h
+++ b/src/dispatcher_parts.h
@@ -140,11 +140,14 @@
  */
 const Runtimes *job_shape (const LeasedJob *job);
 
-/** job_observe_run - one of the job's tasks took @run_ms, or has run for that long, on a
- * server of usual speed.
+/** job_observe_run - one of the job's tasks takes @run_ms or longer on a server of usual
+ * speed.
  */
 void job_observe_run (LeasedJob *job, double run_ms);
 
+/* Share of a queue's runs that are usual, however long. */
+#define USUAL_QUANTILE 0.99
+
 /* A job has its full value up to its objective, a small part of it up to this many times
  * the objective, later none. */
 #define LATE_FACTOR 3
--- a/src/dispatcher_servers.c
+++ b/src/dispatcher_servers.c
@@ -193,12 +193,29 @@
 
 /* What the task would have taken at usual speed. On a server that is slow now a long run
  * says nothing of the task, and callers do not count it. */
-static void
-observe_own_time (const LeasedTask *task, double run_ms)
+static double
+own_time_ms (const LeasedTask *task, double run_ms)
 {
   double slowness = task->server->status.slowness_percent / 100.0;
 
-  job_observe_run (task->job, run_ms / MAX (slowness, 1) / task->server->relative_time);
+  return run_ms / MAX (slowness, 1) / task->server->relative_time;
+}
+
+/* A run that has not ended counts up to the length that is usual: it may hang. */
+static void
+observe_running (const LeasedTask *task)
+{
+  LeasedJob *job = task->job;
+  double run_ms
+      = own_time_ms (task, (double)(job->dispatcher->now_ms - task->started_ms));
+  const Runtimes *shape;
+
+  if (run_ms <= job->seen_ms)
+    return;
+  shape = job_shape (job);
+  if (shape != NULL)
+    job_observe_run (job, MIN (run_ms, runtimes_quantile (shape, job->spec.declared_ms,
+                                                          USUAL_QUANTILE)));
 }
 
 void
@@ -210,7 +227,7 @@
   TAILQ_FOREACH (server, &dispatcher->servers, link)
     TAILQ_FOREACH (task, &server->tasks, on_server)
       if (task->started_ms > 0 && task->job->waiting > 0)
-        observe_own_time (task, (double)(dispatcher->now_ms - task->started_ms));
+        observe_running (task);
 }
 
 static void
@@ -220,7 +237,7 @@
 
   if (run_ms > 0)
     observe_run_time (task, run_ms);
-  observe_own_time (task, run_ms);
+  job_observe_run (job, own_time_ms (task, run_ms));
   task_detach (task);
   task->state = TASK_ENDED;
   job->ended++;
--- a/src/dispatcher_stragglers.c
+++ b/src/dispatcher_stragglers.c
@@ -10,8 +10,6 @@
 #define STALLED_MS 30000
 /* Expected gain required to restart a straggler. */
 #define STRAGGLER_GAIN_MS 40
-/* Share of a queue's runs that are usual, however long. */
-#define USUAL_QUANTILE 0.99
 /* The agent's slowness is a moving average of the logarithms of run times, with a weight
  * of 0.15: its standard deviation is 0.285 of theirs. Up to five of these it may be high
  * by chance: with 3% of the runs seven times as long it is above 1.8 after 0.008% of the
--- a/tests/test-dispatcher.c
+++ b/tests/test-dispatcher.c
@@ -816,24 +816,38 @@
   g_assert_cmpuint (scene->orders[scene->n_orders - 1].expected_ms, ==, 100);
 }
 
-/* A job of four tasks of which three run, for 400 ms already where 120 ms are expected;
+/* A job of four tasks of which three run, for @ran_ms already where 120 ms are expected;
  * then a new job arrives and one of the three ends. Return: the job that gets its place.
  */
 static const char *
-next_after_long_run (Scene *scene, gboolean run_shapes, guint learned)
+next_after_runs_of (Scene *scene, gboolean run_shapes, guint learned, guint ran_ms)
 {
   open_with_shapes (scene, 1000, run_shapes);
   learn_runs (scene, learned, 100, 33);
   submit (scene, "a", 4);
   for (guint i = 1; i <= 3; i++)
     report (scene, &scene->orders[scene->n_orders - i], TASK_STARTED);
-  for (guint i = 0; i < 20; i++)
+  for (guint i = 0; i < ran_ms / 20; i++)
     advance (scene, 20);
   submit (scene, "b", 1);
   report_done (scene, &scene->orders[scene->n_orders - 1], 400);
   return scene->orders[scene->n_orders - 1].key.job;
 }
 
+static const char *
+next_after_long_run (Scene *scene, gboolean run_shapes, guint learned)
+{
+  return next_after_runs_of (scene, run_shapes, learned, 400);
+}
+
+/* A run that hung raised the objective of its job for as long as it hung: the job never
+ * counted as late, and its other tasks went before new jobs. */
+static void
+hung_run_does_not_raise_the_objective (Scene *scene)
+{
+  g_assert_cmpstr (next_after_runs_of (scene, TRUE, 200, 2000), ==, "b");
+}
+
 /* Callers count from the slowest task. By the mean a job with a long one was ranked as
  * late and its last task went behind new jobs, so that it did end late. */
 static void
@@ -1364,6 +1378,7 @@
   { "distance-is-worth-a-slow-server", distance_is_worth_a_slow_server },
   { "queue-that-left-is-forgotten", queue_that_left_is_forgotten },
   { "long-run-keeps-its-job-first", long_run_keeps_its_job_first },
+  { "hung-run-does-not-raise-the-objective", hung_run_does_not_raise_the_objective },
   { "long-run-is-late-without-shapes", long_run_is_late_without_shapes },
   { "long-run-is-late-with-few-runs", long_run_is_late_with_few_runs },
   { "usual-long-run-goes-on", usual_long_run_goes_on },
