--- a/src/dispatcher_servers.c
+++ b/src/dispatcher_servers.c
@@ -177,18 +177,14 @@
   job->dispatcher->n_waiting++;
 }
 
-/* Nothing is learned of a queue that left the configuration while its last tasks ran. The
- * run time on the server of median speed is learned: observed ones would depend on which
- * servers are used. */
+/* Nothing is learned of a queue that left the configuration while its last tasks ran. */
 static void
-observe_run_time (const LeasedTask *task, guint run_ms)
+observe_run_time (const LeasedJob *job, guint run_ms)
 {
-  const LeasedJob *job = task->job;
   Runtimes *runtimes = g_hash_table_lookup (job->dispatcher->runtimes, job->spec.queue);
 
   if (runtimes != NULL)
-    runtimes_observe_on (runtimes, job->spec.declared_ms, run_ms,
-                         task->server->relative_time);
+    runtimes_observe (runtimes, job->spec.declared_ms, run_ms);
 }
 
 /* What the task would have taken at usual speed. On a server that is slow now a long run
@@ -230,13 +226,21 @@
         observe_running (task);
 }
 
+/* The run time on the server of median speed, which expected run times are about. Those
+ * observed would depend on which servers are used. */
+static guint
+median_run_ms (const LeasedTask *task, guint run_ms)
+{
+  return (guint)MAX (run_ms / task->server->relative_time, 1);
+}
+
 static void
 task_done (LeasedTask *task, guint run_ms)
 {
   LeasedJob *job = task->job;
 
   if (run_ms > 0)
-    observe_run_time (task, run_ms);
+    observe_run_time (job, median_run_ms (task, run_ms));
   job_observe_run (job, own_time_ms (task, run_ms));
   task_detach (task);
   task->state = TASK_ENDED;
