Relative speeds with hysteresis; time elsewhere of a stalled run at its server's speed

Cause: a server that backs off leaves the comparison for 30 ms, so that near the limit of 1.25 all relative times switched on and off with it. A stalled run was reported with its expected time on the median server, while entries take the value for one on a server of the same speed.

Change: once the spread was beyond 1.25 it counts until it falls below 1.15; the expected time is multiplied by the server's own speed.

Result: /relative-speed/times/stays-uneven, /speed/stalled-run-elsewhere (fails without the change).

--- a/src/dispatcher_order.c
+++ b/src/dispatcher_order.c
@@ -253,8 +253,9 @@
       if (server_is_open (server))
         g_array_append_val (speeds, speed);
     }
-  dispatcher->speeds = relative_speed_compute ((RelativeSpeed *)(void *)speeds->data,
-                                               speeds->len, dispatcher->init.speed_runs);
+  dispatcher->speeds
+      = relative_speed_compute ((RelativeSpeed *)(void *)speeds->data, speeds->len,
+                                dispatcher->init.speed_runs, dispatcher->speeds.differ);
   TAILQ_FOREACH (server, &dispatcher->servers, link)
     if (server_is_open (server))
       server->relative_time = g_array_index (speeds, RelativeSpeed, i++).time;
--- a/src/relative_speed.c
+++ b/src/relative_speed.c
@@ -1,8 +1,10 @@
 #include "relative_speed.h"
 
 /* If the 90th percentile is less than this many times the 10th, the differences are
- * within the error of measured speeds. */
+ * within the error of measured speeds. The lower limit holds once they were above the
+ * first: servers join and leave the comparison all the time. */
 #define SPREAD_MIN 1.25
+#define SPREAD_STAYS_MIN 1.15
 /* Among equal servers, one this much slower than the median is slow for a reason of its
  * own. Between tasks of sound servers run times vary up to this factor. */
 #define OUTLIER_MIN 1.6
@@ -74,11 +76,11 @@
 }
 
 RelativeSpread
-relative_speed_compute (RelativeSpeed *speeds, gsize n, guint min_runs)
+relative_speed_compute (RelativeSpeed *speeds, gsize n, guint min_runs, gboolean differed)
 {
   RelativeSpread spread = { .fast = 1 };
   GArray *percents = known_percents (speeds, n, min_runs);
-  gboolean differ;
+  double least = differed ? SPREAD_STAYS_MIN : SPREAD_MIN;
   double median;
 
   for (gsize i = 0; i < n; i++)
@@ -87,12 +89,12 @@
   if (percents->len == 0)
     goto out;
   median = quantile (percents, 0.5);
-  differ = quantile (percents, 0.9) >= SPREAD_MIN * quantile (percents, 0.1);
+  spread.differ = quantile (percents, 0.9) >= least * quantile (percents, 0.1);
   for (gsize i = 0; i < n; i++)
     {
       if (!is_known (&speeds[i], min_runs))
         continue;
-      speeds[i].time = relative_time (&speeds[i], median, differ);
+      speeds[i].time = relative_time (&speeds[i], median, spread.differ);
       spread.uneven |= speeds[i].time != 1;
     }
   if (spread.uneven)
--- a/src/relative_speed.h
+++ b/src/relative_speed.h
@@ -20,15 +20,21 @@
 {
   guint known;     /* servers whose speed counts */
   double fast;     /* 10th percentile of the relative run times of all; 1 if not uneven */
-  gboolean uneven; /* some time differs from 1 */
+  gboolean differ; /* the spread is beyond noise */
+  gboolean uneven; /* some time differs from 1, be it of a single server */
 } RelativeSpread;
 
 /**
  * relative_speed_compute - set the relative run time of each of @n servers.
  * @min_runs: from which a speed counts; 0: none does.
+ * @differed: whether the spread was beyond noise at the last call; it then stays so down
+ * to a lower limit.
  *
  * Speeds outside of the believed range, or based on fewer runs, are not known. While
  * the spread of the known ones is within noise all times are 1, but for single servers
  * that are far slower than the others.
  */
-RelativeSpread relative_speed_compute (RelativeSpeed *speeds, gsize n, guint min_runs);
+RelativeSpread relative_speed_compute (RelativeSpeed *speeds,
+                                       gsize n,
+                                       guint min_runs,
+                                       gboolean differed);
--- a/src/runner_progress.c
+++ b/src/runner_progress.c
@@ -172,7 +172,8 @@
   double whole_ms = whole_run_ms (run);
   double slowness = runner->server_health.slowness;
   double left_ms = STALLED_REMAINING_MS;
-  double elsewhere_ms = whole_ms > 0 ? whole_ms : run->expected_ms;
+  double expected_ms = run->expected_ms * server_speed_ratio (&runner->server_speed);
+  double elsewhere_ms = whole_ms > 0 ? whole_ms : expected_ms;
 
   if (!stalled && (!is_slow (runner) || whole_ms == 0))
     return;
--- a/tests/test-relative-speed.c
+++ b/tests/test-relative-speed.c
@@ -18,6 +18,7 @@
   guint percents[SPEEDS_MAX];
   guint runs[SPEEDS_MAX];
   double times[SPEEDS_MAX];
+  gboolean differed;
 } SpeedCase;
 
 static const SpeedCase speed_cases[] = {
@@ -35,6 +36,9 @@
     { 0.6, 1, 1.6, 1 } },
   { "absurd-is-limited", 12, 3, { 5, 100, 2000 }, { 99, 99, 99 }, { 0.25, 1, 4 } },
   { "out-of-range", 12, 3, { 4, 100, 2001 }, { 99, 99, 99 }, { 1, 1, 1 } },
+  /* A server that backs off for 30 ms switched all times on and off again. */
+  { "stays-uneven", 12, 3, { 90, 100, 110 }, { 99, 99, 99 }, { 0.9, 1, 1.1 }, TRUE },
+  { "becomes-even", 12, 3, { 95, 100, 105 }, { 99, 99, 99 }, { 1, 1, 1 }, TRUE },
 };
 
 static void
@@ -49,7 +53,7 @@
       speeds[i].percent = c->percents[i];
       speeds[i].runs = c->runs[i];
     }
-  spread = relative_speed_compute (speeds, c->n, c->min_runs);
+  spread = relative_speed_compute (speeds, c->n, c->min_runs, c->differed);
   for (guint i = 0; i < c->n; i++)
     g_assert_cmpfloat_with_epsilon (speeds[i].time, c->times[i], 1e-9);
   if (!spread.uneven)
@@ -80,7 +84,7 @@
 
   for (guint i = 0; i < G_N_ELEMENTS (speeds); i++)
     speeds[i] = (RelativeSpeed){ i == 7 ? c->percent : 100, 200 };
-  relative_speed_compute (speeds, G_N_ELEMENTS (speeds), SPEED_RUNS);
+  relative_speed_compute (speeds, G_N_ELEMENTS (speeds), SPEED_RUNS, FALSE);
   for (guint i = 0; i < G_N_ELEMENTS (speeds); i++)
     g_assert_cmpfloat (speeds[i].time, ==, i == 7 ? c->time : 1);
 }
--- a/tests/test-speed.c
+++ b/tests/test-speed.c
@@ -332,6 +332,7 @@
   gint64 now;
   guint stragglers;
   gint64 straggler_ms; /* the first since it was set to 0 */
+  gboolean scaled;     /* a time elsewhere was that of a server of the same speed */
   GString *decisions;
 } Sim;
 
@@ -394,7 +395,9 @@
                gpointer ctx)
 {
   Sim *sim = ctx;
+  double ratio = server_speed_ratio (runner_server_speed (sim->runner));
 
+  sim->scaled |= elsewhere_ms == (guint)(EXPECTED_MS * ratio);
   sim->stragglers++;
   if (sim->straggler_ms == 0)
     sim->straggler_ms = sim->now;
@@ -553,6 +556,23 @@
   g_string_free (sim->decisions, TRUE);
 }
 
+/* Guards against stalled runs whose time elsewhere is taken for one on a server of the
+ * same speed, as entries do, but was that on the median server. */
+static void
+test_stalled_run_elsewhere (void)
+{
+  Sim *sim = g_new0 (Sim, 1);
+
+  sim_open (sim, NEEDED, 1.6, 1);
+  sim_play (sim, 5000);
+  g_assert_cmpfloat (server_speed_ratio (runner_server_speed (sim->runner)), >, 1.3);
+  sim->ratio = 1e9;
+  sim_play (sim, 1000);
+  g_assert_true (sim->scaled);
+  sim_close (sim);
+  g_free (sim);
+}
+
 typedef struct
 {
   const char *name;
@@ -845,6 +865,7 @@
   ADD_CASES ("/speed/adopt", adopt_cases, test_adopt);
   ADD_CASES ("/speed/rounding", rounding_cases, test_rounding);
   ADD_CASES ("/speed/seen", seen_cases, test_seen);
+  g_test_add_func ("/speed/stalled-run-elsewhere", test_stalled_run_elsewhere);
   ADD_CASES ("/speed/sound", sound_cases, test_sound);
   g_test_add_func ("/speed/many-change-at-once", test_many_change_at_once);
   g_test_add_func ("/speed/changes", test_changes);
