--- a/src/counters.h
+++ b/src/counters.h
@@ -83,6 +83,12 @@
   X (LEASED_GIVEN_UP, "leased_given_up", "leased jobs given up after a start")           \
   X (TASKS_ENDED_SERVERS, "tasks_ended_servers",                                         \
      "tasks given up because their backend servers kept ending")                         \
+  X (TASKS_LEFT_FAST_FREE, "tasks_left_fast_free",                                       \
+     "tasks placed on slower servers, in time, to leave faster ones free")               \
+  X (OBJECTIVES_RAISED, "objectives_raised",                                             \
+     "waiting jobs whose objective was raised by a long run")                            \
+  X (STRAGGLERS_KEPT, "stragglers_kept",                                                 \
+     "slow runs not restarted, as long ones are usual in their queue")                   \
   X (ZONES_CLOSED, "zones_closed", "availability zones seen to be closed")               \
   X (ZONES_OPENED, "zones_opened", "availability zones seen to be opened again")         \
   X (ZONES_CLOSED_NOW, "zones_closed_now", "availability zones that are closed now")     \
@@ -95,6 +101,22 @@
   X (SPEEDS_REPLACED, "speeds_replaced",                                                 \
      "speeds replaced because the backend server has changed")                           \
   X (SPEEDS_SENT, "speeds_sent", "speeds of backend servers sent back to agents")        \
+  X (STARTS_LEAVING, "starts_leaving", "starts accepted on a leaving backend server")    \
+  X (STARTS_LEAVING_REFUSED, "starts_leaving_refused",                                   \
+     "starts refused because the backend server leaves")                                 \
+  X (RUNS_CUT_OFF, "runs_cut_off",                                                       \
+     "runs reported that a leaving backend server cuts off")                             \
+  X (REPORTS_STALE, "reports_stale",                                                     \
+     "reports of an earlier start of the backend server ignored")                        \
+  X (LOAD_VIEW_USED, "load_view_used",                                                   \
+     "1 while jobs are judged by the load of all entries")                               \
+  X (LOAD_VIEW_CHANGES, "load_view_changes",                                             \
+     "changes between judging by all entries and by the own share")                      \
+  X (LOAD_SUMMARIES_SENT, "load_summaries_sent", "summaries of the own load sent")       \
+  X (LOAD_SUMMARIES_STALE, "load_summaries_stale",                                       \
+     "summaries ignored: repeated, older, or of an entry that is not linked")            \
+  X (LOAD_SUMMARIES_MALFORMED, "load_summaries_malformed",                               \
+     "summaries ignored: a value or their number is out of range")                       \
   X (ROWS_REJECTED, "rows_rejected", "invalid rows and reports refused")                 \
   X (RESTARTS, "restarts", "components restarted by their supervisor")
 
--- a/src/dispatcher_order.c
+++ b/src/dispatcher_order.c
@@ -4,15 +4,19 @@
  * Designed for overload: more work arrives than the servers can do, in wide urgent jobs,
  * long jobs and many narrow ones, at several entries at once. */
 #include "admission.h"
+#include "counters.h"
 #include "dispatcher_parts.h"
 #include "events.h"
 
 #include <math.h>
+#include <string.h>
 
 /* Each step of priority halves a job's benefit. Greater numbers count as this one. */
 #define PRIORITY_STEPS 8
 /* Part of a job's benefit to users that is left once it misses its objective. */
 #define LATE_PART 0.2
+/* A job that is not refused keeps a place before those that are infeasible. */
+#define EXPECTED_PART_MIN 0.02
 /* Part of a job's benefit to users that does not depend on its size. */
 #define FLAT_PART 0.3
 #define RETRY_AFTER_MAX_MS 60000
@@ -79,11 +83,55 @@
   return waiting_work (job) / benefit_of (job);
 }
 
+/* Chance that one of the job's tasks that have not ended takes longer than @run_ms. */
+static double
+chance_above (const LeasedJob *job, const Runtimes *shape, double run_ms)
+{
+  double one = runtimes_share_above (shape, job->spec.declared_ms, run_ms);
+
+  return 1 - pow (1 - one, job->spec.count - job->ended);
+}
+
+/* Chance that a job whose waiting tasks start now ends within @factor times its
+ * objective. Its slowest task sets both its end and its objective, and is only known to
+ * take at least what was seen: with r the longest run time that is still to come, after a
+ * wait w, w + r <= factor x (stretch x max (r, seen) + target). */
+static double
+chance_to_end_by (const LeasedJob *job,
+                  const Runtimes *shape,
+                  gint64 now_ms,
+                  guint factor)
+{
+  double waited_ms = (double)(now_ms - job->spec.arrived_ms);
+  double stretch = factor * job->spec.stretch;
+  double left_ms = factor * job->spec.target_ms - waited_ms;
+  double long_ms = MAX (job->seen_ms, -left_ms / (stretch - 1));
+  double short_ms = MIN (job->seen_ms, stretch * job->seen_ms + left_ms);
+  double chance = chance_above (job, shape, long_ms);
+
+  if (short_ms > 0)
+    chance += 1 - chance_above (job, shape, short_ms);
+  return MIN (chance, 1);
+}
+
+/* Part of its benefit that a job which starts now can expect. */
+static double
+expected_part (const LeasedJob *job, const Runtimes *shape, gint64 now_ms)
+{
+  double on_time = chance_to_end_by (job, shape, now_ms, 1);
+  double of_use = chance_to_end_by (job, shape, now_ms, LATE_FACTOR);
+
+  return MAX (on_time + LATE_PART * MAX (of_use - on_time, 0), EXPECTED_PART_MIN);
+}
+
 static double
 rank_of (const LeasedJob *job, gint64 now_ms)
 {
   double rank = base_rank (job);
+  const Runtimes *shape = job->spec.stretch > 1 ? job_shape (job) : NULL;
 
+  if (shape != NULL && feasibility_of (job, now_ms) != INFEASIBLE)
+    return rank / expected_part (job, shape, now_ms);
   switch (feasibility_of (job, now_ms))
     {
     case FEASIBLE_IN_TIME:
@@ -126,7 +174,8 @@
 static gboolean
 server_is_usable (const LeasedServer *server)
 {
-  return server->user_data != NULL && server->status.ready && !server->closed;
+  return server->user_data != NULL && server->status.ready && !server->closed
+         && !server->leaves;
 }
 
 /* In thousandths of a core of the server of median speed: the work that a server of this
@@ -204,8 +253,9 @@
       if (server_is_open (server))
         g_array_append_val (speeds, speed);
     }
-  dispatcher->speeds = relative_speed_compute ((RelativeSpeed *)(void *)speeds->data,
-                                               speeds->len, dispatcher->init.speed_runs);
+  dispatcher->speeds
+      = relative_speed_compute ((RelativeSpeed *)(void *)speeds->data, speeds->len,
+                                dispatcher->init.speed_runs, dispatcher->speeds.differ);
   TAILQ_FOREACH (server, &dispatcher->servers, link)
     if (server_is_open (server))
       server->relative_time = g_array_index (speeds, RelativeSpeed, i++).time;
@@ -214,6 +264,26 @@
     note_speeds (dispatcher, i);
 }
 
+/* Jobs are judged by the load of all entries while it is known, else by this entry's own
+ * load and share. */
+static void
+update_load_view (Dispatcher *dispatcher)
+{
+  const LoadView *view = dispatcher->init.load_view;
+  gboolean complete = view != NULL && load_view_is_complete (view, dispatcher->now_ms);
+
+  if (complete == dispatcher->sees_all_load)
+    return;
+  dispatcher->sees_all_load = complete;
+  counter_add (COUNTER_LOAD_VIEW_CHANGES, 1);
+  counter_set (COUNTER_LOAD_VIEW_USED, complete);
+  event_note ("load-view", "-", "by=%s parts=%u waiting=%.0f arriving=%.0f used=%.0f",
+              complete ? "all-entries" : "own-share", load_view_parts (view),
+              load_view_waiting_below (view, RANK_INFEASIBLE),
+              load_view_arriving_below (view, RANK_INFEASIBLE),
+              load_view_capacity_used (view));
+}
+
 void
 dispatcher_update_share (Dispatcher *dispatcher)
 {
@@ -232,6 +302,7 @@
       all += work_per_ms (server, server->placed.cpu_milli
                                       + server->status.used_by_others.cpu_milli);
     }
+  update_load_view (dispatcher);
   dispatcher->share_ms = dispatcher->now_ms;
   /* The other entries' shares are not known yet. If they were assumed to use everything,
    * the first callers of a restarted entry would be refused. */
@@ -317,6 +388,21 @@
   dispatcher->arrived = TRUE;
 }
 
+/* How long a job takes from the start of its tasks on: the median of its slowest task.
+ * The mean of one task is too short for a wide job, which waited in vain; the mean of the
+ * slowest is too long where a few runs take many times as long as the others. */
+static double
+expected_length_ms (const LeasedJob *job)
+{
+  const Runtimes *shape = job_shape (job);
+  double slowest_ms = 0;
+
+  if (shape != NULL)
+    slowest_ms = runtimes_quantile (shape, job->spec.declared_ms,
+                                    pow (0.5, 1.0 / job->spec.count));
+  return MAX (slowest_ms, job->task_ms) * job->dispatcher->speeds.fast;
+}
+
 static AdmissionJob
 admission_job (const LeasedJob *job)
 {
@@ -324,7 +410,7 @@
                              .rank_on_time = base_rank (job),
                              .rank_late = base_rank (job) / LATE_PART,
                              .work = waiting_work (job),
-                             .task_ms = fast_task_ms (job),
+                             .task_ms = expected_length_ms (job),
                              .objective_ms = job->objective_ms,
                              .late_ms = job->late_ms,
                              .refusable = nothing_ordered (job) };
@@ -337,21 +423,37 @@
 {
   event_note ("job-crowded-out", job->spec.id,
               "work_ahead=%.0f rate=%.0f arriving=%.0f wait_ms=%.0f task_ms=%.0f "
-              "objective_left_ms=%" G_GINT64_FORMAT " age_ms=%" G_GINT64_FORMAT,
+              "objective_left_ms=%" G_GINT64_FORMAT " age_ms=%" G_GINT64_FORMAT
+              " ahead_elsewhere=%.0f",
               admission->ahead, load->rate,
               arrivals_rate_below (load->arrivals, admission->rank_late, load->now_ms),
               admission->wait_ms, job->task_ms, job->objective_ms - load->now_ms,
-              load->now_ms - job->spec.arrived_ms);
+              load->now_ms - job->spec.arrived_ms,
+              load->others != NULL
+                  ? load_view_waiting_below (load->others, admission->rank_late)
+                  : 0);
   job_answer (job, LEASED_REFUSED, "more urgent work takes all room",
               (guint)MIN (admission->wait_ms, RETRY_AFTER_SHED_MS));
   job_free_if_done (job);
 }
 
+static AdmissionLoad
+admission_load (const Dispatcher *dispatcher)
+{
+  AdmissionLoad load
+      = { .rate = rate_of_work (dispatcher),
+          .capacity = capacity_of_servers (dispatcher),
+          .arrivals = &dispatcher->arrivals,
+          .now_ms = dispatcher->now_ms,
+          .others = dispatcher->sees_all_load ? dispatcher->init.load_view : NULL };
+
+  return load;
+}
+
 void
 dispatcher_shed_load (Dispatcher *dispatcher)
 {
-  AdmissionLoad load = { rate_of_work (dispatcher), capacity_of_servers (dispatcher),
-                         &dispatcher->arrivals, dispatcher->now_ms };
+  AdmissionLoad load = admission_load (dispatcher);
   GPtrArray *jobs;
   AdmissionJob *admissions;
 
@@ -370,6 +472,39 @@
   g_ptr_array_unref (jobs);
 }
 
+void
+dispatcher_load_summary (const Dispatcher *dispatcher, LoadSummary *summary)
+{
+  const Arrivals *arrivals = &dispatcher->arrivals;
+  const LeasedJob *job;
+
+  memset (summary->waiting, 0, sizeof summary->waiting);
+  memset (summary->arriving, 0, sizeof summary->arriving);
+  TAILQ_FOREACH (job, &dispatcher->jobs, link)
+    if (!job->closed && job->waiting > 0 && !job->answered_before)
+      summary->waiting[load_summary_bucket (rank_of (job, dispatcher->now_ms))]
+          += (float)waiting_work (job);
+  for (guint i = 0; i < ARRIVALS_BUCKETS; i++)
+    summary->arriving[load_summary_bucket (arrivals_bucket_rank (i))]
+        += (float)arrivals_rate_in (arrivals, i, dispatcher->now_ms);
+  summary->capacity_used = (float)dispatcher->used_here;
+}
+
+/* The wait for the jobs here, and for those that wait at the other entries if these are
+ * known. */
+static guint
+retry_after_ms (const Dispatcher *dispatcher)
+{
+  double capacity = capacity_of_servers (dispatcher);
+  guint own_ms = dispatcher_wait_ms (dispatcher);
+  double others;
+
+  if (!dispatcher->sees_all_load || capacity <= 0)
+    return own_ms;
+  others = load_view_waiting_below (dispatcher->init.load_view, RANK_INFEASIBLE);
+  return (guint)MIN (own_ms + others / capacity, RETRY_AFTER_MAX_MS);
+}
+
 /* Refuses a job as soon as it is infeasible rather than at its deadline, so that its
  * caller can go elsewhere and feasible jobs take its place. */
 void
@@ -386,7 +521,7 @@
         continue;
       if (!job->started)
         job_answer (job, LEASED_REFUSED, "cannot end in time",
-                    dispatcher_wait_ms (dispatcher));
+                    retry_after_ms (dispatcher));
       else if (dispatcher->now_ms + fast_task_ms (job) > job->spec.deadline_ms)
         job_answer (job, LEASED_GIVEN_UP, "lost runs cannot be repeated in time", 0);
       job_free_if_done (job);
--- a/src/dispatcher_parts.h
+++ b/src/dispatcher_parts.h
@@ -1,7 +1,8 @@
 #pragma once
 /* Private to the dispatcher. dispatcher.c: jobs; dispatcher_servers.c: servers and their
  * reports; dispatcher_order.c: order and refusal; dispatcher_place.c: placement;
- * dispatcher_requests.c: resource requests. */
+ * dispatcher_costs.c: choice among servers; dispatcher_stragglers.c: restart of slow
+ * runs; dispatcher_requests.c: resource requests. */
 #include "arrivals.h"
 #include "dispatcher.h"
 #include "relative_speed.h"
@@ -51,11 +52,12 @@
   gboolean answered_before; /* completed less than RECENT_JOB_MS before it was queued */
   gboolean closed; /* answered or cancelled, but perhaps with runs still being stopped */
   double task_ms;  /* expected run time of one task */
+  double seen_ms;  /* longest run time of its tasks so far */
   gint64 objective_ms;
   gint64 late_ms;      /* useless to its caller after this */
   double typical_work; /* of a job of its queue, in ms x thousandths of a core */
   double rank;         /* lowest first */
-  double fast_factor;  /* run time on the fastest of its servers, over task_ms */
+  double fast_factor; /* run time on the fastest of its servers, over task_ms; 0: unset */
 };
 
 struct LeasedServer
@@ -69,6 +71,7 @@
   PeerClock clock;
   gint64 lease_until;      /* agent's clock */
   gint64 backoff_until_ms; /* nothing is placed before this */
+  gint64 full_until_ms;    /* taken to be full before this, unless offered */
   guint delay_ms;          /* of frames sent to its agent */
   double relative_time;    /* its run time over that of the median server */
   Throttle request_throttle;
@@ -77,8 +80,10 @@
   Demand placed;
   guint n_placed;
   TAILQ_HEAD (, LeasedTask) tasks;
-  gboolean inventoried; /* its inventory has arrived over this link */
-  gboolean closed;      /* its availability zone is closed */
+  gboolean inventoried;    /* its inventory has arrived over this link */
+  gboolean closed;         /* its availability zone is closed */
+  gboolean leaves;         /* it drains, and has said until when it accepts runs */
+  gint64 leaving_until_ms; /* it accepts runs that end before; 0: none */
 };
 
 /* A job that completed less than RECENT_JOB_MS ago: its caller may not have received the
@@ -110,6 +115,7 @@
   double wait_ms;               /* estimated wait of a task for free capacity */
   GPtrArray *ordered;           /* waiting jobs by rank, during dispatcher_pump () */
   GPtrArray *candidate_servers; /* that may take a task of these jobs */
+  GHashTable *fast_factors;     /* set of jobs; used during one placement */
   Arrivals arrivals;
   double used_here; /* thousandths of a core of own runs, decaying by SHARE_DECAY_MS */
   double used_by_all;
@@ -117,8 +123,10 @@
   guint n_closed;         /* linked servers in closed availability zones */
   gint64 linked_ms;       /* when a server was last linked */
   gboolean arrived;       /* a job has, since dispatcher_shed_load () */
+  gboolean sees_all_load; /* the load of all entries is known, and decided by */
   double median_slowness; /* of the servers that take orders, at least 1 */
   RelativeSpread speeds;  /* of the servers that take orders */
+  double free_part;       /* of the capacity of the servers that take orders */
   gint64 now_ms;
 };
 
@@ -127,11 +135,31 @@
 void job_free_if_done (LeasedJob *job);
 Runtimes *dispatcher_runtimes (Dispatcher *dispatcher, const char *queue);
 
+/** job_shape - the run times of the job's queue, if enough are known for their
+ * distribution to count; else NULL.
+ */
+const Runtimes *job_shape (const LeasedJob *job);
+
+/** job_observe_run - one of the job's tasks takes @run_ms or longer on a server of usual
+ * speed.
+ */
+void job_observe_run (LeasedJob *job, double run_ms);
+
+/* Share of a queue's runs that are usual, however long. */
+#define USUAL_QUANTILE 0.99
+
+/* A job has its full value up to its objective, a small part of it up to this many times
+ * the objective, later none. */
+#define LATE_FACTOR 3
+
 /* dispatcher_servers.c */
 void task_detach (LeasedTask *task);
 void task_stop (LeasedTask *task);
 void dispatcher_check_servers (Dispatcher *dispatcher);
 
+/** dispatcher_follow_runs - observe how long the tasks that run have run so far. */
+void dispatcher_follow_runs (Dispatcher *dispatcher);
+
 /* dispatcher_order.c */
 
 /* Added to the rank of a job that is infeasible: it goes after all others. */
@@ -176,6 +204,51 @@
 /** server_is_trusted - its trust level allows another run. */
 gboolean server_is_trusted (const LeasedServer *server);
 
+/** server_note_no_room - its agent refused a start, for lack of free capacity. */
+void server_note_no_room (LeasedServer *server);
+
+/** dispatcher_update_server_stats - update what placement derives from all servers. */
+void dispatcher_update_server_stats (Dispatcher *dispatcher);
+
+/** dispatcher_server_elsewhere - the server that a new run of a placed @task would get
+ * now; NULL: none.
+ */
+LeasedServer *dispatcher_server_elsewhere (LeasedTask *task);
+
+/* dispatcher_costs.c */
+
+/* Run times up to this factor are within the variation between tasks. */
+#define SLOWNESS_NORMAL 1.6
+
+/** server_slowness - its deviation from its own speed, over that of the median server; 1
+ * up to SLOWNESS_NORMAL.
+ */
+double server_slowness (const LeasedServer *server);
+
+/** fast_factors_new - set of jobs with a known fast_factor, one for each choice of
+ * servers.
+ */
+GHashTable *fast_factors_new (void);
+
+/** server_ends_in_time - whether a task of @job that starts there now meets the
+ * objective.
+ */
+gboolean server_ends_in_time (const LeasedServer *server, const LeasedJob *job);
+
+/** server_lost_ms - run time that a task loses there against one that it could wait for.
+ */
+double server_lost_ms (const LeasedServer *server, LeasedJob *job);
+
+/** dispatcher_saves_fast_servers - whether tasks that can end in time on slower servers
+ * leave the faster ones free.
+ */
+gboolean dispatcher_saves_fast_servers (const Dispatcher *dispatcher);
+
+/** server_cost - for the choice among servers: in expected run times of @job. */
+double server_cost (const LeasedServer *server, const LeasedJob *job);
+
+/* dispatcher_stragglers.c */
+
 /** dispatcher_handle_straggler - stop a slow run if it ends sooner on another server. */
 void dispatcher_handle_straggler (LeasedTask *task, const TaskReport *report);
 
--- a/src/dispatcher_place.c
+++ b/src/dispatcher_place.c
@@ -1,7 +1,9 @@
 #define LOG_MODULE "dispatcher"
+#include "counters.h"
 #include "dispatcher_parts.h"
 #include "events.h"
 #include "histograms.h"
+#include "leaving.h"
 
 #include <string.h>
 
@@ -10,19 +12,16 @@
 /* No orders are sent to a server while frames to it are delayed this much: they would
  * queue behind the earlier ones, be refused as too old and be sent again. */
 #define ORDER_DELAY_MAX_MS 60
-/* Run times up to this factor are within the variation between tasks. */
-#define SLOWNESS_NORMAL 1.6
 /* Waiting for another server is not worth a gain of less than this. */
 #define SLOW_SLACK_MS 20
-/* Run time away from a job's data over that near it, unless it is set. */
-#define FAR_FACTOR 1.5
+/* How long a server that refused an order for lack of free capacity is taken to be full:
+ * the least time between two states of its agent. */
+#define FULL_MS 15
 /* How long a task avoids the server where it failed or hung. Bounded, since there may be
  * no other server. */
 #define AVOID_MS 100
-/* An agent reports at least this as remaining time of a run that makes no progress. */
-#define STALLED_MS 30000
-/* Expected gain required to restart a straggler. */
-#define STRAGGLER_GAIN_MS 40
+/* More than any other cost: a leaving server is used only while no other has room. */
+#define LEAVING_COST 1e9
 /* If frames to more than this share of the servers are delayed, the entry's own link is
  * congested. Tasks of a job that start together then go to one server, with one order and
  * one payload, unless another server is less slow or fails less. */
@@ -52,16 +51,6 @@
   return n;
 }
 
-/* Relative to the median server: if all are slow, the estimates are wrong. */
-static double
-slowness_of (const LeasedServer *server)
-{
-  double slowness
-      = server->status.slowness_percent / 100.0 / server->dispatcher->median_slowness;
-
-  return slowness > SLOWNESS_NORMAL ? slowness : 1;
-}
-
 /* Trust levels are a circuit breaker: TRUST_PROBE allows one run, on a server that is
  * otherwise idle, TRUST_NONE allows none. */
 gboolean
@@ -80,15 +69,35 @@
   g_assert_not_reached ();
 }
 
-gboolean
-server_is_open (const LeasedServer *server)
+static gboolean
+takes_orders (const LeasedServer *server)
 {
   return server->user_data != NULL && server->inventoried && server->status.ready
-         && !server->status.draining && !server->closed
-         && server->delay_ms < ORDER_DELAY_MAX_MS
+         && !server->closed && server->delay_ms < ORDER_DELAY_MAX_MS
          && server->dispatcher->now_ms >= server->backoff_until_ms;
 }
 
+gboolean
+server_is_open (const LeasedServer *server)
+{
+  return takes_orders (server) && !server->status.draining;
+}
+
+/* It leaves, and takes orders for runs that end before. */
+static gboolean
+accepts_short_runs (const LeasedServer *server)
+{
+  return takes_orders (server) && server->leaving_until_ms > server->dispatcher->now_ms;
+}
+
+static gboolean
+ends_before_server (const LeasedServer *server, const LeasedJob *job)
+{
+  return !server->status.draining
+         || leaving_fits (job->task_ms * server->relative_time,
+                          server->leaving_until_ms - server->dispatcher->now_ms);
+}
+
 static gboolean
 has_room (const LeasedServer *server, const Demand *need)
 {
@@ -120,56 +129,13 @@
          && demand_fits (&need, &(Demand){ 0 }, &task->job->spec.demand);
 }
 
-static double
-far_factor (const Dispatcher *dispatcher)
-{
-  return dispatcher->init.far_factor > 0 ? dispatcher->init.far_factor : FAR_FACTOR;
-}
-
-/* Expected run time of a task on @server, relative to a sound server of median speed near
- * the job's data. Among servers of one speed the factors are added: a distant server that
- * is slow is then chosen as it was before speeds were known. */
-static double
-time_factor (const LeasedServer *server, const LeasedJob *job)
-{
-  const Dispatcher *dispatcher = server->dispatcher;
-  double far = server_has_label (server, job->spec.rack) ? 1 : far_factor (dispatcher);
-
-  if (!dispatcher->speeds.uneven)
-    return slowness_of (server) + (far - 1);
-  return slowness_of (server) * server->relative_time * far;
-}
-
 static gboolean
-ends_in_time (const LeasedServer *server, const LeasedJob *job)
-{
-  double run_ms = job->task_ms * time_factor (server, job);
-
-  return server->dispatcher->now_ms + run_ms <= job->objective_ms;
-}
-
-/* Run time that a task loses on @server against one that it could wait for. */
-static double
-lost_ms_on (const LeasedServer *server, const LeasedJob *job)
-{
-  const Dispatcher *dispatcher = server->dispatcher;
-  double lost_ms = (slowness_of (server) - 1) * job->task_ms;
-
-  if (!dispatcher->speeds.uneven)
-    return lost_ms;
-  lost_ms *= server->relative_time;
-  if (ends_in_time (server, job))
-    return lost_ms;
-  return MAX (lost_ms, (time_factor (server, job) - job->fast_factor) * job->task_ms);
-}
-
-static gboolean
-is_suitable (const LeasedServer *server, const LeasedJob *job, const LeasedTask *task)
+is_suitable (const LeasedServer *server, LeasedJob *job, const LeasedTask *task)
 {
   gint64 waited_ms = server->dispatcher->now_ms - task->waiting_since_ms;
-  double lost_ms = lost_ms_on (server, job);
 
   if (!fits (server, task) || !server_is_trusted (server)
+      || !ends_before_server (server, job)
       || server_is_offered_for_better (server, job->rank)
       || (server == task->avoid && waited_ms < AVOID_MS)
       || strcmp (server->status.service, job->spec.service) != 0
@@ -177,22 +143,28 @@
     return FALSE;
   /* If only a slow server is free, waiting for another one may end the task sooner. Once
    * the task has waited as long as the slow server would cost it, it is placed there. */
-  if (lost_ms > server->dispatcher->wait_ms + waited_ms + SLOW_SLACK_MS)
+  if (server_lost_ms (server, job)
+      > server->dispatcher->wait_ms + waited_ms + SLOW_SLACK_MS)
     return FALSE;
   return job->spec.most_per_server == 0
          || tasks_of_job (server, job) < job->spec.most_per_server;
 }
 
-/* In expected run times: that on the server, the share of failed runs, and up to 0.01 for
- * load, to break ties. */
-static double
-cost_of (const LeasedServer *server, const LeasedJob *job)
+/* Entries prefer the same fast servers: many orders for one freed slot, of which all but
+ * one are refused and repeated at once, while others stay free. */
+void
+server_note_no_room (LeasedServer *server)
 {
-  guint used = server->placed.cpu_milli + server->status.used_by_others.cpu_milli;
-  double filled = (double)used / MAX (server->status.capacity.cpu_milli, 1);
+  const Dispatcher *dispatcher = server->dispatcher;
 
-  return time_factor (server, job) + filled * 0.01
-         + server->status.failing_percent * 0.01;
+  if (dispatcher->speeds.uneven)
+    server->full_until_ms = dispatcher->now_ms + FULL_MS;
+}
+
+static gboolean
+is_known_full (const LeasedServer *server)
+{
+  return !server->status.offered && server->dispatcher->now_ms < server->full_until_ms;
 }
 
 static guint
@@ -212,9 +184,11 @@
 {
   LeasedServer *server;
 
+  g_hash_table_remove_all (dispatcher->fast_factors);
   g_ptr_array_set_size (dispatcher->candidate_servers, 0);
   TAILQ_FOREACH (server, &dispatcher->servers, link)
-    if (server_is_open (server) && free_cpu (server) >= min_cpu)
+    if ((server_is_open (server) || accepts_short_runs (server))
+        && !is_known_full (server) && free_cpu (server) >= min_cpu)
       g_ptr_array_add (dispatcher->candidate_servers, server);
 }
 
@@ -236,7 +210,7 @@
  * placement; may be NULL. */
 static LeasedServer *
 choose_server (Dispatcher *dispatcher,
-               const LeasedJob *job,
+               LeasedJob *job,
                const LeasedTask *task,
                GPtrArray *chosen)
 {
@@ -250,7 +224,7 @@
 
       if (!is_suitable (server, job, task))
         continue;
-      cost = cost_of (server, job);
+      cost = server_cost (server, job) + (server->status.draining ? LEAVING_COST : 0);
       if (dispatcher->link_congested && chosen != NULL
           && g_ptr_array_find (chosen, server, NULL))
         cost -= COLOCATION_GAIN;
@@ -262,23 +236,18 @@
   return best;
 }
 
-/* Sets the factor of the fastest server that the job may wait for; one server that is far
- * faster than the others does not count, since it is seldom free. */
-static void
-update_fast_factor (LeasedJob *job)
+LeasedServer *
+dispatcher_server_elsewhere (LeasedTask *task)
 {
-  const Dispatcher *dispatcher = job->dispatcher;
-  const LeasedServer *server;
-  double least = G_MAXDOUBLE;
+  Dispatcher *dispatcher = task->job->dispatcher;
 
-  if (!dispatcher->speeds.uneven || dispatcher->candidate_servers->len == 0)
-    return;
-  TAILQ_FOREACH (server, &dispatcher->servers, link)
-    if (server_is_open (server) && server_is_trusted (server)
-        && strcmp (server->status.service, job->spec.service) == 0
-        && server_has_label (server, job->spec.label))
-      least = MIN (least, time_factor (server, job));
-  job->fast_factor = MAX (least, dispatcher->speeds.fast);
+  LeasedServer *server;
+
+  gather_candidate_servers (dispatcher, task->job->spec.demand.cpu_milli);
+  task->job->fast_factor = 0;
+  server = choose_server (dispatcher, task->job, task, NULL);
+  g_hash_table_remove_all (dispatcher->fast_factors);
+  return server;
 }
 
 static void
@@ -341,10 +310,10 @@
   histogram_observe (HISTOGRAM_PLACING, dispatcher->now_ms - job->spec.arrived_ms);
   event_emit ("job-placed", job->spec.id,
               "agent=%s tasks=%" G_GSIZE_FORMAT " waited_ms=%" G_GINT64_FORMAT
-              " server_used_cpu=%u slowness=%.2f waiting=%u",
+              " server_used_cpu=%u slowness=%.2f waiting=%u relative_time=%.2f",
               server->name, n, dispatcher->now_ms - job->spec.arrived_ms,
               server->placed.cpu_milli, server->status.slowness_percent / 100.0,
-              dispatcher->n_waiting);
+              dispatcher->n_waiting, server->relative_time);
   dispatcher->ops->order (server, &spec, runs, n, (guint)MAX (job->task_ms, 1), &request,
                           peer_clock_least (&server->clock, dispatcher->now_ms, 0)
                               + ORDER_VALID_MS,
@@ -365,6 +334,17 @@
     send_order (job, server, &alone);
 }
 
+static void
+count_placing (const LeasedServer *server, const LeasedJob *job)
+{
+  const Dispatcher *dispatcher = server->dispatcher;
+
+  if (dispatcher_saves_fast_servers (dispatcher)
+      && server->relative_time > dispatcher->speeds.fast
+      && server_ends_in_time (server, job))
+    counter_add (COUNTER_TASKS_LEFT_FAST_FREE, 1);
+}
+
 /* Return: FALSE if a task found no server. */
 static gboolean
 place_job (Dispatcher *dispatcher, LeasedJob *job)
@@ -372,7 +352,7 @@
   GPtrArray *chosen = g_ptr_array_new ();
   gboolean all = TRUE;
 
-  update_fast_factor (job);
+  job->fast_factor = 0;
   for (guint i = 0; i < job->spec.count && all; i++)
     {
       LeasedServer *server;
@@ -386,6 +366,7 @@
           break;
         }
       task_place (&job->tasks[i], server);
+      count_placing (server, job);
       if (!g_ptr_array_find (chosen, server, NULL))
         g_ptr_array_add (chosen, server);
     }
@@ -406,14 +387,16 @@
 
 /* Updates what is derived from all servers: their median slowness, whether trust levels
  * apply, whether the own link is congested, and counts. */
-static void
-update_server_stats (Dispatcher *dispatcher)
+void
+dispatcher_update_server_stats (Dispatcher *dispatcher)
 {
   GArray *all = g_array_new (FALSE, FALSE, sizeof (double));
   const LeasedServer *server;
   guint distrusted = 0;
   guint slowed = 0;
   guint closed = 0;
+  double room = 0;
+  double capacity = 0;
 
   TAILQ_FOREACH (server, &dispatcher->servers, link)
     {
@@ -424,6 +407,8 @@
       if (!server_is_open (server))
         continue;
       g_array_append_val (all, slowness);
+      room += free_cpu (server) / server->relative_time;
+      capacity += server->status.capacity.cpu_milli / server->relative_time;
       if (throttle_is_active (&server->request_throttle))
         slowed++;
       if (server->status.trust != TRUST_FULL)
@@ -432,6 +417,7 @@
   g_array_sort (all, compare_slowness);
   dispatcher->median_slowness
       = all->len > 0 ? MAX (g_array_index (all, double, (all->len - 1) / 2), 1) : 1;
+  dispatcher->free_part = capacity > 0 ? room / capacity : 0;
   dispatcher->trust_all = distrusted > MAX (1, all->len * DISTRUSTED_SHARE);
   dispatcher->n_open = all->len;
   dispatcher->n_closed = closed;
@@ -450,7 +436,7 @@
       dispatcher_decline_offers (dispatcher);
       return;
     }
-  update_server_stats (dispatcher);
+  dispatcher_update_server_stats (dispatcher);
   dispatcher_refuse_zone_closed (dispatcher);
   dispatcher->wait_ms = dispatcher_wait_ms (dispatcher);
   jobs = dispatcher_order (dispatcher);
@@ -458,6 +444,7 @@
   gather_candidate_servers (dispatcher, min_cpu_of (jobs));
   for (guint i = 0; i < jobs->len; i++)
     place_job (dispatcher, g_ptr_array_index (jobs, i));
+  g_hash_table_remove_all (dispatcher->fast_factors);
   if (dispatcher->n_waiting > 0)
     dispatcher_send_resource_requests (dispatcher, jobs);
   dispatcher->ordered = NULL;
@@ -465,46 +452,3 @@
   if (dispatcher->arrived)
     dispatcher_shed_load (dispatcher);
 }
-
-/* The agent's estimate is for another server of the same speed. */
-static double
-elsewhere_ms_on (const LeasedServer *other,
-                 const LeasedTask *task,
-                 const TaskReport *report)
-{
-  return report->elsewhere_ms * other->relative_time / task->server->relative_time;
-}
-
-/* A run that hangs or is slow on a bad server can hold up its whole job. A restart loses
- * the work done, so it must end clearly sooner elsewhere, and before the deadline. */
-void
-dispatcher_handle_straggler (LeasedTask *task, const TaskReport *report)
-{
-  LeasedJob *job = task->job;
-  Dispatcher *dispatcher = job->dispatcher;
-  LeasedServer *before = task->avoid;
-  LeasedServer *other;
-  double elsewhere_ms;
-
-  update_server_stats (dispatcher);
-  if (report->remaining_ms < STALLED_MS && slowness_of (task->server) <= SLOWNESS_NORMAL)
-    return;
-  if (task->stopping || job->closed || task->state != TASK_PLACED)
-    return;
-  task->avoid = task->server;
-  task->waiting_since_ms = dispatcher->now_ms;
-  gather_candidate_servers (dispatcher, job->spec.demand.cpu_milli);
-  update_fast_factor (job);
-  other = choose_server (dispatcher, job, task, NULL);
-  elsewhere_ms = other != NULL ? elsewhere_ms_on (other, task, report) : 0;
-  if (other == NULL || report->remaining_ms < elsewhere_ms + STRAGGLER_GAIN_MS
-      || dispatcher->now_ms + elsewhere_ms > job->spec.deadline_ms)
-    {
-      task->avoid = before;
-      return;
-    }
-  event_note ("straggler-restarted", job->spec.id,
-              "task=%u run=%u agent=%s remaining_ms=%u elsewhere_ms=%.0f", task->index,
-              task->run, task->server->name, report->remaining_ms, elsewhere_ms);
-  task_stop (task);
-}
--- a/src/dispatcher_servers.c
+++ b/src/dispatcher_servers.c
@@ -177,11 +177,53 @@
   job->dispatcher->n_waiting++;
 }
 
+/* Nothing is learned of a queue that left the configuration while its last tasks ran. */
 static void
 observe_run_time (const LeasedJob *job, guint run_ms)
 {
-  runtimes_observe (dispatcher_runtimes (job->dispatcher, job->spec.queue),
-                    job->spec.declared_ms, run_ms);
+  Runtimes *runtimes = g_hash_table_lookup (job->dispatcher->runtimes, job->spec.queue);
+
+  if (runtimes != NULL)
+    runtimes_observe (runtimes, job->spec.declared_ms, run_ms);
+}
+
+/* What the task would have taken at usual speed. On a server that is slow now a long run
+ * says nothing of the task, and callers do not count it. */
+static double
+own_time_ms (const LeasedTask *task, double run_ms)
+{
+  double slowness = task->server->status.slowness_percent / 100.0;
+
+  return run_ms / MAX (slowness, 1) / task->server->relative_time;
+}
+
+/* A run that has not ended counts up to the length that is usual: it may hang. */
+static void
+observe_running (const LeasedTask *task)
+{
+  LeasedJob *job = task->job;
+  double run_ms
+      = own_time_ms (task, (double)(job->dispatcher->now_ms - task->started_ms));
+  const Runtimes *shape;
+
+  if (run_ms <= job->seen_ms)
+    return;
+  shape = job_shape (job);
+  if (shape != NULL)
+    job_observe_run (job, MIN (run_ms, runtimes_quantile (shape, job->spec.declared_ms,
+                                                          USUAL_QUANTILE)));
+}
+
+void
+dispatcher_follow_runs (Dispatcher *dispatcher)
+{
+  const LeasedServer *server;
+  const LeasedTask *task;
+
+  TAILQ_FOREACH (server, &dispatcher->servers, link)
+    TAILQ_FOREACH (task, &server->tasks, on_server)
+      if (task->started_ms > 0 && task->job->waiting > 0)
+        observe_running (task);
 }
 
 /* The run time on the server of median speed, which expected run times are about. Those
@@ -199,6 +241,7 @@
 
   if (run_ms > 0)
     observe_run_time (job, median_run_ms (task, run_ms));
+  job_observe_run (job, own_time_ms (task, run_ms));
   task_detach (task);
   task->state = TASK_ENDED;
   job->ended++;
@@ -247,6 +290,8 @@
    * with "no room" the agent has just reported its present state. */
   if (strcmp (reason, "superseded") != 0 && strcmp (reason, "no room") != 0)
     server->backoff_until_ms = server->dispatcher->now_ms + REFUSED_BACKOFF_MS;
+  if (strcmp (reason, "no room") == 0)
+    server_note_no_room (server);
   task_detach (task);
   task_requeue (task);
 }
@@ -435,6 +480,19 @@
   dispatcher->ops->pump (dispatcher->ctx);
 }
 
+/* Counted from the last event here, which is earlier than the report: runs then fit
+ * rather too seldom. That the server leaves is remembered, since it then has little time
+ * left also when it accepts nothing any more. */
+static void
+update_leaving (LeasedServer *server, const ServerStatus *status, gboolean other_instance)
+{
+  server->leaves = status->draining
+                   && (status->leaving_ms > 0 || (server->leaves && !other_instance));
+  server->leaving_until_ms = status->draining && status->leaving_ms > 0
+                                 ? server->dispatcher->now_ms + status->leaving_ms
+                                 : 0;
+}
+
 void
 dispatcher_server_status (LeasedServer *server, ServerStatus *status)
 {
@@ -445,10 +503,13 @@
       || server->status.closed != status->closed || server->status.trust != status->trust)
     event_note ("server-status", "-",
                 "agent=%s server=%s ready=%d draining=%d closed=%d cpu=%u trust=%d "
-                "slowness=%u failing=%u",
+                "slowness=%u failing=%u leaving_ms=%u",
                 server->name, status->instance, status->ready, status->draining,
                 status->closed, status->capacity.cpu_milli, status->trust,
-                status->slowness_percent, status->failing_percent);
+                status->slowness_percent, status->failing_percent, status->leaving_ms);
+  update_leaving (server, status, other_instance);
+  if (other_instance)
+    server->relative_time = 1;
   server_status_free (&server->status);
   server->status = *status;
   update_closed (server);
--- a/src/leased_agent_state.c
+++ b/src/leased_agent_state.c
@@ -9,6 +9,8 @@
 /* A server is nearly full for an entry if others leave less than 1/NEARLY_FULL_PART of
  * its CPU. */
 #define NEARLY_FULL_PART 4
+/* How often leaving_ms is sent while it counts down, which the entries do themselves. */
+#define LEAVING_REFRESH_MS 200
 
 typedef struct
 {
@@ -21,6 +23,7 @@
   guint failing_percent;
   guint speed_percent;
   guint speed_runs;
+  guint leaving_ms;
   Demand capacity;
   Demand used_by_others;
 } State;
@@ -64,6 +67,7 @@
   /* A surplus link is closed once its entry has no run here: it must order no more. */
   state.ready = runner_ready (agent->runner) && peer->surplus_ms == 0;
   state.draining = runner_draining (agent->runner);
+  state.leaving_ms = runner_leaving_ms (agent->runner, clock_now_ms ());
   state.closed = runner_zone_is_closed (agent->runner);
   state.trust = health->trust;
   state.slowness_percent = percent_in_steps (health->slowness, 20);
@@ -77,10 +81,28 @@
   return state;
 }
 
+static gboolean
+leaving_begins_or_ends (const State *state, const SentState *sent)
+{
+  return (state->leaving_ms > 0) != (sent->state.leaving_ms > 0);
+}
+
+static gboolean
+leaving_is_due (const State *state, const SentState *sent)
+{
+  return state->leaving_ms > 0 && clock_now_ms () - sent->sent_ms >= LEAVING_REFRESH_MS;
+}
+
 static gboolean
 state_differs (const State *state, const SentState *sent)
 {
-  return sent == NULL || memcmp (&sent->state, state, sizeof *state) != 0;
+  State counted_down = *state;
+
+  if (sent == NULL || leaving_begins_or_ends (state, sent)
+      || leaving_is_due (state, sent))
+    return TRUE;
+  counted_down.leaving_ms = sent->state.leaving_ms;
+  return memcmp (&sent->state, &counted_down, sizeof counted_down) != 0;
 }
 
 static gboolean
@@ -109,7 +131,8 @@
     return FALSE;
   if (sent == NULL || state->offered || sent->state.ready != state->ready
       || sent->state.draining != state->draining || sent->state.closed != state->closed
-      || sent->state.trust != state->trust)
+      || sent->state.trust != state->trust || leaving_begins_or_ends (state, sent)
+      || leaving_is_due (state, sent))
     return TRUE;
   return is_nearly_full (state) || is_nearly_full (&sent->state);
 }
@@ -215,6 +238,7 @@
   agent->state.failing_percent = state->failing_percent;
   agent->state.speed_percent = state->speed_percent;
   agent->state.speed_runs = state->speed_runs;
+  agent->state.leaving_ms = state->leaving_ms;
   demand_to_wire (&state->capacity, &agent->capacity);
   demand_to_wire (&state->used_by_others, &agent->used_by_others);
   agent->state.capacity = &agent->capacity;
--- a/src/runner_parts.h
+++ b/src/runner_parts.h
@@ -3,6 +3,7 @@
  * which to start and stop, runner_instance.c follows the instances of the backend server,
  * runner_calls.c makes the calls and handles their answers, runner_progress.c judges the
  * server's health by the runs' progress and ends. */
+#include "leaving.h"
 #include "long_polls.h"
 #include "peer_clock.h"
 #include "runner.h"
@@ -41,9 +42,11 @@
   double counted_ms;    /* length of the run as estimated then; 0: at its end */
   guint window_percent; /* begin of the progress that is compared with that */
   gint64 window_ms;
-  gboolean slowed;         /* it was found to progress more slowly than then */
-  guint64 token;           /* fencing token of its last start */
-  guint starts;            /* sent */
+  gboolean slowed; /* it was found to progress more slowly than then */
+  guint64 token;   /* fencing token of its last start */
+  guint starts;    /* sent */
+  gboolean listed; /* by an answer that is certain to be from the present instance */
+  gboolean held;   /* until it is known whether a restarted server runs it */
   const char *stop_reason; /* NULL: it may run */
   gint64 stop_sent_ms;
 } Run;
@@ -75,12 +78,15 @@
   Demand used;
   GHashTable *entry_leases; /* incarnation -> gint64, ms: its runs may go on until then */
   char *instance;
+  char *name; /* that calls to it use, also of the last instance */
   char **past_instances;
   guint instance_epoch; /* raised at begin and end of an instance, to spot outdated
                            answers */
   InstanceState state;
   guint64 sequence;
   guint64 token;
+  gint64 held_until_ms; /* held runs end then if no instance follows; 0: no bound */
+  guint fenced; /* calls refused for their token since the last that was carried out */
   guint64 ends_seen;
   PeerClock clock;
   gint64 server_lease_until; /* server's clock, ms: the end of the longest lease sent */
@@ -93,6 +99,8 @@
   ServerHealth server_health;
   ServerSpeed server_speed;
   gboolean server_draining;
+  Leaving leaving;        /* of this instance */
+  gboolean was_accepting; /* while leaving, at the last tick */
   gint64 cold_until_ms;   /* just started: by its report it runs slower until then */
   gboolean cold;          /* at the last runner_check_cold () */
   gint64 cold_changed_ms; /* when cold last changed; 0: never */
@@ -104,6 +112,10 @@
 };
 
 /* runner.c */
+
+/** runner_leaving_refusal - Return: NULL, or why the server accepts no start of a run
+ * that takes @expected_ms because it leaves. */
+const char *runner_leaving_refusal (const Runner *runner, guint expected_ms);
 Run *runner_find (const Runner *runner, const RunKey *key);
 void run_end (Runner *runner, Run *run, ReportKind kind, const char *reason);
 void runner_lose_all (Runner *runner, ReportKind kind, const char *reason);
@@ -122,12 +134,26 @@
 /* runner_instance.c */
 void runner_set_state (Runner *runner, InstanceState state);
 
+/** runner_check_leaving - tell the entries what a leaving server accepts as that counts
+ * down. */
+void runner_check_leaving (Runner *runner);
+
 /** runner_check_cold - update whether the server is still slow from its start. */
 void runner_check_cold (Runner *runner);
 
 /** runner_end_instance - the server's instance has ended, and its runs end as @kind. */
 void runner_end_instance (Runner *runner, ReportKind kind, const char *reason);
 
+/** runner_restarted - another instance answers to the name of this one. What it may have
+ * been ordered in place of this one is held until it is cleared. */
+void runner_restarted (Runner *runner);
+
+/** runner_release_held - the server is certain to run none of the held runs. */
+void runner_release_held (Runner *runner);
+
+/** runner_check_held - release them if no instance has followed the one that left. */
+void runner_check_held (Runner *runner);
+
 /* runner_calls.c */
 void runner_send_start (Runner *runner, Run *run);
 void runner_send_stop (Runner *runner, const RunKey *key);
--- a/src/runner_progress.c
+++ b/src/runner_progress.c
@@ -141,8 +141,8 @@
   return (double)(run->progress_ms - run->started_ms) * 100 / run->percent;
 }
 
-/* Whether the server is slow, and by more than the spread of run times explains. A cold
- * server says so itself. */
+/* Whether the server is slow, and by more than the spread of run times explains. Runs on
+ * a cold server are not in the sequential test. */
 static gboolean
 is_slow (const Runner *runner)
 {
@@ -172,7 +172,8 @@
   double whole_ms = whole_run_ms (run);
   double slowness = runner->server_health.slowness;
   double left_ms = STALLED_REMAINING_MS;
-  double elsewhere_ms = whole_ms > 0 ? whole_ms : run->expected_ms;
+  double expected_ms = run->expected_ms * server_speed_ratio (&runner->server_speed);
+  double elsewhere_ms = whole_ms > 0 ? whole_ms : expected_ms;
 
   if (!stalled && (!is_slow (runner) || whole_ms == 0))
     return;
@@ -196,6 +197,30 @@
                           runner->ctx);
 }
 
+/* A run that its leaving server cuts off never ends there: it is reported as one that
+ * makes no progress, for which entries of any build start anew if another server is free.
+ */
+static void
+report_cut_off (Runner *runner, Run *run)
+{
+  double whole_ms = whole_run_ms (run);
+  double left_ms = whole_ms - (double)(runner->now_ms - run->started_ms);
+
+  if (whole_ms == 0 || !leaving_cuts_off (&runner->leaving, left_ms, runner->now_ms)
+      || runner->now_ms - run->reported_ms < REPORT_REPEAT_MS)
+    return;
+  run->reported_ms = runner->now_ms;
+  counter_add (COUNTER_RUNS_CUT_OFF, 1);
+  event_note ("task-cut-off", run->key.job,
+              "task=%u run=%u percent=%u elapsed_ms=%" G_GINT64_FORMAT
+              " left_ms=%.0f server_left_ms=%" G_GINT64_FORMAT,
+              run->key.index, run->key.run, run->percent,
+              runner->now_ms - run->started_ms, left_ms,
+              MAX (runner->leaving.ends_ms - runner->now_ms, 0));
+  runner->ops->straggles (run->entry, &run->key, STALLED_REMAINING_MS, (guint)whole_ms,
+                          runner->ctx);
+}
+
 /* Each run is counted once, as soon as its length can be estimated: counted at its end,
  * slow runs would count too late. */
 static void
@@ -262,6 +287,7 @@
       else if (run->percent > 0)
         moving++;
       report_straggler (runner, run);
+      report_cut_off (runner, run);
     }
   server_health_progress (&runner->server_health, stalled, moving, runner->now_ms);
   if (runner->server_health.trust == before)
--- a/tests/load_replay_parts.h
+++ b/tests/load_replay_parts.h
@@ -19,6 +19,7 @@
   Replay *replay;
   guint index;
   Dispatcher *dispatcher;
+  LoadView *view;
   gboolean pump_needed;
   double uplink_free_at;
   double downlink_free_at;
@@ -45,7 +46,8 @@
 {
   guint index;
   Demand capacity;
-  gint64 freed_ms; /* last end of a run */
+  double speed_noise; /* factor on the speed that its agent reports */
+  gint64 freed_ms;    /* last end of a run */
   Demand used;
   Demand *used_by; /* by entry */
   GPtrArray *runs;
@@ -111,8 +113,10 @@
   ServerLink *links;       /* entries x servers */
   GPtrArray *jobs;         /* of LoadJob */
   Submission *submissions; /* in the order of jobs */
+  guint first_open;        /* jobs before it have ended */
   GHashTable *by_id;       /* job id -> Submission */
   LoadIdle idle;           /* ms x thousandths of a core */
+  GQueue summaries;        /* on the way between entries, in order of arrival */
 };
 
 /** event_at - schedule an event. Return: the event, for the caller to fill in. */
@@ -133,9 +137,22 @@
 void link_reply_heartbeat (Replay *replay, const Event *event);
 void link_open (Replay *replay, Entry *entry, Server *server);
 
+/* load_summaries.c */
+
+/** summaries_open - Return: the view of @entry; NULL if no summaries are exchanged. */
+LoadView *summaries_open (Replay *replay, Entry *entry);
+
+/** summaries_step - deliver what has arrived, send what is due. */
+void summaries_step (Replay *replay);
+void summaries_close (Replay *replay);
+
 /* load_agents.c */
 void agent_state_changed (Replay *replay, Server *server);
 void agent_on_order (Replay *replay, const Event *event);
 void agent_on_stop (Replay *replay, const Event *event);
 void agent_end_run (Replay *replay, Server *server, Run *run, TaskEvent how);
 void agent_send_state (Replay *replay, const Event *event);
+
+/** agent_report_speed - fill in what @server's agent knows of its run times. */
+void
+agent_report_speed (const Replay *replay, const Server *server, ServerStatus *status);
--- a/tests/platform_scene.c
+++ b/tests/platform_scene.c
@@ -123,9 +123,9 @@
       "listen.advertise_frames = \"%s\"\n"
       "links.heartbeat_ms = 120\nlinks.timeout_ms = 500\ntable.address = \"%s\"\n"
       "entries.peers = [%s]\ndrain.grace_ms = 300\ndrain.limit_ms = 4000\n"
-      "servers.speed_runs = 12\n",
+      "servers.speed_runs = 12\n%s",
       name, scene->relays[i] != NULL ? relay_address (scene->relays[i]) : "",
-      store_address (scene, i), peers);
+      store_address (scene, i), peers, scene->settings != NULL ? scene->settings : "");
   Process *process
       = harness_spawn_daemon (scene->harness, PLATFORM_ENTRY_EXE, name, settings);
 
@@ -160,7 +160,7 @@
       "name = \"%s\"\nzone = \"z\"\nlisten.http = \"127.0.0.1:0\"\n"
       "links.heartbeat_ms = 120\nlinks.timeout_ms = 500\ntable.address = \"%s\"\n"
       "entries.peers = [\"%s\"]\nbackend.address = \"%s\"\n"
-      "servers.speed_runs = 12\n",
+      "servers.speed_runs = 12\nservers.drain_ms = 3000\n",
       name, scene->store->http, entry_address (scene, 0), scene->servers[i]->http);
   Process *process
       = harness_spawn_daemon (scene->harness, PLATFORM_AGENT_EXE, name, settings);
@@ -286,12 +286,13 @@
 {
   const char *store[] = { STORE_EXE, NULL };
   char zone[] = "z\0\0"; /* room for a digit */
-  const char *server[] = { SERVER_EXE, "4000", zone, NULL };
+  const char *server[] = { SERVER_EXE, "4000", zone, NULL, NULL };
 
   memset (scene, 0, sizeof *scene);
   scene->harness = harness_new_bare ();
   scene->n_entries = init->entries;
   scene->n_servers = init->servers;
+  scene->settings = init->settings;
   scene->store = harness_spawn (scene->harness, "store", store);
   if (init->configured)
     platform_put_config (scene, PLATFORM_PREFIX);
@@ -313,6 +314,9 @@
       if (init->zones > 0)
         zone[1] = (char)('0' + i % init->zones);
 
+      /* Both versions of the servers' protocol: with and without the time of the start.
+       */
+      server[3] = i % 2 == 0 ? "born" : "";
       scene->servers[i] = harness_spawn (scene->harness, name, server);
       scene->agents[i] = platform_start_agent (scene, i);
       platform_introduce (scene, i);
--- a/tests/test-dispatcher.c
+++ b/tests/test-dispatcher.c
@@ -106,10 +106,12 @@
 {
   ServerStatus status = *template;
 
-  status.instance = g_strdup_printf ("instance-%u", i);
+  status.instance = template->instance != NULL ? g_strdup (template->instance)
+                                               : g_strdup_printf ("instance-%u", i);
   status.service = g_strdup ("exchange");
   status.zone = g_strdup ("fukuoka-a");
-  status.labels = g_new0 (char *, 1);
+  status.labels
+      = template->labels != NULL ? g_strdupv (template->labels) : g_new0 (char *, 1);
   dispatcher_server_status (scene->servers[i], &status);
 }
 
@@ -135,19 +137,25 @@
 }
 
 static void
-scene_open (Scene *scene, guint capacity)
+scene_open_with (Scene *scene, guint capacity, const DispatcherInit *init)
 {
-  DispatcherInit init = { SERVER_LEASE_MS };
-
   memset (scene, 0, sizeof *scene);
   scene->now = 100000;
   scene->capacity = capacity;
   scene->orders = g_new0 (Order, ORDERS_MAX);
-  scene->dispatcher = dispatcher_new (&init, &ops, scene);
+  scene->dispatcher = dispatcher_new (init, &ops, scene);
   for (guint i = 0; i < SERVERS; i++)
     link_server (scene, i);
 }
 
+static void
+scene_open (Scene *scene, guint capacity)
+{
+  DispatcherInit init = { SERVER_LEASE_MS };
+
+  scene_open_with (scene, capacity, &init);
+}
+
 static void
 scene_close (Scene *scene)
 {
@@ -198,6 +206,17 @@
   dispatcher_pump (scene->dispatcher, scene->now);
 }
 
+static void
+report_done (Scene *scene, Order *order, guint run_ms)
+{
+  TaskReport report
+      = { .key = order->key, .event = TASK_DONE, .reason = "", .run_ms = run_ms };
+
+  order->open = FALSE;
+  dispatcher_reports (scene->servers[order->server], &report, 1, FALSE, scene->now);
+  dispatcher_pump (scene->dispatcher, scene->now);
+}
+
 static void
 advance (Scene *scene, guint ms)
 {
@@ -521,6 +540,366 @@
   g_assert_false (scene->orders[0].stopped);
 }
 
+/* Opens a scene whose servers have room for one task and these speeds. */
+static void
+open_uneven (Scene *scene, const guint *speeds, double far_factor)
+{
+  DispatcherInit init = { .server_lease_ms = SERVER_LEASE_MS,
+                          .speed_runs = 12,
+                          .far_factor = far_factor };
+
+  scene_open_with (scene, 1000, &init);
+  for (guint i = 0; i < SERVERS; i++)
+    {
+      ServerStatus status = { .capacity = { 1000, 100000, 0 },
+                              .ready = TRUE,
+                              .slowness_percent = 100,
+                              .speed_percent = speeds[i],
+                              .speed_runs = 200 };
+
+      set_status (scene, i, &status);
+    }
+  advance (scene, 20);
+}
+
+static void
+fastest_server_gets_the_task (Scene *scene)
+{
+  open_uneven (scene, (guint[]){ 160, 100, 60 }, 0);
+  submit (scene, "a", 1);
+  g_assert_cmpuint (scene->orders[0].server, ==, 2);
+}
+
+/* The threshold from which a server counts as slow applied to its lasting speed: tasks
+ * that ended in time there waited for another server. */
+static void
+slow_but_sound_server_is_used_at_once (Scene *scene)
+{
+  open_uneven (scene, (guint[]){ 200, 100, 100 }, 0);
+  submit (scene, "a", 3);
+  g_assert_cmpuint (scene->n_orders, ==, 3);
+}
+
+/* Run time 100 ms, objective 220 ms: 300 ms on the slow server is late. */
+static void
+late_server_is_taken_after_a_wait (Scene *scene)
+{
+  open_uneven (scene, (guint[]){ 300, 100, 100 }, 0);
+  submit (scene, "a", 3);
+  g_assert_cmpuint (scene->n_orders, ==, 2);
+  advance (scene, 40);
+  g_assert_cmpuint (scene->n_orders, ==, 2);
+  advance (scene, 120);
+  g_assert_cmpuint (scene->n_orders, ==, 3);
+  g_assert_cmpuint (scene->orders[2].server, ==, 0);
+}
+
+/* An order that is refused for lack of room was repeated there each round trip, while
+ * slower servers were free. */
+static void
+refused_order_goes_to_another_server (Scene *scene)
+{
+  TaskReport refused = { .event = TASK_NOT_STARTED, .reason = "no room" };
+
+  open_uneven (scene, (guint[]){ 160, 100, 60 }, 0);
+  submit (scene, "a", 1);
+  refused.key = scene->orders[0].key;
+  dispatcher_reports (scene->servers[2], &refused, 1, FALSE, scene->now);
+  dispatcher_pump (scene->dispatcher, scene->now);
+  g_assert_cmpuint (scene->n_orders, ==, 2);
+  g_assert_cmpuint (scene->orders[1].server, ==, 1);
+}
+
+/* A task that fits only on the slow server waited there for fast servers that are too
+ * small for it. */
+static void
+small_fast_servers_are_not_waited_for (Scene *scene)
+{
+  ServerStatus large = { .capacity = { 4000, 100000, 0 },
+                         .ready = TRUE,
+                         .slowness_percent = 100,
+                         .speed_percent = 300,
+                         .speed_runs = 200 };
+  LeasedSpec spec;
+
+  open_uneven (scene, (guint[]){ 300, 100, 100 }, 0);
+  set_status (scene, 0, &large);
+  spec = spec_of (scene, "a", 1, 100);
+  spec.demand.cpu_milli = 2000;
+  dispatcher_submit (scene->dispatcher, &spec, on_done, scene, scene->now);
+  dispatcher_pump (scene->dispatcher, scene->now);
+  g_assert_cmpuint (scene->n_orders, ==, 1);
+  g_assert_cmpuint (scene->orders[0].server, ==, 0);
+}
+
+/* Guards against a factor that is kept for a job of another size: the large task would
+ * wait for the servers that only the small one can have. */
+static void
+each_size_waits_for_its_own_servers (Scene *scene)
+{
+  ServerStatus large = { .capacity = { 4000, 100000, 0 },
+                         .ready = TRUE,
+                         .slowness_percent = 100,
+                         .speed_percent = 300,
+                         .speed_runs = 200 };
+  LeasedSpec spec;
+
+  open_uneven (scene, (guint[]){ 300, 100, 100 }, 0);
+  set_status (scene, 0, &large);
+  submit (scene, "small", 3);
+  g_assert_cmpuint (scene->n_orders, ==, 2);
+  spec = spec_of (scene, "large", 1, 100);
+  spec.demand.cpu_milli = 2000;
+  dispatcher_submit (scene->dispatcher, &spec, on_done, scene, scene->now);
+  dispatcher_pump (scene->dispatcher, scene->now);
+  g_assert_cmpuint (scene->n_orders, ==, 3);
+  g_assert_cmpstr (scene->orders[2].key.job, ==, "large");
+  g_assert_cmpuint (scene->orders[2].server, ==, 0);
+}
+
+/* Until the next tick a new instance counted as fast as the one that it replaced. */
+static void
+new_instance_has_no_known_speed (Scene *scene)
+{
+  ServerStatus fresh = { .instance = (char *)"replacement",
+                         .capacity = { 1000, 100000, 0 },
+                         .ready = TRUE,
+                         .slowness_percent = 100 };
+
+  open_uneven (scene, (guint[]){ 160, 100, 60 }, 0);
+  set_status (scene, 2, &fresh);
+  submit (scene, "a", 1);
+  g_assert_cmpuint (scene->orders[0].server, ==, 1);
+}
+
+static gboolean
+straggler_is_stopped (Scene *scene, guint remaining_ms)
+{
+  ServerStatus crawling = { .capacity = { 1000, 100000, 0 },
+                            .ready = TRUE,
+                            .slowness_percent = 300,
+                            .speed_percent = 60,
+                            .speed_runs = 200 };
+  TaskReport slow = { .event = TASK_STRAGGLES,
+                      .reason = "",
+                      .remaining_ms = remaining_ms,
+                      .elsewhere_ms = 100 };
+
+  open_uneven (scene, (guint[]){ 60, 160, 160 }, 0);
+  submit (scene, "a", 1);
+  g_assert_cmpuint (scene->orders[0].server, ==, 0);
+  set_status (scene, 0, &crawling);
+  slow.key = scene->orders[0].key;
+  dispatcher_reports (scene->servers[0], &slow, 1, FALSE, scene->now);
+  return scene->orders[0].stopped;
+}
+
+/* 100 ms on a server as fast as the straggler's are 267 ms on the others: a restart would
+ * end later. */
+static void
+straggler_stays_on_a_fast_server (Scene *scene)
+{
+  g_assert_false (straggler_is_stopped (scene, 290));
+}
+
+static void
+straggler_leaves_a_fast_server (Scene *scene)
+{
+  g_assert_true (straggler_is_stopped (scene, 320));
+}
+
+/* Places a task whose data is at the slow server 0; the others take half as long. */
+static guint
+server_for_data_at_slow (Scene *scene, double far_factor)
+{
+  char *labels[] = { (char *)"rack-1", NULL };
+  ServerStatus near = { .labels = labels,
+                        .capacity = { 1000, 100000, 0 },
+                        .ready = TRUE,
+                        .slowness_percent = 100,
+                        .speed_percent = 200,
+                        .speed_runs = 200 };
+  LeasedSpec spec;
+
+  open_uneven (scene, (guint[]){ 200, 100, 100 }, far_factor);
+  set_status (scene, 0, &near);
+  spec = spec_of (scene, "a", 1, 100);
+  spec.rack = "rack-1";
+  dispatcher_submit (scene->dispatcher, &spec, on_done, scene, scene->now);
+  dispatcher_pump (scene->dispatcher, scene->now);
+  g_assert_cmpuint (scene->n_orders, ==, 1);
+  return scene->orders[0].server;
+}
+
+static void
+fast_server_is_worth_the_distance (Scene *scene)
+{
+  g_assert_cmpuint (server_for_data_at_slow (scene, 0), !=, 0);
+}
+
+static void
+distance_is_worth_a_slow_server (Scene *scene)
+{
+  g_assert_cmpuint (server_for_data_at_slow (scene, 3), ==, 0);
+}
+
+static void
+open_with_shapes (Scene *scene, guint capacity, gboolean run_shapes)
+{
+  DispatcherInit init = { .server_lease_ms = SERVER_LEASE_MS, .run_shapes = run_shapes };
+
+  scene_open_with (scene, capacity, &init);
+}
+
+/* @n jobs of one task each, of which every @tail_every-th takes 7 times as long. */
+static void
+learn_runs (Scene *scene, guint n, guint run_ms, guint tail_every)
+{
+  for (guint i = 1; i <= n; i++)
+    {
+      char *id = g_strdup_printf ("learned-%u", i);
+
+      submit (scene, id, 1);
+      report (scene, &scene->orders[scene->n_orders - 1], TASK_STARTED);
+      report_done (scene, &scene->orders[scene->n_orders - 1],
+                   tail_every > 0 && i % tail_every == 0 ? run_ms * 7 : run_ms);
+      scene->now += 5;
+      g_free (id);
+    }
+}
+
+static gboolean
+has_no_queue (const char *queue, gpointer ctx)
+{
+  return FALSE;
+}
+
+static gboolean
+has_queue (const char *queue, gpointer ctx)
+{
+  return strcmp (queue, "claims") == 0;
+}
+
+/* The run times of each queue that was ever configured were kept for the life of the
+ * entry: callers that name their queues by the day filled its memory. */
+static void
+queue_that_left_is_forgotten (Scene *scene)
+{
+  scene_open (scene, 2000);
+  learn_runs (scene, 20, 40, 0);
+  dispatcher_keep_queues (scene->dispatcher, has_queue, NULL);
+  submit (scene, "a", 1);
+  g_assert_cmpuint (scene->orders[scene->n_orders - 1].expected_ms, ==, 40);
+  dispatcher_keep_queues (scene->dispatcher, has_no_queue, NULL);
+  report_done (scene, &scene->orders[scene->n_orders - 1], 40);
+  submit (scene, "b", 1);
+  g_assert_cmpuint (scene->orders[scene->n_orders - 1].expected_ms, ==, 100);
+}
+
+/* A job of four tasks of which three run, for @ran_ms already where 120 ms are expected;
+ * then a new job arrives and one of the three ends. Return: the job that gets its place.
+ */
+static const char *
+next_after_runs_of (Scene *scene, gboolean run_shapes, guint learned, guint ran_ms)
+{
+  open_with_shapes (scene, 1000, run_shapes);
+  learn_runs (scene, learned, 100, 33);
+  submit (scene, "a", 4);
+  for (guint i = 1; i <= 3; i++)
+    report (scene, &scene->orders[scene->n_orders - i], TASK_STARTED);
+  for (guint i = 0; i < ran_ms / 20; i++)
+    advance (scene, 20);
+  submit (scene, "b", 1);
+  report_done (scene, &scene->orders[scene->n_orders - 1], 400);
+  return scene->orders[scene->n_orders - 1].key.job;
+}
+
+static const char *
+next_after_long_run (Scene *scene, gboolean run_shapes, guint learned)
+{
+  return next_after_runs_of (scene, run_shapes, learned, 400);
+}
+
+/* A run that hung raised the objective of its job for as long as it hung: the job never
+ * counted as late, and its other tasks went before new jobs. */
+static void
+hung_run_does_not_raise_the_objective (Scene *scene)
+{
+  g_assert_cmpstr (next_after_runs_of (scene, TRUE, 200, 2000), ==, "b");
+}
+
+/* Callers count from the slowest task. By the mean a job with a long one was ranked as
+ * late and its last task went behind new jobs, so that it did end late. */
+static void
+long_run_keeps_its_job_first (Scene *scene)
+{
+  g_assert_cmpstr (next_after_long_run (scene, TRUE, 200), ==, "a");
+}
+
+/* The same with the setting off, and with too few runs: as by the mean. */
+static void
+long_run_is_late_without_shapes (Scene *scene)
+{
+  g_assert_cmpstr (next_after_long_run (scene, FALSE, 200), ==, "b");
+}
+
+static void
+long_run_is_late_with_few_runs (Scene *scene)
+{
+  g_assert_cmpstr (next_after_long_run (scene, TRUE, 50), ==, "b");
+}
+
+/* Reports a run of 350 ms that would take 100 ms elsewhere, from a server of this
+ * slowness. Return: whether it is stopped. */
+static gboolean
+long_run_is_stopped (Scene *scene, guint tail_every, guint slowness, guint remaining_ms)
+{
+  ServerStatus slow
+      = { .capacity = { 1000, 100000, 0 }, .ready = TRUE, .slowness_percent = slowness };
+  TaskReport straggler = { .event = TASK_STRAGGLES,
+                           .reason = "",
+                           .remaining_ms = remaining_ms,
+                           .elsewhere_ms = 100 };
+  Order *order;
+
+  open_with_shapes (scene, 1000, TRUE);
+  learn_runs (scene, 200, 100, tail_every);
+  submit (scene, "a", 1);
+  order = &scene->orders[scene->n_orders - 1];
+  report (scene, order, TASK_STARTED);
+  set_status (scene, order->server, &slow);
+  advance (scene, 100);
+  straggler.key = order->key;
+  dispatcher_reports (scene->servers[order->server], &straggler, 1, FALSE, scene->now);
+  return order->stopped;
+}
+
+/* On a quiet day 1,500 runs were stopped, none of them stalled: where 3% of the runs take
+ * 7 times as long, two of them in a row make a sound server look slow. */
+static void
+usual_long_run_goes_on (Scene *scene)
+{
+  g_assert_false (long_run_is_stopped (scene, 20, 165, 250));
+}
+
+static void
+outlier_is_stopped (Scene *scene)
+{
+  g_assert_true (long_run_is_stopped (scene, 0, 165, 250));
+}
+
+static void
+long_run_on_slow_server_is_stopped (Scene *scene)
+{
+  g_assert_true (long_run_is_stopped (scene, 20, 300, 250));
+}
+
+static void
+stalled_run_is_stopped (Scene *scene)
+{
+  g_assert_true (long_run_is_stopped (scene, 20, 100, 60000));
+}
+
 typedef struct
 {
   const char *name;
@@ -771,7 +1150,171 @@
   g_assert_cmpuint (scene->orders[5].server, ==, 0);
 }
 
+/* Leaving servers. */
+
+static void
+set_leaving (Scene *scene, guint i, guint leaving_ms)
+{
+  ServerStatus status = { .capacity = { scene->capacity, 100000, 0 },
+                          .ready = TRUE,
+                          .draining = TRUE,
+                          .leaving_ms = leaving_ms,
+                          .slowness_percent = 100 };
+
+  set_status (scene, i, &status);
+}
+
+static guint
+orders_on (const Scene *scene, guint server)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < scene->n_orders; i++)
+    n += scene->orders[i].server == server;
+  return n;
+}
+
+/* Guards against tasks that wait while a leaving server has room for them, and against
+ * its use while another server is free. */
+static void
+leaving_server_is_the_last_choice (Scene *scene)
+{
+  scene_open (scene, 2000);
+  set_leaving (scene, 0, 2000);
+  submit (scene, "a", 4);
+  g_assert_cmpuint (orders_on (scene, 0), ==, 0);
+  submit (scene, "b", 1);
+  g_assert_cmpuint (orders_on (scene, 0), ==, 1);
+}
+
+/* Guards against tasks that end with their server: 100 ms x 1.5 + 200 ms must fit, by the
+ * time that has passed since the report. */
+static void
+leaving_server_gets_only_what_fits (Scene *scene)
+{
+  scene_open (scene, 1000);
+  set_leaving (scene, 0, 400);
+  set_leaving (scene, 1, 349);
+  set_leaving (scene, 2, 0);
+  submit (scene, "a", 3);
+  g_assert_cmpuint (scene->n_orders, ==, 1);
+  g_assert_cmpuint (orders_on (scene, 0), ==, 1);
+  report (scene, &scene->orders[0], TASK_DONE);
+  g_assert_cmpuint (scene->n_orders, ==, 2);
+  scene->now += 51;
+  report (scene, &scene->orders[1], TASK_DONE);
+  g_assert_cmpuint (scene->n_orders, ==, 2);
+}
+
+/* Guards against an agent of an older build, and one without the setting: its draining
+ * server gets nothing and counts as before. */
+static void
+draining_without_time_gets_nothing (Scene *scene)
+{
+  scene_open (scene, 2000);
+  for (guint i = 0; i < SERVERS; i++)
+    set_leaving (scene, i, 0);
+  submit (scene, "a", 1);
+  g_assert_cmpuint (scene->n_orders, ==, 0);
+  g_assert_cmpuint (scene->results, ==, 0);
+}
+
+/* Guards against requests for capacity that ends soon, and that cannot be waited for. */
+static void
+leaving_server_is_not_asked (Scene *scene)
+{
+  scene_open (scene, 1000);
+  for (guint i = 0; i < SERVERS; i++)
+    set_leaving (scene, i, 2000);
+  submit (scene, "a", 5);
+  g_assert_cmpuint (scene->n_orders, ==, 3);
+  g_assert_cmpuint (scene->n_requests, ==, 0);
+}
+
+/* Return: the wait told to a job that comes too late, i.e. all work here over the
+ * capacity that counts. */
+static guint
+told_wait_ms (Scene *scene, const char *id)
+{
+  LeasedSpec spec = spec_of (scene, id, 1, 100);
+
+  spec.arrived_ms = scene->now - 700;
+  dispatcher_submit (scene->dispatcher, &spec, on_done, scene, scene->now);
+  advance (scene, 1);
+  g_assert_cmpint (scene->last.end, ==, LEASED_REFUSED);
+  return scene->last.retry_after_ms;
+}
+
+/* Guards against jobs that are admitted on capacity that is about to end: only servers
+ * that stay count, also once the leaving one accepts nothing more. */
+static void
+leaving_server_is_no_capacity (Scene *scene)
+{
+  guint wait_ms;
+
+  scene_open (scene, 1000);
+  submit (scene, "a", 3);
+  wait_ms = told_wait_ms (scene, "b");
+  set_leaving (scene, 0, 2000);
+  set_leaving (scene, 1, 2000);
+  g_assert_cmpuint (told_wait_ms (scene, "c"), >=, 3 * (guint64)wait_ms);
+  set_leaving (scene, 0, 0);
+  g_assert_cmpuint (told_wait_ms (scene, "d"), >=, 3 * (guint64)wait_ms);
+  set_trust (scene, 0, TRUST_FULL);
+  set_trust (scene, 1, TRUST_FULL);
+  g_assert_cmpuint (told_wait_ms (scene, "e"), ==, wait_ms);
+}
+
+/* Guards against a build that counts a draining server without a time left in another way
+ * than before. */
+static void
+draining_server_without_time_is_capacity (Scene *scene)
+{
+  guint wait_ms;
+
+  scene_open (scene, 1000);
+  submit (scene, "a", 3);
+  wait_ms = told_wait_ms (scene, "b");
+  set_leaving (scene, 0, 0);
+  set_leaving (scene, 1, 0);
+  g_assert_cmpuint (told_wait_ms (scene, "c"), ==, wait_ms);
+}
+
+/* Guards against a run that is stopped and then waits: another server must be free now,
+ * and stay. */
+static void
+cut_off_run_needs_a_server_that_stays (Scene *scene)
+{
+  TaskReport cut_off = {
+    .event = TASK_STRAGGLES, .reason = "", .remaining_ms = 60000, .elsewhere_ms = 100
+  };
+
+  scene_open (scene, 1000);
+  submit (scene, "a", 1);
+  cut_off.key = scene->orders[0].key;
+  for (guint i = 0; i < SERVERS; i++)
+    set_leaving (scene, i, 2000);
+  dispatcher_reports (scene->servers[scene->orders[0].server], &cut_off, 1, FALSE,
+                      scene->now);
+  g_assert_false (scene->orders[0].stopped);
+  set_trust (scene, (scene->orders[0].server + 1) % SERVERS, TRUST_FULL);
+  dispatcher_reports (scene->servers[scene->orders[0].server], &cut_off, 1, FALSE,
+                      scene->now);
+  g_assert_true (scene->orders[0].stopped);
+  g_assert_cmpuint (scene->n_orders, ==, 1);
+  report (scene, &scene->orders[0], TASK_LOST);
+  g_assert_cmpuint (scene->n_orders, ==, 2);
+}
+
 static const Case cases[] = {
+  { "leaving-server-is-the-last-choice", leaving_server_is_the_last_choice },
+  { "leaving-server-gets-only-what-fits", leaving_server_gets_only_what_fits },
+  { "draining-without-time-gets-nothing", draining_without_time_gets_nothing },
+  { "leaving-server-is-not-asked", leaving_server_is_not_asked },
+  { "leaving-server-is-no-capacity", leaving_server_is_no_capacity },
+  { "draining-server-without-time-is-capacity",
+    draining_server_without_time_is_capacity },
+  { "cut-off-run-needs-a-server-that-stays", cut_off_run_needs_a_server_that_stays },
   { "completes", completes },
   { "keeps-within-capacity", keeps_within_capacity },
   { "failed-task-runs-again-elsewhere", failed_task_runs_again_elsewhere },
@@ -801,6 +1344,26 @@
   { "bystander-runs-alone-and-is-served", bystander_runs_alone_and_is_served },
   { "suspect-waits-for-an-empty-server", suspect_waits_for_an_empty_server },
   { "late-orders-hold-back", late_orders_hold_back },
+  { "fastest-server-gets-the-task", fastest_server_gets_the_task },
+  { "slow-but-sound-server-is-used-at-once", slow_but_sound_server_is_used_at_once },
+  { "late-server-is-taken-after-a-wait", late_server_is_taken_after_a_wait },
+  { "small-fast-servers-are-not-waited-for", small_fast_servers_are_not_waited_for },
+  { "each-size-waits-for-its-own-servers", each_size_waits_for_its_own_servers },
+  { "new-instance-has-no-known-speed", new_instance_has_no_known_speed },
+  { "refused-order-goes-to-another-server", refused_order_goes_to_another_server },
+  { "straggler-stays-on-a-fast-server", straggler_stays_on_a_fast_server },
+  { "straggler-leaves-a-fast-server", straggler_leaves_a_fast_server },
+  { "fast-server-is-worth-the-distance", fast_server_is_worth_the_distance },
+  { "distance-is-worth-a-slow-server", distance_is_worth_a_slow_server },
+  { "queue-that-left-is-forgotten", queue_that_left_is_forgotten },
+  { "long-run-keeps-its-job-first", long_run_keeps_its_job_first },
+  { "hung-run-does-not-raise-the-objective", hung_run_does_not_raise_the_objective },
+  { "long-run-is-late-without-shapes", long_run_is_late_without_shapes },
+  { "long-run-is-late-with-few-runs", long_run_is_late_with_few_runs },
+  { "usual-long-run-goes-on", usual_long_run_goes_on },
+  { "outlier-is-stopped", outlier_is_stopped },
+  { "long-run-on-slow-server-is-stopped", long_run_on_slow_server_is_stopped },
+  { "stalled-run-is-stopped", stalled_run_is_stopped },
 };
 
 static void
