--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -100,7 +100,7 @@
   guint server_lease_ms; /* how long a backend server lets runs go on without its agent */
   const ClosedZones *closures; /* borrowed; NULL: no zone is ever closed */
   guint speed_runs;            /* after which a server's own speed counts; 0: never */
-  double far_factor;     /* run time away from a job's data over that near it; 0: 1.5 */
+  double far_factor; /* run time away from a job's data over that near it; 0: 1.5 */
   const LoadView *load_view; /* borrowed; NULL: the load of other entries is not known */
   gboolean run_shapes; /* the distribution of run times counts, not their mean alone */
 } DispatcherInit;
--- a/src/leased_entry.c
+++ b/src/leased_entry.c
@@ -214,7 +214,7 @@
   LeasedEntry *entry = ctx;
 
   memset (&peer->closed_zones_sent, 0, sizeof peer->closed_zones_sent);
-  peer->speed_told = FALSE;
+  peer->speed_sent = FALSE;
   leased_entry_load_up (entry, peer);
   if (!peer->is_entry)
     peer->data
--- a/src/leased_entry_speeds.c
+++ b/src/leased_entry_speeds.c
@@ -18,11 +18,11 @@
   guint percent;
   guint runs;
 
-  if (entry->speeds == NULL || peer->speed_told || status->instance == NULL
+  if (entry->speeds == NULL || peer->speed_sent || status->instance == NULL
       || !speeds_seen_find (entry->speeds, status->instance, status->speed_runs, &percent,
                             &runs))
     return;
-  peer->speed_told = TRUE;
+  peer->speed_sent = TRUE;
   gw__speed_seen__init (&entry->speed_seen);
   entry->speed_seen.instance = (char *)status->instance;
   entry->speed_seen.speed_percent = percent;
--- a/src/leaving.h
+++ b/src/leaving.h
@@ -14,7 +14,7 @@
 typedef struct
 {
   guint drain_ms;   /* from the notice on, until no start may happen; 0: accept none */
-  gboolean stayed;  /* it was heard to stay, so the next notice is its first */
+  gboolean stayed;  /* it reported ready, so the next notice is its first */
   gboolean noticed; /* a notice has come */
   gboolean leaves;  /* by its last report */
   gint64 until_ms;  /* accepts starts before this; 0: none */
--- a/src/load_view.h
+++ b/src/load_view.h
@@ -60,7 +60,7 @@
 void load_view_expire (LoadView *view, gint64 now_ms);
 
 /** load_view_is_complete - the sums may be used: there is another entry, enough of the
- * known ones are linked, and all of the linked ones were heard of lately.
+ * known ones are linked, and all of the linked ones sent a summary lately.
  */
 gboolean load_view_is_complete (const LoadView *view, gint64 now_ms);
 
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -51,7 +51,7 @@
   guint config_wanted_bytes; /* a longer one is not wanted; 0: any */
   gint64 config_asked_ms;    /* when it was last asked for a configuration; 0: never */
   ClosedZonesSent closed_zones_sent;
-  gboolean speed_told; /* its agent was sent a speed over this link */
+  gboolean speed_sent; /* its agent was sent a speed over this link */
   gint64 load_sent_ms; /* when it was last sent a summary of the load; 0: never */
   gpointer data;       /* the user's record of this peer */
 } MeshPeer;
--- a/src/settings.c
+++ b/src/settings.c
@@ -109,7 +109,7 @@
   { "load.shared_ms", KIND_NUMBER, SETTINGS_LEASED_ENTRY, AT (load_shared_ms), "0", 0,
     60000, "Interval at which entries exchange summaries of their load; 0: never." },
   { "load.run_shapes", KIND_NUMBER, SETTINGS_LEASED_ENTRY, AT (run_shapes), "0", 0, 1,
-    "1: jobs are ranked, and stragglers told, by the distribution of a queue's run "
+    "1: jobs are ranked, and stragglers found, by the distribution of a queue's run "
     "times; "
     "0: by their mean." },
   { "entries.http", KIND_ADDRESSES, SETTINGS_AGENT, AT (entries), NULL, 0, 0,
--- a/tests/test-speed.c
+++ b/tests/test-speed.c
@@ -834,7 +834,7 @@
   g_assert_cmpuint (sent->speed_percent, ==, 160);
   g_assert_cmpuint (sent->speed_runs, ==, 255);
   g_assert_null (prepared (&entry, &after));
-  after.speed_told = FALSE; /* a new link */
+  after.speed_sent = FALSE; /* a new link */
   take_state (&entry, after.data, "two", 0);
   g_assert_null (prepared (&entry, &after));
   dispatcher_free (entry.dispatcher);
