--- a/src/dispatcher_costs.c
+++ b/src/dispatcher_costs.c
@@ -7,8 +7,7 @@
 /* Run time away from a job's data over that near it, unless it is set. */
 #define FAR_FACTOR 1.5
 /* With a smaller part of the capacity free, faster servers are left to tasks that need
- * them. In the replay 0.05 earns less and 0.2 no more, and with 0.2 the median response
- * under steady load of 0.9 is longer than without speeds. */
+ * them; above it all tasks get the fastest one. */
 #define FREE_PART_MIN 0.1
 /* Weights of a relative run time when faster servers are to be left free: less than any
  * cost of distance or of slowness, more than that of load; and of a missed objective:
--- a/src/dispatcher_stragglers.c
+++ b/src/dispatcher_stragglers.c
@@ -12,9 +12,7 @@
 #define STRAGGLER_GAIN_MS 40
 /* The agent's slowness is a moving average of the logarithms of run times, with a weight
  * of 0.15: its standard deviation is 0.285 of theirs. Up to five of these it may be high
- * by chance: with 3% of the runs seven times as long it is above 1.8 after 0.008% of the
- * runs, and above five deviations after 0.0005%. A server that turns three times slower
- * exceeds them within 5 to 10 runs. */
+ * by chance. */
 #define SLOWNESS_DEVIATIONS (5 * 0.285)
 
 /* The agent's estimate is for another server of the same speed. */
--- a/src/server_speed.c
+++ b/src/server_speed.c
@@ -26,9 +26,8 @@
 
 /* Sequential test (CUSUM) whether the server runs SLOWER_FACTOR times slower. The
  * logarithms of run times have a standard deviation of about SPREAD. The evidence of one
- * run is bounded, since 3% of the tasks take 7 times as long on any server. In an hour of
- * simulated sound servers (test-speed.c, 50 to 120 runs a second) 20 runs were reported
- * with a limit of 9, 4 with 12 and none with 13. */
+ * run is bounded, since 3% of the tasks take 7 times as long on any server. With this
+ * limit a sound server reaches it by chance less than once an hour. */
 #define SLOWER_FACTOR 3.0
 #define SPREAD 0.5
 #define RUN_EVIDENCE_MOST 2.4
