--- a/src/load_view.h
+++ b/src/load_view.h
@@ -9,8 +9,8 @@
 
 /* Buckets of scheduling ranks, in powers of LOAD_VIEW_FACTOR from LOAD_VIEW_LOWEST. Jobs
  * of one priority differ little in rank: with a factor of 4 they would share a bucket and
- * the work ahead of a job would not be known. Ranks to 82 are distinguished, those of late
- * jobs of the fourth priority. */
+ * the work ahead of a job would not be known. Ranks to 82 are distinguished, those of
+ * late jobs of the fourth priority. */
 #define LOAD_VIEW_BUCKETS 16
 #define LOAD_VIEW_FACTOR 1.5
 #define LOAD_VIEW_LOWEST 0.125
