Fake server: shorten leases to the maximum, as the protocol has it; trace late starts

The platform's page says that a server shortens a lease longer than its maximum to that maximum. The fake took any end of a lease as it stood, so that a call meant for an earlier start, by the earlier clock, gave the later one a lease of seconds, which no server grants. The maximum is 1,000 ms, as on the deployments.

The trace of a simulated world now names starts that a later instance carries out, and how late; without it the five kinds of failure behind these seeds looked alike.

--- a/tests/lease_server.c
+++ b/tests/lease_server.c
@@ -31,6 +31,7 @@
   char instance[16];
   RunKey key;
   guint64 ends_seen;
+  gint64 sent;
   gint64 due;        /* when it is executed */
   gint64 hold_until; /* latest reply to a long poll; 0: at once */
   gint64 timeout;
@@ -43,7 +44,7 @@
 {
   GRand *rand;
   const gint64 *now;
-  void (*started) (const RunKey *key, gpointer ctx);
+  LeaseStarted started;
   gpointer ctx;
   guint instance_count;
   char instance[16];
@@ -87,10 +88,7 @@
 }
 
 LeaseServer *
-lease_server_new (GRand *rand,
-                  const gint64 *now,
-                  void (*started) (const RunKey *key, gpointer ctx),
-                  gpointer ctx)
+lease_server_new (GRand *rand, const gint64 *now, LeaseStarted started, gpointer ctx)
 {
   LeaseServer *server = g_new0 (LeaseServer, 1);
 
@@ -175,6 +173,8 @@
 execute_start (LeaseServer *server, const PendingCall *pending)
 {
   Task task = { .key = pending->key };
+  LeaseStart how = { .age_ms = *server->now - pending->sent,
+                     .is_earlier = strcmp (pending->instance, server->instance) != 0 };
 
   if (find_task (server, &pending->key) >= 0)
     return CALL_DONE;
@@ -185,7 +185,7 @@
   task.length = g_rand_int_range (server->rand, 50, 800);
   task.ends = server_ms (server) + task.length;
   g_array_append_val (server->tasks, task);
-  server->started (&pending->key, server->ctx);
+  server->started (&pending->key, &how, server->ctx);
   return CALL_DONE;
 }
 
@@ -199,7 +199,8 @@
   if (pending->call.token < server->token)
     return CALL_FENCED;
   server->token = pending->call.token;
-  server->lease = MAX (server->lease, pending->call.lease_until);
+  server->lease = MAX (server->lease, MIN (pending->call.lease_until,
+                                           server_ms (server) + LEASE_SERVER_MAX_MS));
   switch (pending->kind)
     {
     case KIND_START:
@@ -349,6 +350,7 @@
   pending->call = *call;
   g_strlcpy (pending->instance, call->instance, sizeof pending->instance);
   pending->call.instance = NULL;
+  pending->sent = *server->now;
   pending->due = *server->now + g_rand_int_range (server->rand, 0, 6);
   pending->timeout = *server->now + call->timeout_ms;
   if (*server->now < server->delay_until
--- a/tests/lease_server.h
+++ b/tests/lease_server.h
@@ -2,14 +2,24 @@
 /* Fake backend server that runs tasks under leases, on a clock that the test advances. */
 #include "runner.h"
 
+/* Longest lease that the server grants; longer ones are shortened to it. */
+#define LEASE_SERVER_MAX_MS 1000
+
 typedef struct LeaseServer LeaseServer;
 
+/* How a start was carried out, for traces. */
+typedef struct
+{
+  gint64 age_ms;       /* since it was sent */
+  gboolean is_earlier; /* it was meant for an earlier instance */
+} LeaseStart;
+
+typedef void (*LeaseStarted) (const RunKey *key, const LeaseStart *how, gpointer ctx);
+
 extern const ServerCalls lease_server_calls;
 
-LeaseServer *lease_server_new (GRand *rand,
-                               const gint64 *now,
-                               void (*started) (const RunKey *key, gpointer ctx),
-                               gpointer ctx);
+LeaseServer *
+lease_server_new (GRand *rand, const gint64 *now, LeaseStarted started, gpointer ctx);
 void lease_server_free (LeaseServer *server);
 
 /** lease_server_set_clock - offset of the agent's clock from the test's, in ms. */
--- a/tests/lease_sim.c
+++ b/tests/lease_sim.c
@@ -836,7 +836,7 @@
 /* Invariants. */
 
 static void
-on_started (const RunKey *key, gpointer ctx)
+on_started (const RunKey *key, const LeaseStart *how, gpointer ctx)
 {
   LeaseSim *sim = ctx;
   SimJob *job = find_job (sim, key->job);
@@ -844,6 +844,11 @@
   sim->counts.starts++;
   g_assert_nonnull (job);
   job->started = TRUE;
+  if (how->is_earlier)
+    trace_event (sim,
+                 "%s.%u run %u starts, sent %" G_GINT64_FORMAT
+                 " ms before to an earlier instance",
+                 key->job, key->index, key->run, how->age_ms);
 }
 
 static void
