Draw fencing tokens from the server's start and clock together

What callers saw: after a backend server had restarted under its id and its agent had died, a start that the old agent had sent to the earlier start of the server could be carried out seconds later beside the new agent's own: a task ran twice, or the server was overloaded.

Cause: a new agent draws its first token from the server's clock, which is above all earlier ones only while that clock goes on. It begins anew with a restart, so the new agent's token was lower than that of the late call, which the server therefore took. An agent that lived through the restart is not concerned: it goes on from its own token.

Change: the token is the start of the server in Unix ms, as it says it ("born"), plus its clock. It rises over restarts without being stored. A server that does not say when it started is treated as before; one whose wall clock was set back as well, since refused tokens are still passed in doubled steps.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -165,6 +165,8 @@
   test-spread-rules /spread-rules/follows-the-table/the-next-does-not
 mutant no-quick-copy src/config_pull.c 'begin (pull, view->idle, now_ms);' 'begin (pull, FALSE, now_ms);' \
   test-spread-rules /spread-rules/fleet/184
+mutant token-by-the-clock-alone src/runner_instance.c 'return runner->clock_base + (guint64)server_ms;' \
+  'return (guint64)server_ms;' test-runner /runner/new-agent-fences-earlier-calls
 
 echo "mutants: $failures not noticed"
 [ "$failures" -eq 0 ]
--- a/src/runner.h
+++ b/src/runner.h
@@ -55,6 +55,7 @@
   guint cold_ms;      /* it has just started and runs slower for this much longer */
   guint remaining_ms; /* least time until a draining server ends; 0: not said */
   gint64 server_ms;   /* its clock */
+  gint64 started_ms;  /* Unix time at which its clock began; 0: not said */
   guint64 sequence;   /* counts the reports of one instance */
   gboolean is_old;    /* kept from an earlier process; its age is unknown */
   gboolean replaces;  /* surely later than the instance of the last report, even if it was
--- a/src/runner_calls.c
+++ b/src/runner_calls.c
@@ -132,8 +132,8 @@
    * if the server restarted under its name: its clock began anew, while calls to the
    * instance before carried tokens from the earlier clock. Doubled steps pass these. */
   if (reply->end == CALL_FENCED && cookie->token == runner->token)
-    runner->token
-        = MAX (runner->token + next_token_step (runner), (guint64)reply->server_ms);
+    runner->token = MAX (runner->token + next_token_step (runner),
+                         runner_clock_token (runner, reply->server_ms));
   if (reply->end == CALL_DONE)
     runner->fenced = 0;
   return TRUE;
--- a/src/runner_instance.c
+++ b/src/runner_instance.c
@@ -24,6 +24,12 @@
   runner->ops->changed (runner->ctx);
 }
 
+guint64
+runner_clock_token (const Runner *runner, gint64 server_ms)
+{
+  return runner->clock_base + (guint64)server_ms;
+}
+
 static void
 remember_instance (Runner *runner, char *instance)
 {
@@ -182,7 +188,7 @@
 begin_restarted (Runner *runner, const ServerFacts *facts)
 {
   runner_restarted (runner);
-  runner->token = MAX (runner->token + 1, (guint64)facts->server_ms);
+  runner->token = MAX (runner->token + 1, runner_clock_token (runner, facts->server_ms));
 }
 
 static void
@@ -190,18 +196,20 @@
 {
   runner_end_instance (runner, REPORT_SERVER_ENDED, RESTARTED);
   runner_release_held (runner);
-  runner->token = (guint64)facts->server_ms;
+  runner->token = runner_clock_token (runner, facts->server_ms);
   runner->server_lease_until = 0;
 }
 
 /* Runs that an earlier incarnation of this process started may still go on there, and its
  * calls may still arrive. The server's own clock as fencing token is higher than any that
- * was drawn from it before, and needs no storage. */
+ * was drawn from it before, and needs no storage. A server that restarts under its name
+ * begins its clock anew, so the clock is counted from the start of the server. */
 static void
 begin_instance (Runner *runner, const ServerFacts *facts)
 {
   const char *name = facts->name != NULL ? facts->name : facts->instance;
 
+  runner->clock_base = (guint64)facts->started_ms;
   if (g_strcmp0 (runner->name, name) == 0)
     begin_restarted (runner, facts);
   else
--- a/src/runner_parts.h
+++ b/src/runner_parts.h
@@ -85,6 +85,7 @@
   InstanceState state;
   guint64 sequence;
   guint64 token;
+  guint64 clock_base;   /* added to the server's clock for a token */
   gint64 held_until_ms; /* held runs end then if no instance follows; 0: no bound */
   guint fenced; /* calls refused for their token since the last that was carried out */
   guint64 ends_seen;
@@ -134,6 +135,12 @@
 /* runner_instance.c */
 void runner_set_state (Runner *runner, InstanceState state);
 
+/** runner_clock_token - Return: the fencing token for @server_ms on the server's clock;
+ * above all that were drawn from it before, also by other agents and, if the server says
+ * when it started, of its earlier instances.
+ */
+guint64 runner_clock_token (const Runner *runner, gint64 server_ms);
+
 /** runner_check_leaving - tell the entries what a leaving server accepts as that counts
  * down. */
 void runner_check_leaving (Runner *runner);
--- a/tests/lease_server.c
+++ b/tests/lease_server.c
@@ -7,6 +7,7 @@
 #define MIN_DELAY_MS 2000
 #define MAX_DELAY_MS 8000
 #define FAILURE_RATE 0.02
+#define SIMULATION_UNIX_MS G_GINT64_CONSTANT (1790000000000)
 
 typedef struct
 {
@@ -125,6 +126,7 @@
 {
   facts->instance = server->instance;
   facts->name = server->keeps_name ? "kept" : NULL;
+  facts->started_ms = server->keeps_name ? SIMULATION_UNIX_MS + server->clock_start : 0;
   facts->server_ms = server_ms (server);
   facts->sequence = ++server->sequence;
 }
--- a/tests/test-runner.c
+++ b/tests/test-runner.c
@@ -1213,6 +1213,35 @@
   g_assert_cmpuint (open_poll (scene)->call.token, >, before);
 }
 
+/* Guards against a task that runs twice at once: a start that a lost agent had sent to
+ * the earlier instance was carried out by the restarted one, whose new agent had drawn a
+ * lower token from the clock that began anew. */
+static void
+new_agent_fences_earlier_calls (Scene *scene)
+{
+  ServerFacts facts = { .instance = "one#1790000000000",
+                        .name = "one",
+                        .service = "exchange",
+                        .zone = "fukuoka-a",
+                        .capacity = { 4000, 1000, 0 },
+                        .server_ms = 500000,
+                        .started_ms = G_GINT64_CONSTANT (1790000000000),
+                        .sequence = 50 };
+  guint64 before;
+
+  scene_open (scene);
+  runner_facts (scene->runner, &facts, scene->now);
+  before = open_poll (scene)->call.token;
+  scene_close (scene);
+  scene_open (scene);
+  facts.instance = "one#1790000500000";
+  facts.started_ms += 500000;
+  facts.server_ms = 1;
+  facts.sequence = 1;
+  runner_facts (scene->runner, &facts, scene->now);
+  g_assert_cmpuint (open_poll (scene)->call.token, >, before);
+}
+
 /* Guards against a server that refuses all calls until its clock has passed that of its
  * earlier instance: a call with a token from that clock has reached it. */
 static void
@@ -1300,6 +1329,7 @@
   { "listed-runs-end-at-once", listed_runs_end_at_once },
   { "list-of-a-later-start", list_of_a_later_start },
   { "restart-fences-earlier-calls", restart_fences_earlier_calls },
+  { "new-agent-fences-earlier-calls", new_agent_fences_earlier_calls },
   { "token-catches-up", token_catches_up },
   { "lease-by-the-earlier-clock", lease_by_the_earlier_clock },
   { "report-of-an-earlier-start", report_of_an_earlier_start },
