Stop unresolved runs too when their entry's lease lapses

What callers saw: a task ran twice when its entry died and the caller sent the job again.

Cause: a run was stopped only once it was known to run. A start whose answer was lost is unresolved until the server lists its runs, which a server that gives no answers does not do while it carries calls out; its run went on until the server's lease ended, and longer if late calls extended that.

Change: an unresolved run is sent stops like one that runs. A stop that overtakes the start makes the server refuse it, by its protocol.

--- a/src/runner.c
+++ b/src/runner.c
@@ -252,7 +252,9 @@
       event_emit ("task-stopping", run->key.job, "task=%u run=%u reason=\"%s\"",
                   run->key.index, run->key.run, reason);
     }
-  if (run->state != RUN_RUNNING || runner->now_ms - run->stop_sent_ms < STOP_RESEND_MS)
+  /* A stop that overtakes an unresolved start makes the server refuse it. */
+  if (run->state == RUN_STARTING || runner->state == INSTANCE_UNKNOWN
+      || runner->now_ms - run->stop_sent_ms < STOP_RESEND_MS)
     return;
   run->stop_sent_ms = runner->now_ms;
   runner_send_stop (runner, &run->key);
--- a/tests/test-runner.c
+++ b/tests/test-runner.c
@@ -459,6 +459,21 @@
   g_assert_cmpuint (stops, ==, 3);
 }
 
+/* Guards against a task that runs twice at once: a start without an answer ran at a
+ * server that gave no answers, and was not stopped when its entry's lease lapsed. */
+static void
+unresolved_start_is_stopped (Scene *scene)
+{
+  scene_ready (scene);
+  runner_extend_lease (scene->runner, OTHER_ENTRY, scene->now + 300);
+  order_start (scene, OTHER_ENTRY, "j", 1000);
+  answer (scene, open_call (scene, CALLED_START), CALL_UNANSWERED);
+  g_assert_null (open_call (scene, CALLED_STOP));
+  advance (scene, 350);
+  g_assert_nonnull (open_call (scene, CALLED_STOP));
+  g_assert_cmpstr (open_call (scene, CALLED_STOP)->key.job, ==, "j");
+}
+
 /* Guards against starting a job seconds after it was given up: an agent that was frozen
  * found an old order in its socket, and orders did not expire. */
 static void
@@ -1346,6 +1361,7 @@
   { "fenced-start-is-sent-again", fenced_start_is_sent_again },
   { "end-overtakes-the-answer", end_overtakes_the_answer },
   { "lapsed-entry-is-stopped", lapsed_entry_is_stopped },
+  { "unresolved-start-is-stopped", unresolved_start_is_stopped },
   { "old-orders-are-refused", old_orders_are_refused },
   { "strangers-end-first", strangers_end_first },
   { "token-goes-above-a-higher-one", token_goes_above_a_higher_one },
