Agent: take the orders of a frame before its stops

What callers saw: a task could run twice when its caller gave up in the moment in which it was placed, and sent the job again: the first run went on to its end.

Cause: an entry puts all that one loop iteration produced into one frame. It can hold an order and the stop of the same run, as when the entry was frozen past the job's time: it places the task, then reads that the caller has gone. The agent took stops first; that stop found no run and was lost.

Change: orders first. A stop of a run that has just been sent to the server is kept and sent when the start is answered. The simulation's agent does the same.

Measured: /leased-agent/stop-with-its-order failed before (no stop was sent).

--- a/src/leased_agent.c
+++ b/src/leased_agent.c
@@ -209,8 +209,8 @@
                      seen->speed_runs);
 }
 
-static void
-on_frame (MeshPeer *peer, const Gw__Frame *frame, gpointer ctx)
+void
+leased_agent_take_frame (MeshPeer *peer, const Gw__Frame *frame, gpointer ctx)
 {
   LeasedAgent *agent = ctx;
   gint64 now = clock_now_ms ();
@@ -222,10 +222,11 @@
     runner_extend_lease (agent->runner, peer->incarnation, frame->time->granted_until_ms);
   if (frame->speed_seen != NULL)
     leased_agent_take_speed (agent, frame->speed_seen);
-  for (gsize i = 0; i < frame->n_run_stops; i++)
-    take_stop (agent, peer->incarnation, frame->run_stops[i], now);
+  /* A frame may order a run and stop it. */
   for (gsize i = 0; i < frame->n_run_orders; i++)
     take_order (agent, peer->incarnation, frame->run_orders[i], now);
+  for (gsize i = 0; i < frame->n_run_stops; i++)
+    take_stop (agent, peer->incarnation, frame->run_stops[i], now);
 }
 
 static void
@@ -244,9 +245,10 @@
   return !runner_has_work (agent->runner, peer->incarnation);
 }
 
-static const MeshOps mesh_ops
-    = { on_up,        on_down,     on_frame,   leased_agent_prepare,
-        on_forgotten, on_isolated, may_release };
+static const MeshOps mesh_ops = {
+  on_up,       on_down,    leased_agent_take_frame, leased_agent_prepare, on_forgotten,
+  on_isolated, may_release
+};
 
 /* Periodic work. */
 
--- a/src/leased_agent_parts.h
+++ b/src/leased_agent_parts.h
@@ -41,6 +41,9 @@
  * this agent was restarted. */
 void leased_agent_take_speed (LeasedAgent *agent, const Gw__SpeedSeen *seen);
 
+/** leased_agent_take_frame - callback of the mesh: an entry has sent @frame. */
+void leased_agent_take_frame (MeshPeer *peer, const Gw__Frame *frame, gpointer ctx);
+
 /* leased_agent_state.c */
 
 /** leased_agent_send_state - callback of the event "changed": send the server's state to
--- a/tests/lease_sim.c
+++ b/tests/lease_sim.c
@@ -523,11 +523,11 @@
 
   if (message->lease_until > 0)
     runner_extend_lease (agent->runner, link->entry->incarnation, message->lease_until);
+  for (guint i = 0; i < message->starts->len; i++)
+    runner_start (agent->runner, &g_array_index (message->starts, RunRequest, i), now);
   for (guint i = 0; i < message->stops->len; i++)
     runner_stop (agent->runner, link->entry->incarnation,
                  &g_array_index (message->stops, RunKey, i), now);
-  for (guint i = 0; i < message->starts->len; i++)
-    runner_start (agent->runner, &g_array_index (message->starts, RunRequest, i), now);
 }
 
 static void
--- a/tests/test-leased-agent.c
+++ b/tests/test-leased-agent.c
@@ -16,25 +16,39 @@
   ServerCall calls[CALLS_MAX];
   guint n_calls;
   guint n_answered;
+  guint n_starts;
+  guint n_stops;
 } Server;
 
 static void
-on_start (const ServerCall *call, const RunKey *key, const char *payload, gpointer server)
+note_call (Server *server, const ServerCall *call)
 {
+  g_assert_cmpuint (server->n_calls, <, CALLS_MAX);
+  server->calls[server->n_calls++] = *call;
 }
 
 static void
-on_stop (const ServerCall *call, const RunKey *key, gpointer server)
+on_start (const ServerCall *call, const RunKey *key, const char *payload, gpointer data)
 {
+  Server *server = data;
+
+  server->n_starts++;
+  note_call (server, call);
 }
 
 static void
-on_hold (const ServerCall *call, guint64 ends_seen, guint wait_ms, gpointer data)
+on_stop (const ServerCall *call, const RunKey *key, gpointer data)
 {
   Server *server = data;
 
-  g_assert_cmpuint (server->n_calls, <, CALLS_MAX);
-  server->calls[server->n_calls++] = *call;
+  server->n_stops++;
+  note_call (server, call);
+}
+
+static void
+on_hold (const ServerCall *call, guint64 ends_seen, guint wait_ms, gpointer data)
+{
+  note_call (data, call);
 }
 
 static const ServerCalls calls = { on_start, on_stop, on_hold };
@@ -229,11 +243,50 @@
   event_base_free (base);
 }
 
+/* Guards against a task that runs twice at once: an entry ordered a run and cancelled it
+ * in one frame, the stop was handled first and had no effect. */
+static void
+test_stop_with_its_order (void)
+{
+  Scene scene;
+  Gw__TaskRun run = GW__TASK_RUN__INIT;
+  Gw__TaskRun *runs[] = { &run };
+  Gw__Demand demand = GW__DEMAND__INIT;
+  Gw__RunOrder order = GW__RUN_ORDER__INIT;
+  Gw__RunOrder *orders[] = { &order };
+  Gw__RunStop stop = GW__RUN_STOP__INIT;
+  Gw__RunStop *stops[] = { &stop };
+  Gw__LeaseTime time = GW__LEASE_TIME__INIT;
+  Gw__Frame frame;
+
+  scene_open (&scene, 0);
+  run.run = 1;
+  demand.cpu_milli = 1000;
+  order.job = stop.job = (char *)"j";
+  order.payload = (char *)"p";
+  order.runs = stop.runs = runs;
+  order.n_runs = stop.n_runs = 1;
+  order.demand = &demand;
+  order.valid_until_ms = time.granted_until_ms = clock_now_ms () + 10000;
+  gw__frame__init (&frame);
+  frame.time = &time;
+  frame.run_orders = orders;
+  frame.run_stops = stops;
+  frame.n_run_orders = frame.n_run_stops = 1;
+  leased_agent_take_frame (&scene.peer, &frame, scene.agent);
+  g_assert_cmpuint (scene.server.n_starts, ==, 1);
+  answer_all (&scene.server);
+  runner_tick (scene.agent->runner, clock_now_ms ());
+  g_assert_cmpuint (scene.server.n_stops, ==, 1);
+  scene_close (&scene);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/leased-agent/fresh-server-is-free", test_fresh_server_is_free);
+  g_test_add_func ("/leased-agent/stop-with-its-order", test_stop_with_its_order);
   ADD_CASES ("/leased-agent/speed", speed_cases, test_speed_seen);
   return g_test_run ();
 }
