Send the stop of a cancelled job again when its run is listed after a relink

What callers saw: a task could run twice when its caller gave up while the link to an agent was down, and sent the job again.

Cause: a run that is being stopped is marked so once, and its stop is sent over the link of that moment. If there is none, or it breaks, the stop is lost; the agent, linked again, lists the run, the entry goes on extending its lease, and nobody stops it.

Change: a run that an agent reports as started while it is being stopped gets its stop again.

Measured: /dispatcher/lost-stop-is-sent-again failed before (no stop after the relink).

--- a/src/dispatcher_servers.c
+++ b/src/dispatcher_servers.c
@@ -120,20 +120,26 @@
   return n;
 }
 
-void
-task_stop (LeasedTask *task)
+static void
+send_stop (LeasedTask *task)
 {
   Dispatcher *dispatcher = task->job->dispatcher;
   RunKey key = { .index = task->index, .run = task->run };
 
-  if (task->state != TASK_PLACED || task->stopping)
-    return;
-  task->stopping = TRUE;
   g_strlcpy (key.job, task->job->spec.id, sizeof key.job);
   if (task->server->user_data != NULL)
     dispatcher->ops->stop (task->server, &key, dispatcher->ctx);
 }
 
+void
+task_stop (LeasedTask *task)
+{
+  if (task->state != TASK_PLACED || task->stopping)
+    return;
+  task->stopping = TRUE;
+  send_stop (task);
+}
+
 static void
 closing_run_ended (LeasedJob *job)
 {
@@ -325,6 +331,9 @@
       if (task->started_ms == 0)
         task->started_ms = job->dispatcher->now_ms;
       job->started = TRUE;
+      /* The stop may have been lost with a link. */
+      if (task->stopping)
+        send_stop (task);
       return;
     case TASK_NOT_STARTED:
       task_not_started (task, report->reason);
--- a/tests/test-dispatcher.c
+++ b/tests/test-dispatcher.c
@@ -343,6 +343,28 @@
   g_assert_cmpuint (scene->orders[2].key.run, ==, 2);
 }
 
+/* Guards against a task that runs twice at once: the stop of a cancelled job was lost
+ * with its link, and the run that the agent then listed went on to its end. */
+static void
+lost_stop_is_sent_again (Scene *scene)
+{
+  TaskReport listed = { .event = TASK_STARTED, .reason = "" };
+  LeasedJob *job;
+  guint i;
+
+  scene_open (scene, 2000);
+  job = submit (scene, "a", 1);
+  i = scene->orders[0].server;
+  report (scene, &scene->orders[0], TASK_STARTED);
+  dispatcher_server_down (scene->servers[i], scene->now);
+  dispatcher_cancel (job, scene->now);
+  g_assert_false (scene->orders[0].stopped);
+  scene->servers[i] = dispatcher_server_up (scene->dispatcher, 100 + i, "agent", scene);
+  listed.key = scene->orders[0].key;
+  dispatcher_reports (scene->servers[i], &listed, 1, TRUE, scene->now);
+  g_assert_true (scene->orders[0].stopped);
+}
+
 /* Orders were sent before the agent's inventory had arrived. It was written before them,
  * so they were taken for lost and sent a second time. */
 static void
@@ -1345,6 +1367,7 @@
   { "failed-task-runs-again-elsewhere", failed_task_runs_again_elsewhere },
   { "cut-off-runs-are-waited-for", cut_off_runs_are_waited_for },
   { "longest-lease-is-waited-for", longest_lease_is_waited_for },
+  { "lost-stop-is-sent-again", lost_stop_is_sent_again },
   { "inventory-settles-orders", inventory_settles_orders },
   { "nothing-is-ordered-before-the-inventory", nothing_is_ordered_before_the_inventory },
   { "resubmission-joins", resubmission_joins },
