Hold unreported starts of a lost agent whose server may restart under its id

What callers saw: a task ran twice after a backend server had restarted under its id while its agent was frozen or dead: a start that the agent had sent to the earlier start of the server was carried out seconds later by the later one, beside the run that the entry had ordered elsewhere once all leases were over.

Cause: leases bound what runs, not what is still on its way. In one life of a server a late start is refused, by its token or by its time; a later start of it knows neither, and while no agent is alive nobody tells it. Evidence: of /explorer/dead-agent-of-a-restarted-server: start sent at 6,525 ms, agent frozen from 6,530 to 8,800, server restarted at 6,895; the second run began at 8,405, the late start was carried out at 8,800.

Change: when the leases of a lost agent are over, the entry orders anew what had been reported as started. An order that had not is held until the agent is back or a new one has cleared the server, 10 s at most, where the server says that it may restart under its id. A new event line, server-starts-unknown, says so.

Measured: /dispatcher/unreported-start-is-waited-for failed before.

--- a/src/dispatcher_parts.h
+++ b/src/dispatcher_parts.h
@@ -67,6 +67,8 @@
   guint64 agent;
   char *name;
   gpointer user_data; /* NULL while its agent is not linked */
+  gint64 unlinked_ms;
+  gboolean waits_for_starts; /* for late ones, its leases being over */
   ServerStatus status;
   PeerClock clock;
   gint64 lease_until;      /* agent's clock */
--- a/src/dispatcher_servers.c
+++ b/src/dispatcher_servers.c
@@ -16,6 +16,8 @@
 /* An agent's inventory lists the runs that ended in the last 3 s (runner.c). This is 1 s
  * less, for the link to reconnect. */
 #define AGENT_HISTORY_MS 2000
+/* A call without an answer may be carried out this much later. */
+#define LATE_CALL_MS 10000
 /* Nothing is placed on a server for this long after it refused a start; by then its
  * current state has arrived. */
 #define REFUSED_BACKOFF_MS 30
@@ -61,6 +63,7 @@
     }
   dispatcher->linked_ms = dispatcher->now_ms;
   server->user_data = user_data;
+  server->waits_for_starts = FALSE;
   server->inventoried = FALSE;
   server->delay_ms = 0;
   server->request_throttle = throttle_new (REQUEST_INTERVAL_MIN_MS);
@@ -71,6 +74,7 @@
 dispatcher_server_down (LeasedServer *server, gint64 now_ms)
 {
   server->user_data = NULL;
+  server->unlinked_ms = now_ms;
   event_note ("server-unlinked", "-",
               "agent=%s placed=%u leased_for_ms=%" G_GINT64_FORMAT, server->name,
               server->n_placed,
@@ -425,12 +429,16 @@
 }
 
 static void
-lose_tasks (LeasedServer *server)
+lose_tasks (LeasedServer *server, gboolean unreported_too)
 {
   LeasedTask *task;
+  LeasedTask *next;
 
-  while ((task = TAILQ_FIRST (&server->tasks)) != NULL)
+  for (task = TAILQ_FIRST (&server->tasks); task != NULL; task = next)
     {
+      next = TAILQ_NEXT (task, on_server);
+      if (task->started_ms == 0 && !unreported_too)
+        continue;
       task->job->started = TRUE; /* it may have */
       lose_task (task);
     }
@@ -441,7 +449,7 @@
 {
   event_note ("server-given-up", "-", "agent=%s reason=\"%s\" lost=%u", server->name,
               reason, server->n_placed);
-  lose_tasks (server);
+  lose_tasks (server, TRUE);
   TAILQ_REMOVE (&server->dispatcher->servers, server, link);
   server_status_free (&server->status);
   g_free (server->name);
@@ -541,6 +549,26 @@
   return peer_clock_least (&server->clock, dispatcher->now_ms, 0) > longest;
 }
 
+/* A start that was not reported may still be under way. If the server has restarted under
+ * its name and no agent fences it, it carries the start out.
+ *
+ * Return: whether the server keeps any task for that reason. */
+static gboolean
+waits_for_late_starts (LeasedServer *server)
+{
+  const Dispatcher *dispatcher = server->dispatcher;
+
+  if (server->status.restart_lease_ms == 0
+      || dispatcher->now_ms - server->unlinked_ms > LATE_CALL_MS)
+    return FALSE;
+  lose_tasks (server, FALSE);
+  if (server->n_placed > 0 && !server->waits_for_starts)
+    event_note ("server-starts-unknown", "-", "agent=%s held=%u", server->name,
+                server->n_placed);
+  server->waits_for_starts = server->n_placed > 0;
+  return server->waits_for_starts;
+}
+
 void
 dispatcher_check_servers (Dispatcher *dispatcher)
 {
@@ -550,7 +578,8 @@
   for (server = TAILQ_FIRST (&dispatcher->servers); server != NULL; server = next)
     {
       next = TAILQ_NEXT (server, link);
-      if (server->user_data != NULL || !leases_expired (server))
+      if (server->user_data != NULL || !leases_expired (server)
+          || waits_for_late_starts (server))
         continue;
       declare_dead (server, "leases are over");
     }
--- a/tests/test-dispatcher.c
+++ b/tests/test-dispatcher.c
@@ -293,21 +293,29 @@
   g_assert_cmpuint (scene->orders[1].server, !=, first->server);
 }
 
-/* Guards against a task that runs twice at once: a server that restarted under its name
- * granted a longer lease than its agent had asked for. */
+/* All servers may restart under their names. */
 static void
-longest_lease_is_waited_for (Scene *scene)
+scene_open_restartable (Scene *scene)
 {
   ServerStatus status = { .capacity = { 2000, 100000, 0 },
                           .ready = TRUE,
                           .trust = TRUST_FULL,
                           .slowness_percent = 100,
                           .restart_lease_ms = 1020 };
-  Order *first;
 
   scene_open (scene, 2000);
   for (guint i = 0; i < SERVERS; i++)
     set_status (scene, i, &status);
+}
+
+/* Guards against a task that runs twice at once: a server that restarted under its name
+ * granted a longer lease than its agent had asked for. */
+static void
+longest_lease_is_waited_for (Scene *scene)
+{
+  Order *first;
+
+  scene_open_restartable (scene);
   submit (scene, "a", 1);
   first = &scene->orders[0];
   report (scene, first, TASK_STARTED);
@@ -343,6 +351,33 @@
   g_assert_cmpuint (scene->orders[2].key.run, ==, 2);
 }
 
+/* Guards against a task that runs twice at once: the start that a lost agent had sent was
+ * carried out seconds later, by the restarted server. */
+static void
+unreported_start_is_waited_for (Scene *scene)
+{
+  ServerStatus full = { .ready = TRUE, .slowness_percent = 100 };
+
+  scene_open_restartable (scene);
+  set_status (scene, 1, &full);
+  set_status (scene, 2, &full);
+  submit (scene, "a", 2);
+  g_assert_cmpuint (scene->n_orders, ==, 2);
+  report (scene, &scene->orders[0], TASK_STARTED);
+  set_trust (scene, 1, TRUST_FULL);
+  dispatcher_server_down (scene->servers[0], scene->now);
+  advance (scene, 450 + 1020 + 200);
+  g_assert_cmpuint (scene->n_orders, ==, 3);
+  g_assert_cmpuint (scene->orders[2].key.index, ==, scene->orders[0].key.index);
+  advance (scene, 1000);
+  g_assert_cmpuint (scene->n_orders, ==, 3);
+  scene->servers[0] = dispatcher_server_up (scene->dispatcher, 200, "agent", scene);
+  set_status (scene, 0, &full);
+  dispatcher_pump (scene->dispatcher, scene->now);
+  g_assert_cmpuint (scene->n_orders, ==, 4);
+  g_assert_cmpuint (scene->orders[3].key.index, ==, scene->orders[1].key.index);
+}
+
 /* Guards against a task that runs twice at once: the stop of a cancelled job was lost
  * with its link, and the run that the agent then listed went on to its end. */
 static void
@@ -1368,6 +1403,7 @@
   { "cut-off-runs-are-waited-for", cut_off_runs_are_waited_for },
   { "longest-lease-is-waited-for", longest_lease_is_waited_for },
   { "lost-stop-is-sent-again", lost_stop_is_sent_again },
+  { "unreported-start-is-waited-for", unreported_start_is_waited_for },
   { "inventory-settles-orders", inventory_settles_orders },
   { "nothing-is-ordered-before-the-inventory", nothing_is_ordered_before_the_inventory },
   { "resubmission-joins", resubmission_joins },
