Log when a job was begun and how much use was left; count useless completions

What could not be told: whether jobs lost under overload should have been refused, or were begun in time and lost their last tasks to newer ones; job-ended had neither. It now has begun_ms (from the arrival to the first placed task, -1: none) and useful_left_ms (until three times the objective; below 0: useless), and jobs_useless counts jobs that complete after that.

Decisions are unchanged.

--- a/src/counters.h
+++ b/src/counters.h
@@ -83,6 +83,8 @@
   X (LEASED_GIVEN_UP, "leased_given_up", "leased jobs given up after a start")           \
   X (TASKS_ENDED_SERVERS, "tasks_ended_servers",                                         \
      "tasks given up because their backend servers kept ending")                         \
+  X (JOBS_USELESS, "jobs_useless",                                                       \
+     "jobs completed too late to be of use to their callers")                            \
   X (TASKS_LEFT_FAST_FREE, "tasks_left_fast_free",                                       \
      "tasks placed on slower servers, in time, to leave faster ones free")               \
   X (OBJECTIVES_RAISED, "objectives_raised",                                             \
--- a/src/dispatcher.c
+++ b/src/dispatcher.c
@@ -190,11 +190,16 @@
   event_emit ("job-ended", job->spec.id,
               "queue=%s end=%s reason=\"%s\" age_ms=%" G_GINT64_FORMAT
               " done=%u of=%u objective_left_ms=%" G_GINT64_FORMAT
-              " time_left_ms=%" G_GINT64_FORMAT " retry_after_ms=%u",
+              " time_left_ms=%" G_GINT64_FORMAT " retry_after_ms=%u"
+              " begun_ms=%" G_GINT64_FORMAT " useful_left_ms=%" G_GINT64_FORMAT,
               job->spec.queue, end_names[end], reason,
               dispatcher->now_ms - job->spec.arrived_ms, job->ended, job->spec.count,
               job->objective_ms - dispatcher->now_ms,
-              job->spec.deadline_ms - dispatcher->now_ms, retry_after_ms);
+              job->spec.deadline_ms - dispatcher->now_ms, retry_after_ms,
+              job->begun_ms > 0 ? job->begun_ms - job->spec.arrived_ms : -1,
+              job->late_ms - dispatcher->now_ms);
+  if (end == LEASED_COMPLETED && dispatcher->now_ms > job->late_ms)
+    counter_add (COUNTER_JOBS_USELESS, 1);
   job->done (&result, job->ctx);
 }
 
--- a/src/dispatcher_parts.h
+++ b/src/dispatcher_parts.h
@@ -55,6 +55,7 @@
   double seen_ms;  /* longest run time of its tasks so far */
   gint64 objective_ms;
   gint64 late_ms;      /* useless to its caller after this */
+  gint64 begun_ms;     /* when its first task was placed; 0: none was */
   double typical_work; /* of a job of its queue, in ms x thousandths of a core */
   double rank;         /* lowest first */
   double fast_factor; /* run time on the fastest of its servers, over task_ms; 0: unset */
--- a/src/dispatcher_place.c
+++ b/src/dispatcher_place.c
@@ -260,6 +260,8 @@
   task->run++;
   task->server = server;
   task->placed_ms = dispatcher->now_ms;
+  if (job->begun_ms == 0)
+    job->begun_ms = dispatcher->now_ms;
   task->started_ms = 0;
   task->ordered = FALSE;
   TAILQ_INSERT_TAIL (&server->tasks, task, on_server);
--- a/tests/test-dispatcher.c
+++ b/tests/test-dispatcher.c
@@ -1,6 +1,7 @@
 /* The dispatcher with simulated servers and callers. A Scene is the test fixture: it
  * records the orders and results, and each test sets the time and sends the reports. */
 #include "cases.h"
+#include "counters.h"
 #include "dispatcher.h"
 
 #include <string.h>
@@ -378,6 +379,26 @@
   g_assert_cmpuint (scene->orders[3].key.index, ==, scene->orders[1].key.index);
 }
 
+/* Guards against lost work that nobody sees: a job whose last task ends too late counted
+ * as completed like any other. */
+static void
+useless_completion_is_counted (Scene *scene)
+{
+  guint64 useless = counter_values[COUNTER_JOBS_USELESS];
+
+  scene_open (scene, 2000);
+  submit (scene, "a", 1);
+  submit (scene, "b", 1);
+  report (scene, &scene->orders[0], TASK_STARTED);
+  report (scene, &scene->orders[1], TASK_STARTED);
+  report (scene, &scene->orders[0], TASK_DONE);
+  g_assert_cmpuint (counter_values[COUNTER_JOBS_USELESS], ==, useless);
+  advance (scene, 1000);
+  report (scene, &scene->orders[1], TASK_DONE);
+  g_assert_cmpint (scene->last.end, ==, LEASED_COMPLETED);
+  g_assert_cmpuint (counter_values[COUNTER_JOBS_USELESS], ==, useless + 1);
+}
+
 /* Guards against a task that runs twice at once: the stop of a cancelled job was lost
  * with its link, and the run that the agent then listed went on to its end. */
 static void
@@ -1404,6 +1425,7 @@
   { "longest-lease-is-waited-for", longest_lease_is_waited_for },
   { "lost-stop-is-sent-again", lost_stop_is_sent_again },
   { "unreported-start-is-waited-for", unreported_start_is_waited_for },
+  { "useless-completion-is-counted", useless_completion_is_counted },
   { "inventory-settles-orders", inventory_settles_orders },
   { "nothing-is-ordered-before-the-inventory", nothing_is_ordered_before_the_inventory },
   { "resubmission-joins", resubmission_joins },
