Agent: hold starts under way to a silent server that may have restarted

What callers saw: a task ran twice after a backend server had restarted under its id while its agent was frozen: the agent woke, gave up what had been on the server, and the entry ordered the task elsewhere, while a start that the agent had sent before was carried out by the restarted server.

Cause: with the server's lease over, the agent reported all its runs as ended. That is true of runs that had begun; a start without an answer is still under way, and a later start of the server refuses it neither for its time nor for its token until the agent's next call has arrived.

Change: where the server says when it started, starts that were not answered are held when the lease is over, as after a restart that was noticed, until the server has listed its runs under a higher token; 10 s at most.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -173,6 +173,12 @@
 mutant clock-of-the-earlier-start src/runner.c '
       || !restart_lease_is_over (runner))' ' && runner->extended_ms >= 0)' \
   test-runner /runner/silent-server-may-have-restarted
+mutant silent-start-is-over src/runner.c 'if (runner_restart_lease_ms (runner) > 0)' \
+  'if (FALSE)' test-runner /runner/start-to-a-silent-server-is-held
+mutant unreported-start-is-over src/dispatcher_servers.c 'lose_tasks (server, FALSE);' \
+  'lose_tasks (server, TRUE);' test-dispatcher /dispatcher/unreported-start-is-waited-for
+mutant lost-stop-stays-lost src/dispatcher_servers.c 'if (task->stopping)
+        send_stop (task);' '' test-dispatcher /dispatcher/lost-stop-is-sent-again
 
 echo "mutants: $failures not noticed"
 [ "$failures" -eq 0 ]
--- a/src/runner.c
+++ b/src/runner.c
@@ -340,6 +340,18 @@
          || runner->now_ms > runner->extended_ms + CALL_ARRIVAL_MS + lease_ms;
 }
 
+/* A held start outlasts the lease. */
+static gboolean
+any_run_needs_lease (const Runner *runner)
+{
+  const Run *run;
+
+  TAILQ_FOREACH (run, &runner->runs, link)
+    if (!run->held || run->started_ms > 0)
+      return TRUE;
+  return FALSE;
+}
+
 /* A server that has not answered for longer than its lease has killed all its runs, or is
  * down. When it answers again, what runs there must be listed first. */
 static void
@@ -348,13 +360,16 @@
   gint64 server_ms
       = peer_clock_least (&runner->clock, runner->now_ms, SERVER_CLOCK_SLOW_PERCENT);
 
-  if (runner->n_runs == 0 || server_ms <= runner->server_lease_until
-      || !restart_lease_is_over (runner))
+  if (server_ms <= runner->server_lease_until || !restart_lease_is_over (runner)
+      || !any_run_needs_lease (runner))
     return;
   event_emit ("server-lease-lapsed", "-",
               "server=%s runs=%u answer_age_ms=%" G_GINT64_FORMAT, runner->instance,
               runner->n_runs, runner->now_ms - runner->clock.received_ms);
-  runner_lose_all (runner, REPORT_SERVER_ENDED, "backend server out of reach");
+  if (runner_restart_lease_ms (runner) > 0)
+    runner_lose_started (runner, REPORT_SERVER_ENDED, "backend server out of reach");
+  else
+    runner_lose_all (runner, REPORT_SERVER_ENDED, "backend server out of reach");
   runner->token++;
   runner_set_state (runner, INSTANCE_CLEARING);
 }
--- a/src/runner_instance.c
+++ b/src/runner_instance.c
@@ -8,6 +8,8 @@
 /* A call is over after 150 ms. A server that restarts at once has reported by then; jobs
  * are not to wait longer for one that does not. */
 #define HELD_AFTER_LEAVE_MS 3000
+/* A call without an answer may be carried out this much later. */
+#define LATE_CALL_MS 10000
 
 void
 runner_set_state (Runner *runner, InstanceState state)
@@ -58,11 +60,24 @@
   forget_instance (runner);
 }
 
-/* An answered start may have been carried out by the new instance already, and one under
- * way may reach it. If such a task were started elsewhere at once, it would run twice. A
- * run that the earlier instance has listed ended with it. */
+static gboolean
+run_is_listed (const Run *run)
+{
+  return run->listed;
+}
+
+static gboolean
+run_is_started (const Run *run)
+{
+  return run->started_ms > 0;
+}
+
+/* Ends the runs for which @is_over, and holds the others. */
 static void
-hold_unlisted_runs (Runner *runner, ReportKind kind, const char *reason)
+hold_runs (Runner *runner,
+           gboolean (*is_over) (const Run *run),
+           ReportKind kind,
+           const char *reason)
 {
   Run *run;
   Run *next;
@@ -70,7 +85,7 @@
   for (run = TAILQ_FIRST (&runner->runs); run != NULL; run = next)
     {
       next = TAILQ_NEXT (run, link);
-      if (run->listed)
+      if (is_over (run))
         {
           run_end (runner, run, kind, reason);
           continue;
@@ -80,6 +95,22 @@
     }
 }
 
+/* An answered start may have been carried out by the new instance already, and one under
+ * way may reach it. If such a task were started elsewhere at once, it would run twice. A
+ * run that the earlier instance has listed ended with it. */
+static void
+hold_unlisted_runs (Runner *runner, ReportKind kind, const char *reason)
+{
+  hold_runs (runner, run_is_listed, kind, reason);
+}
+
+void
+runner_lose_started (Runner *runner, ReportKind kind, const char *reason)
+{
+  hold_runs (runner, run_is_started, kind, reason);
+  runner->held_until_ms = runner->now_ms + LATE_CALL_MS;
+}
+
 void
 runner_restarted (Runner *runner)
 {
--- a/src/runner_parts.h
+++ b/src/runner_parts.h
@@ -156,6 +156,11 @@
  * been ordered in place of this one is held until it is cleared. */
 void runner_restarted (Runner *runner);
 
+/** runner_lose_started - the server has surely ended what ran. A start under way is held
+ * until it is fenced, or its entry's caller gives up: a server that has restarted under
+ * its name would still carry it out. */
+void runner_lose_started (Runner *runner, ReportKind kind, const char *reason);
+
 /** runner_release_held - the server is certain to run none of the held runs. */
 void runner_release_held (Runner *runner);
 
--- a/tests/test-runner.c
+++ b/tests/test-runner.c
@@ -1313,9 +1313,9 @@
 
   named_ready (scene);
   g_assert_cmpuint (runner_restart_lease_ms (scene->runner), >=, LEASE_MAX_MS);
-  order_start (scene, ENTRY, "j", 1000);
+  start_running (scene, "j", 1000);
   extended_ms = scene->now;
-  for (guint i = 0; i < 60 && scene->n_reports == 0; i++)
+  for (guint i = 0; i < 60 && last_report (scene)->kind == REPORT_STARTED; i++)
     {
       for (guint j = 0; j < scene->n_calls; j++)
         if (scene->calls[j].call.lease_until > 0)
@@ -1326,6 +1326,23 @@
   g_assert_cmpint (scene->now - extended_ms, >, LEASE_MAX_MS);
 }
 
+/* Guards against a task that runs twice at once: a start under way to a silent server was
+ * given up with its lease, and the restarted server carried it out. */
+static void
+start_to_a_silent_server_is_held (Scene *scene)
+{
+  named_ready (scene);
+  order_start (scene, ENTRY, "j", 1000);
+  for (guint i = 0; i < 60; i++)
+    advance_in_silence (scene);
+  g_assert_cmpuint (scene->n_reports, ==, 0);
+  g_assert_false (runner_ready (scene->runner));
+  restart_named (scene);
+  answer (scene, open_poll (scene), CALL_DONE);
+  g_assert_cmpint (last_report (scene)->kind, ==, REPORT_SERVER_ENDED);
+  g_assert_true (runner_ready (scene->runner));
+}
+
 /* Guards against a delayed report of the earlier start that is taken for a new instance.
  */
 static void
@@ -1380,6 +1397,7 @@
   { "new-agent-fences-earlier-calls", new_agent_fences_earlier_calls },
   { "token-catches-up", token_catches_up },
   { "silent-server-may-have-restarted", silent_server_may_have_restarted },
+  { "start-to-a-silent-server-is-held", start_to_a_silent_server_is_held },
   { "lease-by-the-earlier-clock", lease_by_the_earlier_clock },
   { "report-of-an-earlier-start", report_of_an_earlier_start },
   { "start-that-was-known-before", start_that_was_known_before },
