Send an agent its list of entries whenever its digest differs

What callers saw: an entry that is no agent's seed lost a backend server with each agent that was restarted, until an entry came or went; with all agents restarted its callers were refused ("cannot end in time") though servers were free.

Cause: what is sent when a link comes up was decided by the number of entries that the peer knows. Agents do not say it, so with up to eight entries they counted as nearly complete, and one that started over 3 s after the last change of the directory was sent nothing. Ruled out: links and relays (no dial fails), the store (not asked).

Change: an agent's digest says which list it has, and decides alone.

Measured: /mesh/late-agent-links-to-all, without store, relays or faults, fails before with 1 link of 3.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -179,6 +179,9 @@
   'lose_tasks (server, TRUE);' test-dispatcher /dispatcher/unreported-start-is-waited-for
 mutant lost-stop-stays-lost src/dispatcher_servers.c 'if (task->stopping)
         send_stop (task);' '' test-dispatcher /dispatcher/lost-stop-is-sent-again
+mutant agent-is-sent-changes src/mesh_discovery.c 'if (peer->is_entry)
+    directory_sent_begin' 'if (TRUE)
+    directory_sent_begin' test-mesh /mesh/late-agent-links-to-all
 
 echo "mutants: $failures not noticed"
 [ "$failures" -eq 0 ]
--- a/src/mesh_discovery.c
+++ b/src/mesh_discovery.c
@@ -180,8 +180,12 @@
   peer->sent_all_ms = now;
   peer->entries_digest = hello->entries_digest;
   peer->sent_digest = hello->entries_digest;
-  directory_sent_begin (mesh->directory, &peer->sent, hello->entries_known,
-                        hello->entries_digest, now);
+  /* An agent says with its digest which list it has, not how many entries it knows. */
+  if (peer->is_entry)
+    directory_sent_begin (mesh->directory, &peer->sent, hello->entries_known,
+                          hello->entries_digest, now);
+  else
+    peer->sent = (DirectorySent){ 0 };
   send_due (mesh, peer);
 }
 
--- a/tests/test-mesh.c
+++ b/tests/test-mesh.c
@@ -124,6 +124,9 @@
 #define MAX_AGENTS_PER_ENTRY ((guint64)3 * AGENTS_PER_ENTRY)
 /* Time for all links to be set up, also on a busy machine. */
 #define CONVERGE_MS 4000
+/* Fewer than an agent links to; after SETTLED_MS no change of the directory is recent. */
+#define FEW_ENTRIES 3
+#define SETTLED_MS 3500
 
 typedef struct
 {
@@ -485,11 +488,33 @@
   fleet_close (&fleet);
 }
 
+/* Guards against entries that lose all backend servers as agents are restarted: an agent
+ * that started after the directory had settled was told of no entry but its seeds. */
+static void
+test_late_agent (void)
+{
+  Cluster cluster = { .base = event_base_new () };
+  char *seeds[] = { NULL, NULL };
+
+  for (guint i = 0; i < FEW_ENTRIES; i++)
+    node_open (&cluster.entries[i], cluster.base, GW__HELLO__ROLE__ENTRY, i);
+  seeds[0] = cluster.entries[0].address;
+  for (guint i = 1; i < FEW_ENTRIES; i++)
+    mesh_seed (cluster.entries[i].mesh, seeds);
+  cluster_run (&cluster, SETTLED_MS);
+  node_open (&cluster.agents[0], cluster.base, GW__HELLO__ROLE__AGENT, 0);
+  mesh_seed (cluster.agents[0].mesh, seeds);
+  cluster_run (&cluster, RUN_MS);
+  g_assert_cmpuint (count_links (&cluster.agents[0], TRUE), ==, FEW_ENTRIES);
+  cluster_close (&cluster);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/mesh/restarting-peers-are-dialled-often", test_restarting_peer);
+  g_test_add_func ("/mesh/late-agent-links-to-all", test_late_agent);
   g_test_add_func ("/mesh/agents-link-to-a-part", test_max_entries);
   g_test_add_func ("/mesh/lost-entries-are-replaced", test_lost_entries_replaced);
   g_test_add_func ("/mesh/links-with-work-are-kept", test_links_with_work_kept);
