--- a/src/dispatcher_parts.h
+++ b/src/dispatcher_parts.h
@@ -67,9 +67,9 @@
   Dispatcher *dispatcher;
   guint64 agent;
   char *name;
-  gpointer user_data; /* NULL while its agent is not linked */
-  gint64 unlinked_ms;
-  gboolean waits_for_starts; /* for late ones, its leases being over */
+  gpointer user_data;        /* NULL while its agent is not linked */
+  gint64 unlinked_ms;        /* when it was last unlinked */
+  gboolean waits_for_starts; /* its leases are over, but late starts may come */
   ServerStatus status;
   PeerClock clock;
   gint64 lease_until;      /* agent's clock */
--- a/src/dispatcher_servers.c
+++ b/src/dispatcher_servers.c
@@ -16,8 +16,6 @@
 /* An agent's inventory lists the runs that ended in the last 3 s (runner.c). This is 1 s
  * less, for the link to reconnect. */
 #define AGENT_HISTORY_MS 2000
-/* A call without an answer may be carried out this much later. */
-#define LATE_CALL_MS 10000
 /* Nothing is placed on a server for this long after it refused a start; by then its
  * current state has arrived. */
 #define REFUSED_BACKOFF_MS 30
--- a/src/runner.h
+++ b/src/runner.h
@@ -124,6 +124,7 @@
  * not.
  */
 guint runner_restart_lease_ms (const Runner *runner);
+
 gboolean runner_ready (const Runner *runner);
 gboolean runner_draining (const Runner *runner);
 
--- a/src/runner_instance.c
+++ b/src/runner_instance.c
@@ -8,8 +8,6 @@
 /* A call is over after 150 ms. A server that restarts at once has reported by then; jobs
  * are not to wait longer for one that does not. */
 #define HELD_AFTER_LEAVE_MS 3000
-/* A call without an answer may be carried out this much later. */
-#define LATE_CALL_MS 10000
 
 void
 runner_set_state (Runner *runner, InstanceState state)
--- a/src/server_calls.h
+++ b/src/server_calls.h
@@ -8,6 +8,9 @@
 /* Long enough for the job ids of every protocol, with the terminator. */
 #define RUN_JOB_SIZE 64
 
+/* A call without an answer may be carried out this much later. */
+#define LATE_CALL_MS 10000
+
 /* One start of one task. */
 typedef struct
 {
--- a/src/settings.c
+++ b/src/settings.c
@@ -99,9 +99,8 @@
     "Lease of a backend server: unless its agent extends it, all runs end after this." },
   { "leases.server_max_ms", KIND_NUMBER, SETTINGS_LEASED_AGENT, AT (server_lease_max_ms),
     "0", 0, 60000,
-    "Longest lease that the backend server grants, counted on if it may restart under "
-    "its "
-    "id; 0: leases.server_ms." },
+    "Longest lease that a backend server grants, for one that may restart under its id; "
+    "0: leases.server_ms." },
   { "servers.speed_runs", KIND_NUMBER, LEASED, AT (speed_runs), "0", 0, 255,
     "Runs after which a backend server's own speed counts; 0: all count as equally "
     "fast." },
