--- a/src/runner_parts.h
+++ b/src/runner_parts.h
@@ -157,8 +157,8 @@
 void runner_restarted (Runner *runner);
 
 /** runner_lose_started - the server has surely ended what ran. A start under way is held
- * until it is fenced, or its entry's caller gives up: a server that has restarted under
- * its name would still carry it out. */
+ * until the server has listed its runs, LATE_CALL_MS at most: a server that has restarted
+ * under its name would still carry it out. */
 void runner_lose_started (Runner *runner, ReportKind kind, const char *reason);
 
 /** runner_release_held - the server is certain to run none of the held runs. */
