--- a/src/counters.h
+++ b/src/counters.h
@@ -81,6 +81,7 @@
   X (LEASED_FAILED, "leased_failed", "leased jobs answered failed")                      \
   X (LEASED_REFUSED, "leased_refused", "leased jobs refused, not run")                   \
   X (LEASED_GIVEN_UP, "leased_given_up", "leased jobs given up after a start")           \
+  X (REQUESTS_CUT, "requests_cut", "requests whose connection ended without an answer")  \
   X (TASKS_ENDED_SERVERS, "tasks_ended_servers",                                         \
      "tasks given up because their backend servers kept ending")                         \
   X (JOBS_USELESS, "jobs_useless",                                                       \
