Tests of stops that cut a request off without an answer

Callers keep using connections that are open already until the process is gone, and a graceful stop promises to cut off nothing (docs/PROOFS.md, row 7).

--- /dev/null
+++ b/tests/test-stopping.c
@@ -0,0 +1,347 @@
+/* Stops of an entry while callers keep using connections that are open already. */
+#include "cases.h"
+#include "clock.h"
+#include "platform_scene.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <string.h>
+
+/* drain.grace_ms and drain.limit_ms of the scene's entries. */
+#define GRACE_MS 300
+#define LIMIT_MS 4000
+#define CALLERS 40
+/* Shortest and longest pause of a caller between an answer and its next request. */
+#define MIN_PAUSE_MS 5
+#define MAX_PAUSE_MS 60
+
+/* A caller's connection. */
+typedef struct
+{
+  PlatformScene *scene;
+  struct bufferevent *bev;
+  GString *answer;
+  gboolean ended; /* the entry closed the connection */
+} Caller;
+
+static void
+on_event (struct bufferevent *bev, short what, void *ctx)
+{
+  Caller *caller = ctx;
+
+  if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+    caller->ended = TRUE;
+}
+
+static void
+on_read (struct bufferevent *bev, void *ctx)
+{
+  Caller *caller = ctx;
+  struct evbuffer *input = bufferevent_get_input (bev);
+  gsize size = evbuffer_get_length (input);
+
+  g_string_append_len (caller->answer, (const char *)evbuffer_pullup (input, -1),
+                       (gssize)size);
+  evbuffer_drain (input, size);
+}
+
+static Caller *
+caller_new (PlatformScene *scene, guint entry)
+{
+  Caller *caller = g_new0 (Caller, 1);
+  struct sockaddr_storage where;
+  int length = sizeof where;
+
+  caller->scene = scene;
+  caller->answer = g_string_new (NULL);
+  caller->bev = bufferevent_socket_new (scene->harness->base, -1, BEV_OPT_CLOSE_ON_FREE);
+  bufferevent_setcb (caller->bev, on_read, NULL, on_event, caller);
+  bufferevent_enable (caller->bev, EV_READ | EV_WRITE);
+  g_assert_cmpint (evutil_parse_sockaddr_port (scene->entries[entry]->http,
+                                               (struct sockaddr *)&where, &length),
+                   ==, 0);
+  g_assert_cmpint (
+      bufferevent_socket_connect (caller->bev, (struct sockaddr *)&where, length), ==, 0);
+  return caller;
+}
+
+static void
+caller_free (Caller *caller)
+{
+  bufferevent_free (caller->bev);
+  g_string_free (caller->answer, TRUE);
+  g_free (caller);
+}
+
+static char *
+request_text (PlatformScene *scene, const char *spec)
+{
+  char *body = platform_job (spec, 1);
+  char *text
+      = g_strdup_printf ("POST " PLATFORM_PREFIX "%016x HTTP/1.1\r\n"
+                         "Host: " PLATFORM_HOST "\r\nContent-Length: %zu\r\n\r\n%s",
+                         ++scene->jobs, strlen (body), body);
+
+  g_free (body);
+  return text;
+}
+
+static void
+caller_send (Caller *caller, const char *text, gssize size)
+{
+  bufferevent_write (caller->bev, text, size < 0 ? strlen (text) : (gsize)size);
+}
+
+static gboolean
+has_answer (gpointer ctx)
+{
+  const Caller *caller = ctx;
+  const char *body = strstr (caller->answer->str, "\r\n\r\n");
+
+  return body != NULL && strchr (body, '}') != NULL;
+}
+
+static gboolean
+is_over (gpointer ctx)
+{
+  const Caller *caller = ctx;
+
+  return caller->ended || has_answer (ctx);
+}
+
+static gboolean
+has_status (const Caller *caller, const char *status)
+{
+  return g_str_has_prefix (caller->answer->str + strlen ("HTTP/1.1 "), status);
+}
+
+static void
+expect_answer (Caller *caller)
+{
+  harness_wait (caller->scene->harness, is_over, caller, "an answer");
+  g_assert_true (has_answer (caller));
+  g_assert_true (has_status (caller, "200") || has_status (caller, "503"));
+}
+
+static gboolean
+is_stopped (gpointer ctx)
+{
+  PlatformScene *scene = ctx;
+  char *path = g_strconcat (scene->entries[0]->log, ".events", NULL);
+  char *text = NULL;
+  gboolean stopped = g_file_get_contents (path, &text, NULL, NULL)
+                     && strstr (text, "event=stopped") != NULL;
+
+  g_free (text);
+  g_free (path);
+  return stopped;
+}
+
+/* A connection that was opened before the stop and is used for the first time late. */
+static void
+first_request_late_in_the_stop (PlatformScene *scene)
+{
+  char *request = request_text (scene, "400");
+  Caller *caller = caller_new (scene, 0);
+
+  harness_run_ms (scene->harness, 50);
+  process_signal (scene->entries[0], SIGTERM);
+  harness_run_ms (scene->harness, GRACE_MS + 50);
+  caller_send (caller, request, -1);
+  expect_answer (caller);
+  caller_free (caller);
+  g_free (request);
+}
+
+static void
+request_in_two_parts (PlatformScene *scene)
+{
+  char *first = request_text (scene, "20");
+  char *second = request_text (scene, "20");
+  gssize part = (gssize)strlen (second) - 5;
+  Caller *caller = caller_new (scene, 0);
+
+  caller_send (caller, first, -1);
+  expect_answer (caller);
+  g_string_truncate (caller->answer, 0);
+  process_signal (scene->entries[0], SIGTERM);
+  harness_run_ms (scene->harness, GRACE_MS - 50);
+  caller_send (caller, second, part);
+  harness_run_ms (scene->harness, 100);
+  caller_send (caller, second + part, -1);
+  expect_answer (caller);
+  caller_free (caller);
+  g_free (first);
+  g_free (second);
+}
+
+/* Another caller's job keeps the entry running. */
+static void
+idle_connection_while_a_job_is_open (PlatformScene *scene)
+{
+  char *first = request_text (scene, "20");
+  char *second = request_text (scene, "20");
+  Exchange *exchange = platform_start_job (scene, 0, "900", 1);
+  Caller *caller = caller_new (scene, 0);
+
+  caller_send (caller, first, -1);
+  expect_answer (caller);
+  g_string_truncate (caller->answer, 0);
+  process_signal (scene->entries[0], SIGTERM);
+  harness_run_ms (scene->harness, GRACE_MS + 100);
+  caller_send (caller, second, -1);
+  expect_answer (caller);
+  harness_wait_exchange (scene->harness, exchange);
+  g_assert_cmpint (exchange->status, ==, 200);
+  exchange_free (exchange);
+  caller_free (caller);
+  g_free (first);
+  g_free (second);
+}
+
+static void
+job_longer_than_the_stop (PlatformScene *scene)
+{
+  char *request = request_text (scene, "6000");
+  Caller *caller = caller_new (scene, 0);
+
+  caller_send (caller, request, -1);
+  harness_run_ms (scene->harness, 200);
+  process_signal (scene->entries[0], SIGTERM);
+  harness_wait (scene->harness, is_over, caller, "an answer");
+  g_assert_true (has_answer (caller));
+  g_assert_true (has_status (caller, "504"));
+  caller_free (caller);
+  g_free (request);
+}
+
+/* A job that can't end before the entry exits is refused at once, not begun. */
+static void
+job_too_long_for_the_rest_of_the_stop (PlatformScene *scene)
+{
+  char *request = request_text (scene, "6000");
+  Caller *caller = caller_new (scene, 0);
+  gint64 sent_ms;
+
+  process_signal (scene->entries[0], SIGTERM);
+  harness_run_ms (scene->harness, 100);
+  sent_ms = clock_now_ms ();
+  caller_send (caller, request, -1);
+  expect_answer (caller);
+  g_assert_true (has_status (caller, "503"));
+  g_assert_cmpint (clock_now_ms () - sent_ms, <, 500);
+  caller_free (caller);
+  g_free (request);
+}
+
+/* Callers that send their next request soon after each answer and stop using a connection
+ * only when they are told to close it, or it was closed between two requests. */
+typedef struct
+{
+  Caller *caller;
+  gint64 next_ms; /* 0: a request is open */
+  guint answered;
+  gboolean done;
+} Loop;
+
+static gboolean
+loop_step (Loop *loop, GRand *random)
+{
+  Caller *caller = loop->caller;
+  char *request;
+
+  if (loop->done)
+    return TRUE;
+  if (loop->next_ms > 0 && caller->ended)
+    {
+      loop->done = TRUE;
+    }
+  else if (loop->next_ms > 0 && clock_now_ms () >= loop->next_ms)
+    {
+      request = request_text (caller->scene, "30");
+      caller_send (caller, request, -1);
+      g_free (request);
+      loop->next_ms = 0;
+    }
+  else if (loop->next_ms == 0 && has_answer (caller))
+    {
+      loop->answered++;
+      loop->done = strstr (caller->answer->str, "Connection: close") != NULL;
+      g_string_truncate (caller->answer, 0);
+      loop->next_ms
+          = clock_now_ms () + g_rand_int_range (random, MIN_PAUSE_MS, MAX_PAUSE_MS);
+    }
+  else if (loop->next_ms == 0)
+    {
+      g_assert_false (caller->ended);
+    }
+  return loop->done;
+}
+
+static void
+callers_on_open_connections (PlatformScene *scene)
+{
+  GRand *random = g_rand_new_with_seed (51);
+  Loop loops[CALLERS] = { 0 };
+  gint64 end = clock_now_ms () + GRACE_MS + LIMIT_MS;
+  guint done = 0;
+
+  for (guint i = 0; i < CALLERS; i++)
+    loops[i] = (Loop){ caller_new (scene, 0),
+                       clock_now_ms () + g_rand_int_range (random, 1, MAX_PAUSE_MS), 0,
+                       FALSE };
+  process_signal (scene->entries[0], SIGTERM);
+  while (done < CALLERS && clock_now_ms () < end)
+    {
+      done = 0;
+      harness_run_ms (scene->harness, 2);
+      for (guint i = 0; i < CALLERS; i++)
+        done += loop_step (&loops[i], random);
+    }
+  g_assert_cmpuint (done, ==, CALLERS);
+  for (guint i = 0; i < CALLERS; i++)
+    {
+      g_assert_cmpuint (loops[i].answered, >=, 1);
+      caller_free (loops[i].caller);
+    }
+  g_rand_free (random);
+}
+
+typedef struct
+{
+  const char *name;
+  void (*play) (PlatformScene *scene);
+} Case;
+
+/* Each guards against a stop that cuts the request off without an answer. */
+static const Case cases[] = {
+  { "first-request-late-in-the-stop", first_request_late_in_the_stop },
+  { "request-in-two-parts", request_in_two_parts },
+  { "idle-connection-while-a-job-is-open", idle_connection_while_a_job_is_open },
+  { "job-longer-than-the-stop", job_longer_than_the_stop },
+  { "job-too-long-for-the-rest-of-the-stop", job_too_long_for_the_rest_of_the_stop },
+  { "callers-on-open-connections", callers_on_open_connections },
+};
+
+static void
+test_case (gconstpointer data)
+{
+  static const PlatformInit init = { 2, 2, FALSE, TRUE };
+  const Case *c = data;
+  PlatformScene scene;
+
+  platform_scene_open (&scene, &init);
+  c->play (&scene);
+  process_wait (scene.harness, scene.entries[0]);
+  g_assert_true (is_stopped (&scene));
+  platform_check_runs (&scene, NULL, NULL);
+  platform_scene_close (&scene);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  ADD_CASES ("/stopping", cases, test_case);
+  return g_test_run ();
+}
