Entry: answer every request that a stop still receives

Cause: the steps of a stop followed the clock and the number of jobs, not what had been received.

Now an entry closes its listening socket at the end of the grace time, as before, but goes on with requests on open connections until nothing was received from any caller for 0.05 s, all answers are written and no job is open. The dispatcher knows by when it exits (dispatcher_set_end ()): what cannot end before is refused at once as not run, what is still open 0.3 s before the limit is given up with an answer. In the last 100 ms requests are refused as not run.

--- a/src/dispatcher.c
+++ b/src/dispatcher.c
@@ -229,12 +229,36 @@
 {
   double longest_ms = MAX (job->task_ms, job->seen_ms);
   gint64 objective = (gint64)(job->spec.stretch * longest_ms) + job->spec.target_ms;
+  gint64 end_ms = job->dispatcher->end_ms;
 
   job->objective_ms = job->spec.arrived_ms + objective;
+  if (end_ms > 0)
+    job->objective_ms = MIN (job->objective_ms, end_ms);
   job->late_ms
       = MIN (job->spec.arrived_ms + LATE_FACTOR * objective, job->spec.deadline_ms);
 }
 
+static void
+set_deadline (LeasedJob *job, gint64 deadline_ms)
+{
+  gint64 end_ms = job->dispatcher->end_ms;
+
+  job->spec.deadline_ms = end_ms > 0 ? MIN (deadline_ms, end_ms) : deadline_ms;
+}
+
+void
+dispatcher_set_end (Dispatcher *dispatcher, gint64 end_ms)
+{
+  LeasedJob *job;
+
+  dispatcher->end_ms = end_ms;
+  TAILQ_FOREACH (job, &dispatcher->jobs, link)
+    {
+      set_deadline (job, job->spec.deadline_ms);
+      set_objective (job);
+    }
+}
+
 const Runtimes *
 job_shape (const LeasedJob *job)
 {
@@ -279,6 +303,7 @@
   job->done = done;
   job->ctx = ctx;
   spec_copy (&job->spec, spec);
+  set_deadline (job, spec->deadline_ms);
   job->tasks = g_new0 (LeasedTask, spec->count);
   for (guint i = 0; i < spec->count; i++)
     {
@@ -311,7 +336,7 @@
   job->done (&taken_over, job->ctx);
   job->done = done;
   job->ctx = ctx;
-  job->spec.deadline_ms = spec->deadline_ms;
+  set_deadline (job, spec->deadline_ms);
 }
 
 LeasedJob *
@@ -355,6 +380,13 @@
   job_free_if_done (job);
 }
 
+static const char *
+expiry_reason (const LeasedJob *job)
+{
+  return job->spec.deadline_ms == job->dispatcher->end_ms ? "this entry exits"
+                                                          : "its caller's time is over";
+}
+
 /* Ends jobs past their deadline, and jobs that were answered before: a caller whose
  * connection broke while the answer was in transit gets the same answer again. */
 static void
@@ -373,7 +405,7 @@
       else if (dispatcher->now_ms > job->spec.deadline_ms)
         job_answer (job,
                     job->started || job->placed > 0 ? LEASED_GIVEN_UP : LEASED_REFUSED,
-                    "its caller's time is over", 0);
+                    expiry_reason (job), 0);
       else
         continue;
       job_free_if_done (job);
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -191,6 +191,12 @@
 /** dispatcher_cancel - the caller disconnected: stop the job, do not call LeasedDone. */
 void dispatcher_cancel (LeasedJob *job, gint64 now_ms);
 
+/**
+ * dispatcher_set_end - this process exits: every job, open or submitted later, is
+ * answered by @end_ms. One that cannot end before is refused at once.
+ */
+void dispatcher_set_end (Dispatcher *dispatcher, gint64 end_ms);
+
 typedef gboolean (*DispatcherHasQueue) (const char *queue, gpointer ctx);
 
 /** dispatcher_keep_queues - drop the run times learned of queues for which @has_queue
--- a/src/dispatcher_order.c
+++ b/src/dispatcher_order.c
@@ -520,7 +520,10 @@
           || feasibility_of (job, dispatcher->now_ms) != INFEASIBLE)
         continue;
       if (!job->started)
-        job_answer (job, LEASED_REFUSED, "cannot end in time",
+        job_answer (job, LEASED_REFUSED,
+                    job->late_ms == dispatcher->end_ms
+                        ? "cannot end before this entry exits"
+                        : "cannot end in time",
                     retry_after_ms (dispatcher));
       else if (dispatcher->now_ms + fast_task_ms (job) > job->spec.deadline_ms)
         job_answer (job, LEASED_GIVEN_UP, "lost runs cannot be repeated in time", 0);
--- a/src/dispatcher_parts.h
+++ b/src/dispatcher_parts.h
@@ -130,6 +130,7 @@
   double median_slowness; /* of the servers that take orders, at least 1 */
   RelativeSpread speeds;  /* of the servers that take orders */
   double free_part;       /* of the capacity of the servers that take orders */
+  gint64 end_ms;          /* all jobs are answered by then; 0: no limit */
   gint64 now_ms;
 };
 
--- a/src/dispatcher_place.c
+++ b/src/dispatcher_place.c
@@ -440,6 +440,8 @@
     }
   dispatcher_update_server_stats (dispatcher);
   dispatcher_refuse_zone_closed (dispatcher);
+  if (dispatcher->end_ms > 0)
+    dispatcher_refuse_infeasible (dispatcher);
   dispatcher->wait_ms = dispatcher_wait_ms (dispatcher);
   jobs = dispatcher_order (dispatcher);
   dispatcher->ordered = jobs;
--- a/src/leased_entry.c
+++ b/src/leased_entry.c
@@ -14,8 +14,11 @@
 /* Heartbeat interval and timeout between entries, in multiples of those to agents. They
  * need no leases from each other and send changes at once. */
 #define ENTRY_HEARTBEAT_FACTOR 4
-/* Time for the final frames to be sent before the process exits. */
+/* Time for the final frames and answers to be sent before the process exits. */
 #define FINAL_FLUSH_MS 100
+/* Between the end of the last job and the drain limit: for an entry that is short of
+ * processor time. */
+#define FINAL_ANSWERS_MS 200
 
 /* Callbacks of the dispatcher. */
 
@@ -266,6 +269,15 @@
 static const MeshOps mesh_ops
     = { on_up, on_down, on_frame, on_prepare, on_forgotten, on_isolated, NULL };
 
+static gboolean
+drain_is_over (LeasedEntry *entry, gint64 elapsed_ms)
+{
+  if (elapsed_ms >= entry->drain_limit_ms - FINAL_FLUSH_MS)
+    return TRUE;
+  return dispatcher_jobs (entry->dispatcher) == 0
+         && entry->ops->callers_are_quiet (entry->ctx);
+}
+
 static void
 drain_tick (LeasedEntry *entry, gint64 now)
 {
@@ -277,11 +289,12 @@
   if (!entry->closed)
     entry->ops->stop_accepting (entry->ctx);
   entry->closed = TRUE;
-  if (elapsed < entry->drain_limit_ms && dispatcher_jobs (entry->dispatcher) > 0)
+  if (!drain_is_over (entry, elapsed))
     return;
   entry->ended = TRUE;
   event_note ("stopped", "-", "jobs=%u after_ms=%" G_GINT64_FORMAT,
               dispatcher_jobs (entry->dispatcher), elapsed);
+  entry->ops->refuse_callers (entry->ctx);
   event_base_loopexit (entry->base, &delay);
 }
 
@@ -425,6 +438,10 @@
   if (entry->draining_ms > 0)
     return;
   entry->draining_ms = clock_now_ms ();
+  dispatcher_set_end (entry->dispatcher, entry->draining_ms
+                                             + MAX (entry->drain_grace_ms,
+                                                    entry->drain_limit_ms - FINAL_FLUSH_MS
+                                                        - FINAL_ANSWERS_MS));
   event_note ("leaving", "-", "jobs=%u", dispatcher_jobs (entry->dispatcher));
   leased_entry_send_all (entry);
 }
--- a/src/leased_entry_parts.h
+++ b/src/leased_entry_parts.h
@@ -21,8 +21,8 @@
   Gw__Hello hello;
   char *listen_frames;
   char *advertised; /* address for others; empty: the listening address */
-  guint drain_grace_ms;
-  guint drain_limit_ms;
+  gint64 drain_grace_ms;
+  gint64 drain_limit_ms;
   Listener *frames;
   Mesh *mesh;
   Dispatcher *dispatcher;
@@ -41,7 +41,7 @@
   gint64 mesh_ticked_ms;
   gint64 ticked_ms;
   gint64 draining_ms; /* start of draining; 0: not draining */
-  gboolean closed;    /* accepts no more requests */
+  gboolean closed;    /* accepts no more connections */
   gboolean ended;     /* the loop exits once the final frames are out */
 };
 
--- a/tests/test-dispatcher.c
+++ b/tests/test-dispatcher.c
@@ -1409,7 +1409,46 @@
   g_assert_cmpuint (scene->n_orders, ==, 2);
 }
 
+/* Guards against a job that an exiting entry begins although it cannot end before. */
+static void
+exiting_entry_begins_nothing_too_long (Scene *scene)
+{
+  LeasedSpec spec;
+
+  scene_open (scene, 2000);
+  dispatcher_set_end (scene->dispatcher, scene->now + 1000);
+  spec = spec_of (scene, "a", 1, 1200);
+  dispatcher_submit (scene->dispatcher, &spec, on_done, scene, scene->now);
+  dispatcher_pump (scene->dispatcher, scene->now);
+  g_assert_cmpuint (scene->results, ==, 1);
+  g_assert_cmpint (scene->last.end, ==, LEASED_REFUSED);
+  g_assert_cmpuint (scene->n_orders, ==, 0);
+  submit (scene, "b", 1);
+  report (scene, &scene->orders[0], TASK_DONE);
+  g_assert_cmpint (scene->last.end, ==, LEASED_COMPLETED);
+}
+
+/* Guards against jobs that are still open when their entry exits. */
+static void
+exiting_entry_answers_all (Scene *scene)
+{
+  scene_open (scene, 2000);
+  submit (scene, "running", 1);
+  report (scene, &scene->orders[0], TASK_STARTED);
+  dispatcher_set_end (scene->dispatcher, scene->now + 1000);
+  submit (scene, "joined", 1);
+  submit (scene, "joined", 1);
+  g_assert_cmpuint (scene->results, ==, 1);
+  advance (scene, 990);
+  g_assert_cmpuint (scene->results, ==, 1);
+  advance (scene, 20);
+  g_assert_cmpuint (scene->results, ==, 3);
+  g_assert_cmpint (scene->last.end, ==, LEASED_GIVEN_UP);
+}
+
 static const Case cases[] = {
+  { "exiting-entry-begins-nothing-too-long", exiting_entry_begins_nothing_too_long },
+  { "exiting-entry-answers-all", exiting_entry_answers_all },
   { "leaving-server-is-the-last-choice", leaving_server_is_the_last_choice },
   { "leaving-server-gets-only-what-fits", leaving_server_gets_only_what_fits },
   { "draining-without-time-gets-nothing", draining_without_time_gets_nothing },
