--- a/tests/platform_scene.c
+++ b/tests/platform_scene.c
@@ -18,11 +18,11 @@
 }
 
 static char *
-config_text (guint version, const char *prefix, guint routes)
+config_text (const PlatformScene *scene, const char *prefix, guint routes)
 {
   GString *text = g_string_new (NULL);
 
-  g_string_append_printf (text, "{\"version\":%u,\"routes\":[", version);
+  g_string_append_printf (text, "{\"version\":%u,\"routes\":[", scene->version);
   append_route (text, "r-1", prefix);
   for (guint i = 0; i < routes; i++)
     {
@@ -34,21 +34,26 @@
       g_free (name);
       g_free (path);
     }
-  g_string_append (text,
-                   "],\"services\":[{\"name\":\"exchange\"}],"
-                   "\"limits\":{\"max_body_bytes\":20000,\"idle_timeout_ms\":15000}}");
+  g_string_append_printf (text,
+                          "],\"services\":[{\"name\":\"exchange\"}],"
+                          "\"limits\":{\"max_body_bytes\":20000,\"idle_timeout_ms\":%u}}",
+                          scene->idle_timeout_ms > 0 ? scene->idle_timeout_ms : 15000);
   return g_string_free (text, FALSE);
 }
 
 void
 platform_put_routes (PlatformScene *scene, const char *prefix, guint routes)
 {
-  char *text = config_text (++scene->version, prefix, routes);
-  char *value = g_base64_encode ((const guchar *)text, strlen (text));
-  char *body
-      = g_strdup_printf ("{\"expected\":[],\"puts\":[{\"table\":\"op\",\"part\":\"\","
-                         "\"key\":\"config\",\"value\":\"%s\"}],\"remove\":[]}",
-                         value);
+  char *text;
+  char *value;
+  char *body;
+
+  scene->version++;
+  text = config_text (scene, prefix, routes);
+  value = g_base64_encode ((const guchar *)text, strlen (text));
+  body = g_strdup_printf ("{\"expected\":[],\"puts\":[{\"table\":\"op\",\"part\":\"\","
+                          "\"key\":\"config\",\"value\":\"%s\"}],\"remove\":[]}",
+                          value);
 
   exchange_free (harness_post (scene->harness, scene->store->http, "/rows-tx", body));
   g_free (body);
--- a/tests/platform_scene.h
+++ b/tests/platform_scene.h
@@ -22,6 +22,7 @@
   Relay *store_relay;          /* between the last entry and the store, or NULL */
   RelayLine *line;             /* limits what the last entry receives, or NULL */
   const char *settings;        /* further ones of the entries */
+  guint idle_timeout_ms;       /* of callers' connections, in the next configuration */
   guint jobs;
   guint version;
 } PlatformScene;
--- a/tests/test-stopping.c
+++ b/tests/test-stopping.c
@@ -1,4 +1,4 @@
-/* Stops of an entry while callers keep using connections that are open already. */
+/* Ends of connections that callers keep using: stops of an entry, idle timeouts. */
 #include "cases.h"
 #include "clock.h"
 #include "platform_scene.h"
@@ -300,6 +300,47 @@
   g_rand_free (random);
 }
 
+static gboolean
+idle_timeout_is_short (gpointer ctx)
+{
+  return platform_serves_at (ctx, 0, "/short/");
+}
+
+/* Guards against a request that is cut off since its connection's idle timeout passes
+ * while the loop is late to read it. */
+static void
+test_request_at_the_idle_timeout (void)
+{
+  static const PlatformInit init = { 2, 2, FALSE, TRUE };
+  PlatformScene scene;
+  Caller *caller;
+  char *first;
+  char *second;
+
+  platform_scene_open (&scene, &init);
+  scene.idle_timeout_ms = 1000;
+  platform_put_config (&scene, "/short/");
+  harness_wait (scene.harness, idle_timeout_is_short, &scene, "the configuration");
+  platform_put_config (&scene, PLATFORM_PREFIX);
+  harness_wait (scene.harness, platform_is_ready, &scene, "the configuration");
+  caller = caller_new (&scene, 0);
+  first = request_text (&scene, "20");
+  second = request_text (&scene, "20");
+  caller_send (caller, first, -1);
+  expect_answer (caller);
+  g_string_truncate (caller->answer, 0);
+  harness_run_ms (scene.harness, 700);
+  process_signal (scene.entries[0], SIGSTOP);
+  caller_send (caller, second, -1);
+  harness_run_ms (scene.harness, 450);
+  process_signal (scene.entries[0], SIGCONT);
+  expect_answer (caller);
+  caller_free (caller);
+  g_free (first);
+  g_free (second);
+  platform_scene_close (&scene);
+}
+
 typedef struct
 {
   const char *name;
@@ -335,5 +376,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   ADD_CASES ("/stopping", cases, test_case);
+  g_test_add_func ("/stopping/request-at-the-idle-timeout",
+                   test_request_at_the_idle_timeout);
   return g_test_run ();
 }
