Dispatcher: don't search all servers at each state of one

Cause, of this part: an entry receives 900 to 1,800 states a second, and for each it compared the names of all servers that it knows with that of the sender, in search of a predecessor (drop_predecessors ()), and without waiting work it looked through all for an offer to decline: cost that grows with the square of the servers.

Predecessors are looked for when an agent was linked, its server became ready or changed, or an agent of the same name was unlinked since; offers only if one was reported.

--- a/src/dispatcher_parts.h
+++ b/src/dispatcher_parts.h
@@ -83,6 +83,7 @@
   Demand placed;
   guint n_placed;
   TAILQ_HEAD (, LeasedTask) tasks;
+  gboolean is_successor;   /* known to be the last agent of its name, and ready */
   gboolean inventoried;    /* its inventory has arrived over this link */
   gboolean closed;         /* its availability zone is closed */
   gboolean leaves;         /* it drains, and has said until when it accepts runs */
@@ -115,6 +116,7 @@
   gboolean trust_all; /* too many servers are distrusted: the fault is in the tasks */
   gboolean link_congested;      /* the entry's own link */
   guint n_open;                 /* servers that take orders */
+  gboolean has_offers;          /* a server has reported an offer that may be open */
   double wait_ms;               /* estimated wait of a task for free capacity */
   GPtrArray *ordered;           /* waiting jobs by rank, during dispatcher_pump () */
   GPtrArray *candidate_servers; /* that may take a task of these jobs */
--- a/src/dispatcher_requests.c
+++ b/src/dispatcher_requests.c
@@ -141,8 +141,13 @@
   const ResourceRequest nothing = { .rank = RANK_INFEASIBLE };
   LeasedServer *server;
 
+  if (!dispatcher->has_offers)
+    return;
+  dispatcher->has_offers = FALSE;
   TAILQ_FOREACH (server, &dispatcher->servers, link)
     {
+      if (server->status.offered && !server_is_open (server))
+        dispatcher->has_offers = TRUE;
       if (!server->status.offered || !server_is_open (server))
         continue;
       server->status.offered = FALSE;
--- a/src/dispatcher_servers.c
+++ b/src/dispatcher_servers.c
@@ -62,15 +62,27 @@
   dispatcher->linked_ms = dispatcher->now_ms;
   server->user_data = user_data;
   server->waits_for_starts = FALSE;
+  server->is_successor = FALSE;
   server->inventoried = FALSE;
   server->delay_ms = 0;
   server->request_throttle = throttle_new (REQUEST_INTERVAL_MIN_MS);
   return server;
 }
 
+static void
+note_predecessor (const LeasedServer *predecessor)
+{
+  LeasedServer *server;
+
+  TAILQ_FOREACH (server, &predecessor->dispatcher->servers, link)
+    if (strcmp (server->name, predecessor->name) == 0)
+      server->is_successor = FALSE;
+}
+
 void
 dispatcher_server_down (LeasedServer *server, gint64 now_ms)
 {
+  note_predecessor (server);
   server->user_data = NULL;
   server->unlinked_ms = now_ms;
   event_note ("server-unlinked", "-",
@@ -457,11 +469,14 @@
 /* A new agent reports ready only once none of its predecessor's runs is left. Waiting for
  * the predecessor's leases to expire would delay their tasks by about a second. */
 static void
-drop_predecessors (const LeasedServer *successor)
+drop_predecessors (LeasedServer *successor)
 {
   LeasedServer *server;
   LeasedServer *next;
 
+  if (successor->is_successor)
+    return;
+  successor->is_successor = TRUE;
   for (server = TAILQ_FIRST (&successor->dispatcher->servers); server != NULL;
        server = next)
     {
@@ -525,8 +540,11 @@
   update_leaving (server, status, other_instance);
   if (other_instance)
     server->relative_time = 1;
+  if (other_instance || !status->ready)
+    server->is_successor = FALSE;
   server_status_free (&server->status);
   server->status = *status;
+  server->dispatcher->has_offers |= status->offered;
   update_closed (server);
   if (status->ready)
     drop_predecessors (server);
