Link: write a frame at once

Cause, of this part: a frame was added to the output of a bufferevent, which registers for the socket to become writable, waits for that in another iteration of the loop, writes, and deregisters: four system calls for a frame, at 100,000 frames a second in all processes.

A frame is written at once if the link is up and nothing waits before it; what the socket doesn't take, and errors, are left to the bufferevent.

--- a/src/link.c
+++ b/src/link.c
@@ -27,6 +27,7 @@
 {
   link->closed = TRUE;
   g_clear_pointer (&link->bev, bufferevent_free);
+  g_clear_pointer (&link->frame, evbuffer_free);
   g_clear_pointer (&link->heartbeat, event_free);
   g_clear_pointer (&link->flush, event_free);
   link_clear_lists (link);
@@ -191,6 +192,7 @@
   if (what & BEV_EVENT_CONNECTED)
     {
       link->received_ms = clock_now_ms ();
+      link->connected = TRUE;
       bufferevent_set_timeouts (bev, NULL, NULL);
       counter_add (COUNTER_LINKS_OPENED, 1);
       return;
@@ -221,6 +223,8 @@
   link->heartbeat_ms = config->heartbeat_ms;
   link->timeout_ms = config->timeout_ms;
   link->bev = bufferevent_socket_new (config->base, fd, BEV_OPT_CLOSE_ON_FREE);
+  link->frame = evbuffer_new ();
+  link->connected = fd >= 0;
   for (int i = 0; i < LINK_N_LISTS; i++)
     link->lists[i] = g_ptr_array_new_with_free_func (link_free_message);
   link->hello_due = TRUE;
--- a/src/link_parts.h
+++ b/src/link_parts.h
@@ -3,12 +3,16 @@
  * link_send.c its sending side. */
 #include "link.h"
 
+#include <event2/buffer.h>
+
 #define LINK_HEADER_SIZE 4
 
 struct Link
 {
   const LinkConfig *config;
   struct bufferevent *bev;
+  struct evbuffer *frame; /* the frame that is being sent */
+  gboolean connected;
   struct event *heartbeat;
   struct event *flush;
   Gw__Hello *peer;
--- a/src/link_send.c
+++ b/src/link_send.c
@@ -8,6 +8,7 @@
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <string.h>
 
 /* A frame is sent at once when its messages exceed this. */
 #define FRAME_FULL_BYTES (1u << 20)
@@ -70,21 +71,35 @@
     counter_add (COUNTER_FRAMES_CONTROL, 1);
 }
 
+static void
+pack_frame (struct evbuffer *buffer, const Gw__Frame *frame, gsize size)
+{
+  guint32 header = htonl ((guint32)size);
+  struct evbuffer_iovec space;
+
+  evbuffer_reserve_space (buffer, LINK_HEADER_SIZE + size, &space, 1);
+  memcpy (space.iov_base, &header, LINK_HEADER_SIZE);
+  gw__frame__pack (frame, (guint8 *)space.iov_base + LINK_HEADER_SIZE);
+  space.iov_len = LINK_HEADER_SIZE + size;
+  evbuffer_commit_space (buffer, &space, 1);
+}
+
+/* Written at once: for each frame in its output a bufferevent registers for the socket to
+ * become writable and deregisters, in an iteration of its own. What the socket doesn't
+ * take is left to the bufferevent, as are errors. */
 static void
 write_frame (Link *link, const Gw__Frame *frame)
 {
   gsize size = gw__frame__get_packed_size (frame);
-  guint32 header = htonl ((guint32)size);
   struct evbuffer *output = bufferevent_get_output (link->bev);
-  struct evbuffer_iovec space;
 
   count_frame (frame, size + LINK_HEADER_SIZE, link->heartbeat_due);
   link->heartbeat_due = FALSE;
-  evbuffer_add (output, &header, LINK_HEADER_SIZE);
-  evbuffer_reserve_space (output, size, &space, 1);
-  gw__frame__pack (frame, space.iov_base);
-  space.iov_len = size;
-  evbuffer_commit_space (output, &space, 1);
+  pack_frame (link->frame, frame, size);
+  if (link->connected && evbuffer_get_length (output) == 0)
+    evbuffer_write (link->frame, bufferevent_getfd (link->bev));
+  if (evbuffer_get_length (link->frame) > 0)
+    evbuffer_add_buffer (output, link->frame);
   counter_set_max (COUNTER_LINK_BACKLOG, evbuffer_get_length (output));
 }
 
