Dispatcher: repeat the answer of a completed job while the entry exits

A caller whose connection broke with the answer in transit, and who asked a stopping entry again, was told that its job had not run: found by the review of the stops, proved by /dispatcher/exiting-entry-repeats-an-answer, which failed before.

Cause: since an exiting entry refuses what cannot end before it, the pump refused a job that was answered before, which the next tick would have answered with its result. Such jobs are passed over now.

--- a/src/dispatcher_order.c
+++ b/src/dispatcher_order.c
@@ -516,7 +516,7 @@
   for (job = TAILQ_FIRST (&dispatcher->jobs); job != NULL; job = next)
     {
       next = TAILQ_NEXT (job, link);
-      if (job->closed || job->placed > 0
+      if (job->closed || job->answered_before || job->placed > 0
           || feasibility_of (job, dispatcher->now_ms) != INFEASIBLE)
         continue;
       if (!job->started)
--- a/tests/test-dispatcher.c
+++ b/tests/test-dispatcher.c
@@ -1446,7 +1446,29 @@
   g_assert_cmpint (scene->last.end, ==, LEASED_GIVEN_UP);
 }
 
+/* Guards against a job that ran being refused as not run when its caller, whose
+ * connection broke, asks an exiting entry again. */
+static void
+exiting_entry_repeats_an_answer (Scene *scene)
+{
+  LeasedSpec spec;
+
+  scene_open (scene, 2000);
+  spec = spec_of (scene, "a", 1, 1200);
+  dispatcher_submit (scene->dispatcher, &spec, on_done, scene, scene->now);
+  dispatcher_pump (scene->dispatcher, scene->now);
+  report (scene, &scene->orders[0], TASK_DONE);
+  g_assert_cmpint (scene->last.end, ==, LEASED_COMPLETED);
+  dispatcher_set_end (scene->dispatcher, scene->now + 1000);
+  dispatcher_submit (scene->dispatcher, &spec, on_done, scene, scene->now);
+  dispatcher_pump (scene->dispatcher, scene->now);
+  dispatcher_tick (scene->dispatcher, scene->now);
+  g_assert_cmpuint (scene->results, ==, 2);
+  g_assert_cmpint (scene->last.end, ==, LEASED_COMPLETED);
+}
+
 static const Case cases[] = {
+  { "exiting-entry-repeats-an-answer", exiting_entry_repeats_an_answer },
   { "exiting-entry-begins-nothing-too-long", exiting_entry_begins_nothing_too_long },
   { "exiting-entry-answers-all", exiting_entry_answers_all },
   { "leaving-server-is-the-last-choice", leaving_server_is_the_last_choice },
