Entry: shorter stops that wait for what has begun to arrive

The first form of the stop that answers all made callers find no listener more often: with idle connections kept to the end, each request on them drew the stop out. Connections on which nothing has arrived since the last answer are closed at the end of the grace time again.

--- a/src/leased_entry.c
+++ b/src/leased_entry.c
@@ -16,7 +16,8 @@
 #define ENTRY_HEARTBEAT_FACTOR 4
 /* Time for the final frames and answers to be sent before the process exits. */
 #define FINAL_FLUSH_MS 100
-/* Between the end of the last job and the drain limit: for an entry that is short of
+#define LAST_WRITE_MS 10
+/* Between the last job's deadline and the final flush, for an entry that is short of
  * processor time. */
 #define FINAL_ANSWERS_MS 200
 
@@ -278,6 +279,16 @@
          && entry->ops->callers_are_quiet (entry->ctx);
 }
 
+/* Requests that were read in this iteration are answered in the next. */
+static void
+on_flushed (evutil_socket_t fd, short what, void *ctx)
+{
+  LeasedEntry *entry = ctx;
+  struct timeval delay = timeval_from_ms (LAST_WRITE_MS);
+
+  event_base_loopexit (entry->base, &delay);
+}
+
 static void
 drain_tick (LeasedEntry *entry, gint64 now)
 {
@@ -295,7 +306,7 @@
   event_note ("stopped", "-", "jobs=%u after_ms=%" G_GINT64_FORMAT,
               dispatcher_jobs (entry->dispatcher), elapsed);
   entry->ops->refuse_callers (entry->ctx);
-  event_base_loopexit (entry->base, &delay);
+  event_base_once (entry->base, -1, EV_TIMEOUT, on_flushed, entry, &delay);
 }
 
 static void
--- a/src/leased_entry.h
+++ b/src/leased_entry.h
@@ -25,7 +25,7 @@
   /* Look up the addresses of other entries; results go to leased_entry_learn (). */
   void (*look_up_entries) (gpointer ctx);
   /* The load balancer has had time to notice that the entry drains: accept no more
-   * connections. Requests on those that are open are still served. */
+   * connections, close unused ones. Requests that are received are still served. */
   void (*stop_accepting) (gpointer ctx);
   /* Whether all callers have their answers and none has begun to send a request. */
   gboolean (*callers_are_quiet) (gpointer ctx);
@@ -49,8 +49,8 @@
 /** leased_entry_reload - replace the seed addresses. */
 void leased_entry_reload (LeasedEntry *entry, const Settings *settings);
 
-/** leased_entry_drain - leave: connections are accepted for the grace time, requests on
- * open ones are served until none comes, at most until shortly before the drain limit. */
+/** leased_entry_drain - leave: connections are accepted for the grace time; then what was
+ * received is served until nothing more comes, at most until shortly before the limit. */
 void leased_entry_drain (LeasedEntry *entry);
 
 /** leased_entry_set_catalog - adopt a configuration; one that is not newer is ignored. */
