Harness: process_wait () returns the real exit code

It always returned 0, so that no test saw a daemon that ends a stop with an error or by a signal, and the check in restart () of the soak could not fail.

Cause: has_exited () looked at the process id only; nothing read the status that GLib had collected, and exit_code was never set.

The tests that wait after SIGTERM now check for 0.

--- a/tests/harness.c
+++ b/tests/harness.c
@@ -85,8 +85,8 @@
   GSubprocessLauncher *launcher = g_subprocess_launcher_new (G_SUBPROCESS_FLAGS_NONE);
   char *events = g_strconcat (process->log, ".events", NULL);
   GError *error = NULL;
-  GSubprocess *child;
 
+  g_clear_object (&process->child);
   g_clear_pointer (&process->http, g_free);
   g_clear_pointer (&process->frames, g_free);
   g_clear_pointer (&process->ready_address, g_free);
@@ -96,13 +96,10 @@
   g_subprocess_launcher_set_child_setup (launcher, die_with_parent, NULL, NULL);
   g_subprocess_launcher_set_stderr_file_path (launcher, process->log);
   g_subprocess_launcher_set_stdout_file_path (launcher, events);
-  child = g_subprocess_launcher_spawnv (launcher, (const char *const *)process->argv,
-                                        &error);
+  process->child = g_subprocess_launcher_spawnv (
+      launcher, (const char *const *)process->argv, &error);
   g_assert_no_error (error);
-  process->pid = atoi (g_subprocess_get_identifier (child));
-  g_object_set_data_full (G_OBJECT (launcher), "child", child, g_object_unref);
-  /* Keeps the object: has_exited () is true only once GLib has reaped the child. */
-  g_object_ref (child);
+  process->pid = atoi (g_subprocess_get_identifier (process->child));
   g_object_unref (launcher);
   g_free (events);
   harness_wait (harness, is_listening, process, process->name);
@@ -127,20 +124,23 @@
   g_assert_cmpint (kill (process->pid, number), ==, 0);
 }
 
-static gboolean
-has_exited (gpointer ctx)
+/* GLib drops the identifier when it has the exit status. */
+gboolean
+process_has_exited (gpointer ctx)
 {
   Process *process = ctx;
 
-  return kill (process->pid, 0) < 0;
+  return g_subprocess_get_identifier (process->child) == NULL;
 }
 
 int
 process_wait (Harness *harness, Process *process)
 {
-  harness_wait (harness, has_exited, process, process->name);
+  harness_wait (harness, process_has_exited, process, process->name);
   process->pid = 0;
-  return process->exit_code;
+  return g_subprocess_get_if_exited (process->child)
+             ? g_subprocess_get_exit_status (process->child)
+             : 128 + g_subprocess_get_term_sig (process->child);
 }
 
 void
@@ -180,6 +180,7 @@
       kill (process->pid, SIGCONT);
       kill (process->pid, SIGKILL);
     }
+  g_clear_object (&process->child);
   g_free (process->name);
   g_free (process->http);
   g_free (process->frames);
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -6,7 +6,7 @@
 #include "relay.h"
 
 #include <event2/event.h>
-#include <glib.h>
+#include <gio/gio.h>
 #include <signal.h>
 
 /* Timeout of every wait, after which the test fails: far more than any step needs. */
@@ -22,8 +22,8 @@
   char *settings;      /* path of the settings file, or NULL */
   char *log;           /* path of its standard error; events are in LOG.events */
   char **argv;
+  GSubprocess *child;
   int pid; /* 0: not running */
-  int exit_code;
 } Process;
 
 typedef struct
@@ -104,7 +104,11 @@
 /** process_kill - send SIGKILL and wait for the exit. */
 void process_kill (Harness *harness, Process *process);
 
-/** process_wait - wait for the exit. Return: 0; the exit code is not collected. */
+/** process_has_exited - whether it has exited since it was started or restarted. */
+gboolean process_has_exited (gpointer process);
+
+/** process_wait - wait for the exit. Return: the exit code, or 128 + the number of the
+ * signal that ended it. */
 int process_wait (Harness *harness, Process *process);
 
 /** process_restart - start it again with the same command line; ports change. */
--- a/tests/test-config.c
+++ b/tests/test-config.c
@@ -412,7 +412,7 @@
       Process *entry = harness_entry (harness, i);
 
       process_signal (entry, SIGTERM);
-      process_wait (harness, entry);
+      g_assert_cmpint (process_wait (harness, entry), ==, 0);
       process_restart (harness, entry);
       harness_wait_page (harness, entry->http, "/ready", "ready\n");
     }
--- a/tests/test-leaving.c
+++ b/tests/test-leaving.c
@@ -167,7 +167,7 @@
   Process *agent = harness_agent (harness, i);
 
   process_signal (agent, SIGTERM);
-  process_wait (harness, agent);
+  g_assert_cmpint (process_wait (harness, agent), ==, 0);
   process_restart (harness, agent);
   harness_wait_page (harness, agent->http, "/ready", "links");
 }
@@ -178,7 +178,7 @@
   Process *entry = harness_entry (harness, i);
 
   process_signal (entry, SIGTERM);
-  process_wait (harness, entry);
+  g_assert_cmpint (process_wait (harness, entry), ==, 0);
   process_restart (harness, entry);
   harness_wait_page (harness, entry->http, "/ready", "ready\n");
 }
@@ -227,7 +227,7 @@
   process_signal (harness_entry (harness, 0), SIGTERM);
   jobs_wait (jobs);
   g_assert_cmpuint (jobs_check (jobs).complete, ==, 3);
-  process_wait (harness, harness_entry (harness, 0));
+  g_assert_cmpint (process_wait (harness, harness_entry (harness, 0)), ==, 0);
   jobs_free (jobs);
   harness_free (harness);
 }
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -334,7 +334,7 @@
   harness_wait (scene->harness, last_job_started, scene, "a start");
   process_signal (scene->entries[0], SIGTERM);
   expect (scene, exchange, 200, "completed");
-  process_wait (scene->harness, scene->entries[0]);
+  g_assert_cmpint (process_wait (scene->harness, scene->entries[0]), ==, 0);
   expect_one_stop (scene->entries[0]);
 }
 
@@ -348,7 +348,7 @@
   i = server_of_last_job (scene);
   process_signal (scene->agents[i], SIGTERM);
   expect (scene, exchange, 200, "completed");
-  process_wait (scene->harness, scene->agents[i]);
+  g_assert_cmpint (process_wait (scene->harness, scene->agents[i]), ==, 0);
   expect_one_stop (scene->agents[i]);
   g_assert_false (run_is_logged (scene, i, "stopped"));
 }
--- a/tests/test-stopping.c
+++ b/tests/test-stopping.c
@@ -466,7 +466,7 @@
 
   platform_scene_open (&scene, &init);
   c->play (&scene);
-  process_wait (scene.harness, scene.entries[0]);
+  g_assert_cmpint (process_wait (scene.harness, scene.entries[0]), ==, 0);
   g_assert_true (is_stopped (&scene));
   platform_check_runs (&scene, NULL, NULL);
   platform_scene_close (&scene);
