Soak: callers go on using an entry that is being stopped

Missed: requests that a stopping entry had received and cut off without an answer (LOST).

Cause: the soak marked an entry as down when SIGTERM was sent, just resent a request whose connection broke, and sent nothing while it waited for the exit.

An entry is now down once its process is gone, and a fault that tells a process to exit ends when it has. A request that breaks at an entry that was neither killed nor frozen since it was sent fails the soak if a task of its job started before the caller may resend it, or more than 200 ms after it was sent. This holds for entries that aren't stopping, too. Requests that were not sent count as not run.

--- a/tests/platform_scene.c
+++ b/tests/platform_scene.c
@@ -466,7 +466,7 @@
 
       starts += event->is_start;
       if (each != NULL)
-        each (event->is_start, event->task, event->kind, ctx);
+        each (event->is_start, event->task, event->kind, event->at_ms, ctx);
     }
   g_array_unref (events);
   return starts;
--- a/tests/platform_scene.h
+++ b/tests/platform_scene.h
@@ -90,6 +90,7 @@
 typedef void (*PlatformRunFunc) (gboolean is_start,
                                  const char *task,
                                  const char *kind,
+                                 gint64 at_ms,
                                  gpointer ctx);
 
 /**
--- a/tests/soak_faults.c
+++ b/tests/soak_faults.c
@@ -24,9 +24,17 @@
 {
 }
 
+static void
+note_disturbed (Soak *soak, const Fault *fault, guint target)
+{
+  if (fault->kind == ON_ENTRY)
+    soak->disturbed_ms[target] = clock_now_ms ();
+}
+
 static void
 freeze (Soak *soak, const Fault *fault, guint target)
 {
+  note_disturbed (soak, fault, target);
   process_signal (process_at (soak, fault, target), SIGSTOP);
 }
 
@@ -34,6 +42,7 @@
 unfreeze (Soak *soak, const Fault *fault, guint target)
 {
   process_signal (process_at (soak, fault, target), SIGCONT);
+  note_disturbed (soak, fault, target);
 }
 
 static void
@@ -45,14 +54,13 @@
 static void
 kill_process (Soak *soak, const Fault *fault, guint target)
 {
-  soak->down[target] |= fault->kind == ON_ENTRY;
+  note_disturbed (soak, fault, target);
   process_kill (soak->scene.harness, process_at (soak, fault, target));
 }
 
 static void
 terminate (Soak *soak, const Fault *fault, guint target)
 {
-  soak->down[target] |= fault->kind == ON_ENTRY;
   process_signal (process_at (soak, fault, target), SIGTERM);
 }
 
@@ -61,16 +69,14 @@
 restart (Soak *soak, const Fault *fault, guint target)
 {
   Process *process = process_at (soak, fault, target);
+  int code = process->pid > 0 ? process_wait (soak->scene.harness, process) : 0;
 
-  if (process->pid > 0)
-    g_assert_cmpint (process_wait (soak->scene.harness, process), ==, 0);
+  if (code != 0)
+    g_error ("%s exited with code %d, log %s", process->name, code, process->log);
   if (fault->kind == ON_AGENT)
-    {
-      platform_restart_agent (&soak->scene, target);
-      return;
-    }
-  platform_restart_entry (&soak->scene, target);
-  soak->down[target] = FALSE;
+    platform_restart_agent (&soak->scene, target);
+  else
+    platform_restart_entry (&soak->scene, target);
 }
 
 static void
@@ -268,19 +274,43 @@
   fault->begin (soak, fault, target);
 }
 
-void
+static gboolean
+is_over (Soak *soak, const ActiveFault *active, guint target, gboolean all)
+{
+  gint64 now = clock_now_ms ();
+  Process *process;
+
+  if (!all && now < active->until_ms)
+    return FALSE;
+  if (active->fault->begin != terminate)
+    return TRUE;
+  process = process_at (soak, active->fault, target);
+  if (now > active->until_ms + HARNESS_WAIT_MS)
+    g_error ("timed out waiting for the exit of %s, log %s", process->name, process->log);
+  return process_has_exited (process);
+}
+
+gboolean
 soak_end_faults (Soak *soak, gboolean all)
 {
+  gboolean none_left = TRUE;
+
   for (guint kind = 0; kind < N_TARGET_KINDS; kind++)
     for (guint target = 0; target < PLATFORM_MAX; target++)
       {
         ActiveFault *active = &soak->active[kind][target];
 
-        if (active->fault == NULL || (!all && clock_now_ms () < active->until_ms))
+        if (active->fault == NULL)
           continue;
+        if (!is_over (soak, active, target, all))
+          {
+            none_left = FALSE;
+            continue;
+          }
         active->fault->end (soak, active->fault, target);
         active->fault = NULL;
       }
+  return none_left;
 }
 
 void
--- a/tests/soak_parts.h
+++ b/tests/soak_parts.h
@@ -43,13 +43,24 @@
   gint64 until_ms;
 } ClosedSpan;
 
+/* A request that ended without an answer, though no fault but SIGTERM met its entry. */
+typedef struct
+{
+  guint number;
+  guint entry;
+  gint64 sent_ms;
+  gint64 ended_ms;
+  guint starts; /* of tasks of its job, before the caller may have resent it */
+} Cut;
+
 struct Soak
 {
   PlatformScene scene;
   GRand *random;
   ActiveFault active[N_TARGET_KINDS][PLATFORM_MAX];
-  gboolean down[PLATFORM_MAX]; /* entries that were killed or told to exit */
+  gint64 disturbed_ms[PLATFORM_MAX]; /* when an entry was last killed or frozen */
   GPtrArray *requests;
+  GArray *cuts;       /* of Cut */
   GHashTable *starts; /* set of jobs of which a task started */
   GHashTable *done;   /* set of completed tasks */
   gboolean closed;
@@ -63,8 +74,10 @@
  */
 void soak_inject_fault (Soak *soak);
 
-/** soak_end_faults - end the faults whose time has passed, or all. */
-void soak_end_faults (Soak *soak, gboolean all);
+/** soak_end_faults - end the faults whose time has passed, or all; that of a process that
+ * was told to exit not before it has. Return: whether none is left.
+ */
+gboolean soak_end_faults (Soak *soak, gboolean all);
 
 /** soak_note_closed_zone - call at each step: record when the zone is closed. */
 void soak_note_closed_zone (Soak *soak);
--- a/tests/test-soak.c
+++ b/tests/test-soak.c
@@ -20,6 +20,8 @@
 #define MEAN_FAULT_INTERVAL_MS 250
 /* The operator's time limit for applying a confirmed version when no fault is active. */
 #define MAX_APPLY_MS 2000
+/* A request that meets the closing of an idle connection ends sooner than this. */
+#define MAX_CLOSING_MS 200
 #define ADDED_PREFIX "/more/0/"
 /* At least this share of the jobs must complete despite the faults. */
 #define MIN_COMPLETED_SHARE 0.1
@@ -39,7 +41,8 @@
   guint tasks;
   char *body;
   guint tries;
-  guint n_not_run;    /* tries that were refused as not run */
+  guint n_not_run;    /* tries that were refused as not run, or not sent */
+  guint entry;        /* of the last try */
   Exchange *exchange; /* in progress, or NULL */
   gint64 resend_ms;   /* time of the next try; 0: none */
   int status;         /* of the last try */
@@ -54,13 +57,14 @@
 {
   guint entry = (guint)g_rand_int_range (soak->random, 0, (gint32)soak->scene.n_entries);
 
-  if (soak->down[entry])
+  if (process_has_exited (soak->scene.entries[entry]))
     {
       request->resend_ms = clock_now_ms () + PLATFORM_RESEND_MS;
       return;
     }
   request->resend_ms = 0;
   request->tries++;
+  request->entry = entry;
   request->exchange = platform_call (&soak->scene, entry, request->number, request->body);
 }
 
@@ -81,14 +85,28 @@
   g_free (spec);
 }
 
+static void
+note_cut (Soak *soak, const Request *request, const Exchange *exchange)
+{
+  Cut cut = { .number = request->number,
+              .entry = request->entry,
+              .sent_ms = exchange->called_us / 1000,
+              .ended_ms = exchange->answered_us / 1000 };
+
+  if (exchange->end == HTTP_BROKEN && soak->disturbed_ms[cut.entry] < cut.sent_ms)
+    g_array_append_val (soak->cuts, cut);
+}
+
 /* With no answer, or one that does not resolve the job, the caller resends elsewhere. */
 static void
-handle_answer (Request *request)
+handle_answer (Soak *soak, Request *request)
 {
   Exchange *exchange = g_steal_pointer (&request->exchange);
   gboolean answered = exchange->end == HTTP_ANSWERED;
 
   request->status = answered ? exchange->status : 0;
+  request->n_not_run += exchange->end == HTTP_NOT_SENT;
+  note_cut (soak, request, exchange);
   if (request->status == 200)
     {
       request->completed = strstr (exchange->body, "completed") != NULL;
@@ -117,7 +135,7 @@
       Request *request = g_ptr_array_index (soak->requests, i);
 
       if (request->exchange != NULL && request->exchange->done)
-        handle_answer (request);
+        handle_answer (soak, request);
       if (request->resend_ms > 0 && clock_now_ms () >= request->resend_ms)
         send_request (soak, request);
       pending |= request->exchange != NULL || request->resend_ms > 0;
@@ -134,11 +152,31 @@
 /* Checks. */
 
 static void
-note_run_event (gboolean starts, const char *task, const char *outcome, gpointer ctx)
+count_start (Soak *soak, const char *job, gint64 at_ms)
+{
+  guint64 number = g_ascii_strtoull (job, NULL, 16);
+
+  for (guint i = 0; i < soak->cuts->len; i++)
+    {
+      Cut *cut = &g_array_index (soak->cuts, Cut, i);
+
+      cut->starts += cut->number == number && at_ms >= cut->sent_ms
+                     && at_ms < cut->ended_ms + PLATFORM_RESEND_MS;
+    }
+}
+
+static void
+note_run_event (gboolean starts,
+                const char *task,
+                const char *outcome,
+                gint64 at_ms,
+                gpointer ctx)
 {
   Soak *soak = ctx;
   char *job = g_strndup (task, strcspn (task, "."));
 
+  if (starts)
+    count_start (soak, job, at_ms);
   if (starts)
     g_hash_table_add (soak->starts, job);
   else
@@ -168,6 +206,25 @@
   g_free (job);
 }
 
+/* No server can avoid that a request meets the closing of an idle connection; all others
+ * that it has received must be answered. */
+static void
+check_cuts (const Soak *soak)
+{
+  for (guint i = 0; i < soak->cuts->len; i++)
+    {
+      const Cut *cut = &g_array_index (soak->cuts, Cut, i);
+      gint64 after_ms = cut->ended_ms - cut->sent_ms;
+
+      if (cut->starts > 0 || after_ms > MAX_CLOSING_MS)
+        g_error ("entry %u cut job %016x off after %" G_GINT64_FORMAT
+                 " ms, %u tasks started, logs in %s",
+                 cut->entry, cut->number, after_ms, cut->starts,
+                 soak->scene.harness->folder);
+    }
+  g_test_message ("%u requests met the closing of a connection", soak->cuts->len);
+}
+
 static void
 check_all (Soak *soak)
 {
@@ -181,6 +238,7 @@
       check_request (soak, request);
       completed += request->completed;
     }
+  check_cuts (soak);
   g_test_message ("%u of %u jobs completed, %u runs", completed, soak->requests->len,
                   starts);
   g_assert_cmpuint (completed, >, (guint)(MIN_COMPLETED_SHARE * soak->requests->len));
@@ -230,6 +288,13 @@
   g_assert_cmpint (clock_now_ms () - confirmed_ms, <=, MAX_APPLY_MS);
 }
 
+static gboolean
+faults_are_over (gpointer ctx)
+{
+  update_requests (ctx);
+  return soak_end_faults (ctx, TRUE);
+}
+
 static void
 run_load (Soak *soak, guint seconds)
 {
@@ -271,12 +336,13 @@
   g_test_message ("seed %u", seed);
   platform_scene_open (&soak.scene, &init);
   soak.requests = g_ptr_array_new_with_free_func (request_free);
+  soak.cuts = g_array_new (FALSE, FALSE, sizeof (Cut));
   soak.starts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   soak.done = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   soak.closed_spans = g_array_new (FALSE, FALSE, sizeof (ClosedSpan));
   run_load (&soak, seconds);
   soak_note_closed_zone (&soak);
-  soak_end_faults (&soak, TRUE);
+  harness_wait (soak.scene.harness, faults_are_over, &soak, "the end of all faults");
   soak_open_zone (&soak);
   check_config_applied (&soak.scene);
   harness_wait (soak.scene.harness, all_are_answered, &soak, "answers");
@@ -285,6 +351,7 @@
   soak_check_closed_zone (&soak);
   g_array_unref (soak.closed_spans);
   g_ptr_array_unref (soak.requests);
+  g_array_unref (soak.cuts);
   g_hash_table_unref (soak.starts);
   g_hash_table_unref (soak.done);
   platform_scene_close (&soak.scene);
