Soak: callers that first use their connection during a stop

Missed: the soak's callers open a connection only to use it at once, so that none sends its first request on an open connection late in a stop, as in test-stopping's first-request-late-in-the-stop.

--- a/tests/soak_faults.c
+++ b/tests/soak_faults.c
@@ -61,6 +61,8 @@
 static void
 terminate (Soak *soak, const Fault *fault, guint target)
 {
+  if (fault->kind == ON_ENTRY)
+    soak_connect_late_callers (soak, target);
   process_signal (process_at (soak, fault, target), SIGTERM);
 }
 
--- a/tests/soak_parts.h
+++ b/tests/soak_parts.h
@@ -61,6 +61,7 @@
   gint64 disturbed_ms[PLATFORM_MAX]; /* when an entry was last killed or frozen */
   GPtrArray *requests;
   GArray *cuts;       /* of Cut */
+  GPtrArray *late;    /* callers of soak_late.c; NULL: none yet */
   GHashTable *starts; /* set of jobs of which a task started */
   GHashTable *done;   /* set of completed tasks */
   gboolean closed;
@@ -79,6 +80,14 @@
  */
 gboolean soak_end_faults (Soak *soak, gboolean all);
 
+/** soak_connect_late_callers - open connections to an entry whose first requests are sent
+ * during its stop, which the caller begins next.
+ */
+void soak_connect_late_callers (Soak *soak, guint entry);
+
+/** soak_update_late_callers - call at each step. Return: whether all have ended. */
+gboolean soak_update_late_callers (Soak *soak);
+
 /** soak_note_closed_zone - call at each step: record when the zone is closed. */
 void soak_note_closed_zone (Soak *soak);
 
--- a/tests/test-soak.c
+++ b/tests/test-soak.c
@@ -128,7 +128,7 @@
 static gboolean
 update_requests (Soak *soak)
 {
-  gboolean pending = FALSE;
+  gboolean pending = !soak_update_late_callers (soak);
 
   for (guint i = 0; i < soak->requests->len; i++)
     {
@@ -352,6 +352,7 @@
   g_array_unref (soak.closed_spans);
   g_ptr_array_unref (soak.requests);
   g_array_unref (soak.cuts);
+  g_clear_pointer (&soak.late, g_ptr_array_unref);
   g_hash_table_unref (soak.starts);
   g_hash_table_unref (soak.done);
   platform_scene_close (&soak.scene);
