Known failures: an abort is known only after the test that it followed

The symptom listed for /zones/closed/the-only-entry-is-cut-off is an assertion that all eleven cases of /zones/closed share, so a failure of any of them would have passed as known. An entry may now name, as after="...", the last test that passed before the abort. Checked on the saved output of the failure: known as it is, failed with that test's line taken out.

--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -8,10 +8,14 @@
 failed=0
 
 # A test killed by a signal prints no test path. It counts as known only if its output has
-# the symptom that KNOWN-RED.txt gives as abort="..."; otherwise it counts as failed.
+# the symptom that KNOWN-RED.txt gives as abort="..." and, where after="..." names a test,
+# that one was the last to pass; otherwise it counts as failed.
 is_known_abort() {
   [ -f KNOWN-RED.txt ] || return 1
   known_symptom=$(sed -n "s/^$name: .*abort=\"\([^\"]*\)\".*/\1/p" KNOWN-RED.txt)
+  known_after=$(sed -n "s/^$name: .*after=\"\([^\"]*\)\".*/\1/p" KNOWN-RED.txt)
+  last_ok=$(grep '^ok ' "$output" | tail -n 1)
+  [ -z "$known_after" ] || [ "${last_ok#ok * }" = "$known_after" ] || return 1
   [ -n "$known_symptom" ] && grep -qF "$known_symptom" "$output" "$build/$name.log"
 }
 
