--- a/review/standins/scene.c
+++ b/review/standins/scene.c
@@ -10,9 +10,6 @@
 #include <time.h>
 #include <unistd.h>
 
-#define FRONT_PORT 8161
-#define READY_PORT 8167
-#define CONTROL_PORT 8166
 #define READY_MS 20000
 #define TEMPLATE_BYTES 65536
 
@@ -23,6 +20,7 @@
   char ip[TEXT];
   char front[TEXT];
   char control[TEXT];
+  char ready[TEXT];
   char settings[2 * TEXT];
   char log[2 * TEXT];
   pid_t pid;
@@ -133,6 +131,32 @@
   _exit (n > 0 ? 1 : 0);
 }
 
+static void
+choose_address (const char *ip, char *address)
+{
+  int port = 0;
+  int fd = tcp_listen (ip, &port);
+
+  if (fd < 0)
+    scene_unable ("no free port");
+  close (fd);
+  snprintf (address, TEXT, "%s:%d", ip, port);
+}
+
+static void
+choose_addresses (void)
+{
+  for (int i = 0; i < MAX_MACHINES; i++)
+    {
+      Machine *machine = &machines[i];
+
+      snprintf (machine->ip, sizeof machine->ip, "127.%d.1.%d", network, i + 1);
+      choose_address (machine->ip, machine->front);
+      choose_address (machine->ip, machine->control);
+      choose_address (machine->ip, machine->ready);
+    }
+}
+
 void
 scene_begin (const char *case_folder, const char *routes)
 {
@@ -152,6 +176,7 @@
   if (mkdtemp (folder) == NULL)
     scene_unable ("no temporary folder");
   network = 1 + (int)getpid () % 200;
+  choose_addresses ();
   snprintf (ip, sizeof ip, "127.%d.9.1", network);
   snprintf (config, sizeof config,
             "{\"version\":7,\"routes\":[%s],\"services\":[{\"name\":\"exchange\","
@@ -202,8 +227,7 @@
   replace_all (text, sizeof text, "{{ip}}", machine->ip);
   replace_all (text, sizeof text, "{{listen.front}}", machine->front);
   replace_all (text, sizeof text, "{{listen.control}}", machine->control);
-  snprintf (listen, sizeof listen, "%s:%d", machine->ip, READY_PORT);
-  replace_all (text, sizeof text, "{{listen.ready}}", listen);
+  replace_all (text, sizeof text, "{{listen.ready}}", machine->ready);
   replace_all (text, sizeof text, "{{platform.address}}", table);
   replace_all (text, sizeof text, "{{bounds.hold_max_ms}}", "1000");
   replace_all (text, sizeof text, "{{bounds.drain_ms}}", "2000");
@@ -255,11 +279,6 @@
   machine->is_entry = is_entry;
   snprintf (machine->name, sizeof machine->name, "%s-%d", is_entry ? "front" : "side",
             n_machines);
-  snprintf (machine->ip, sizeof machine->ip, "127.%d.1.%d", network, n_machines + 1);
-  snprintf (machine->front, sizeof machine->front, "127.%d.1.%d:%d", network,
-            n_machines + 1, FRONT_PORT);
-  snprintf (machine->control, sizeof machine->control, "127.%d.1.%d:%d", network,
-            n_machines + 1, CONTROL_PORT);
   snprintf (machine->settings, sizeof machine->settings, "%s/%s.conf", folder,
             machine->name);
   snprintf (machine->log, sizeof machine->log, "%s/%s.log", folder, machine->name);
@@ -270,11 +289,7 @@
 const char *
 scene_next_control (void)
 {
-  static char address[TEXT];
-
-  snprintf (address, sizeof address, "127.%d.1.%d:%d", network, n_machines + 1,
-            CONTROL_PORT);
-  return address;
+  return machines[n_machines].control;
 }
 
 int
