review: case 2, a late start is carried out by a later boot under the same id

A start gets no answer and is resolved as not run, the task runs elsewhere; the server restarts under its id while its agent is frozen, and carries the start out.

--- a/review/standins/client.c
+++ b/review/standins/client.c
@@ -96,19 +96,6 @@
   return status;
 }
 
-int
-client_cancel (int entry, const char *path, const char *id)
-{
-  char whole[TEXT + ID];
-  int status;
-
-  snprintf (whole, sizeof whole, "%s%s", path, id);
-  status = http_call (scene_front (entry), "DELETE", whole, "Host: nony24.example\r\n",
-                      "", DEADLINE_MS, NULL);
-  note ("client cancels %s: %d", id, status);
-  return status;
-}
-
 void
 client_set_deadline (int ms)
 {
--- a/review/standins/scene.c
+++ b/review/standins/scene.c
@@ -334,20 +334,6 @@
   kill (machines[machine].pid, number);
 }
 
-void
-scene_kill (int machine)
-{
-  scene_signal (machine, SIGKILL);
-  waitpid (machines[machine].pid, NULL, 0);
-  machines[machine].pid = 0;
-}
-
-void
-scene_restart (int machine)
-{
-  spawn (&machines[machine]);
-}
-
 bool
 scene_alive (int machine)
 {
--- a/review/standins/scene.h
+++ b/review/standins/scene.h
@@ -39,11 +39,6 @@
 /** scene_add_agent - start the agent beside @server. */
 int scene_add_agent (Server *server);
 
-/** scene_kill - end the process of @machine with SIGKILL; scene_restart starts it again.
- */
-void scene_kill (int machine);
-void scene_restart (int machine);
-
 /** scene_signal - send @signal to the process of @machine. */
 void scene_signal (int machine, int signal);
 
@@ -150,14 +145,16 @@
 /** server_running - number of tasks that run there. */
 int server_running (Server *server);
 
-/** server_runs_job - number of tasks of job @id that run there. */
-int server_runs_job (Server *server, const char *id);
+/** server_keep_id - from the next boot on, all boots have one id, and say when they were
+ * born. */
+void server_keep_id (Server *server);
 
-/** server_starts - number of starts carried out so far, in all boots. */
-int server_starts (Server *server);
+/** server_delay_next_start - the next run-start at any server gets no answer, and is
+ * carried out 2.2 s later by the boot that is there. */
+void server_delay_next_start (void);
 
-/** server_report_to - where heartbeats go from now on. */
-void server_report_to (Server *server, const char *address);
+/** server_with_late_start - the server that got that run-start; NULL: none yet. */
+Server *server_with_late_start (void);
 
 /** server_on_start - called on each start that is carried out: @spec as received, raw
  * JSON text; @labels of the boot. */
@@ -175,9 +172,6 @@
 /** client_submit_wait - send a job. Return: the status of the answer, 0 without one. */
 int client_submit_wait (int entry, const char *path, const char *body, char *id);
 
-/** client_cancel - DELETE a job. Return: the status of the answer, 0 without one. */
-int client_cancel (int entry, const char *path, const char *id);
-
 /** client_set_deadline - how long clients wait for an answer from now on. */
 void client_set_deadline (int ms);
 
