review: case 1, a reset connection leaves the job running, and it runs twice

A caller's connection is reset while its job runs. The entry watches for EV_CLOSED alone, which libevent does not report on EPOLLERR, and goes on; the caller sends the job again 1.3 s later, and another entry runs it at the same time.

--- a/review/1/case.c
+++ b/review/1/case.c
@@ -1,81 +1,69 @@
-/* A heartbeat of an earlier boot, delayed by a cut, arrives after a later boot of the
- * backend server has registered and runs tasks. */
+/* The connection of a client is reset while its job runs. The client sends the job again
+ * after retransmit_ms, to another entry. */
 #include "../standins/scene.h"
 
-#include <stdio.h>
-
 #define PATH "/lohu930/"
 #define ROUTES                                                                           \
   "{\"name\":\"r-1\",\"host\":\"nony24.example\",\"prefix\":\"" PATH                     \
   "\",\"kind\":\"unsafe\",\"timeout_ms\":1500,\"target_latency_ms\":60,"                 \
   "\"priority\":1,\"service\":\"exchange\",\"max_attempts\":2,\"stretch\":1.6}"
-/* Four tasks of 0.9 s on 1.6 cores, as the small sites have them. */
+/* Four tasks of 3.6 s on 1.6 cores: the longest of the small sites. */
 #define JOB                                                                              \
-  "{\"spec\":\"900\",\"best_effort\":true,\"steps\":[{\"count\":4,\"cpu\":1600,"         \
-  "\"mem_mb\":64,\"estimate_ms\":900}]}"
-#define CUT_MS 4000
-#define CRASH_MS 1900 /* after its start */
-#define DOWN_MS 500
-#define JOBS 48
-#define JOB_MS 250
-#define USED_MS 300 /* from the first task at the later boot to the late heartbeat */
+  "{\"spec\":\"3600\",\"best_effort\":true,\"steps\":[{\"count\":4,\"cpu\":1600,"        \
+  "\"mem_mb\":64,\"estimate_ms\":3600}]}"
+#define DEADLINE_MS 12000
+#define ENTRIES 3
+#define SERVERS 11
+#define JOBS 8
+#define RESET_MS 300
+#define RETRANSMIT_MS 1300 /* bounds.retransmit_ms */
+#define REST_MS 500
 
 static const char *const labels[] = { "a", "r1-1", NULL };
 
-/* The late heartbeat arrives once the later boot has been at work for a while. */
 static void
-submit_jobs (int entry, Server *first, Relay *path)
+play_job (const int *entries, int i)
 {
-  int64_t used_ms = 0;
-  bool released = false;
+  int first = entries[i % ENTRIES];
+  int other = entries[(i + 1) % ENTRIES];
+  char id[TEXT];
 
-  for (int i = 0; i < JOBS; i++)
+  client_choose_id (id);
+  if (scene_trouble ())
     {
-      client_submit (entry, PATH, JOB);
-      sleep_ms (JOB_MS);
-      if (used_ms == 0 && server_running (first) > 0)
-        used_ms = now_ms ();
-      if (released || used_ms == 0 || now_ms () - used_ms < USED_MS)
-        continue;
-      released = true;
-      relay_release (path);
+      client_submit_reset (first, PATH, JOB, id, RESET_MS);
+      sleep_ms (RETRANSMIT_MS);
     }
-  if (!released)
-    scene_unable ("the first server runs nothing");
+  client_submit_again (other, PATH, JOB, id);
+  sleep_ms (REST_MS);
 }
 
 int
 main (int argc, char **argv)
 {
-  char ip[] = "127.77.8.1";
-  Relay *path;
-  Server *first;
-  Server *second;
-  int entry;
+  static const char *const names[]
+      = { "w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8", "w9", "w10", "w11" };
+  char ip[] = "127.82.8.1";
+  Server *servers[SERVERS];
+  int entries[ENTRIES];
 
   scene_begin (argc > 1 ? argv[1] : ".", ROUTES);
-  entry = scene_add_entry (NULL);
-  path = relay_new (ip, scene_next_control ());
-  first = server_new ("first", ip, relay_address (path), 16000);
-  scene_add_agent (first);
-  second = server_new ("second", ip, scene_next_control (), 16000);
-  scene_add_agent (second);
+  for (int i = 0; i < ENTRIES; i++)
+    entries[i] = scene_add_entry (NULL);
+  for (int i = 0; i < SERVERS; i++)
+    {
+      servers[i] = server_new (names[i], ip, scene_next_control (), 16000);
+      scene_add_agent (servers[i]);
+    }
   sleep_ms (500);
-  server_boot (second, labels);
-
-  relay_hold (path, scene_trouble ());
-  note ("the path from the first server to its agent %s",
-        scene_trouble () ? "is cut" : "is there");
-  server_boot (first, labels);
-  sleep_ms (CRASH_MS);
-  server_crash (first);
-  sleep_ms (DOWN_MS);
-  server_boot (first, labels);
-  sleep_ms (CUT_MS - CRASH_MS - DOWN_MS);
-  relay_hold (path, false);
-  note ("the path is there");
-  submit_jobs (entry, first, path);
-  sleep_ms (2000);
-  note ("answered with 200: %d of %d jobs", client_answers (), JOBS);
+  for (int i = 0; i < SERVERS; i++)
+    server_boot (servers[i], labels);
+  for (int i = 0; i < ENTRIES; i++)
+    if (!scene_wait_ready (entries[i], PATH))
+      scene_unable ("an entry serves no job");
+  client_set_deadline (DEADLINE_MS);
+  for (int i = 0; i < JOBS; i++)
+    play_job (entries, i);
+  note ("answered with 200: %d of %d jobs", client_answers () - ENTRIES, JOBS);
   scene_end ();
 }
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x review/out/case-1 ] || { echo 'run review/build.sh first' >&2; exit 2; }
+[ -x review/out/case-1 ] || { echo "run review/build.sh first" >&2; exit 2; }
 exec review/out/case-1 review/1
--- a/review/standins/client.c
+++ b/review/standins/client.c
@@ -6,6 +6,8 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/random.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #define DEADLINE_MS 1500 /* the time budget of the small sites, unless it is set */
 #define ID 17
@@ -102,6 +104,51 @@
   atomic_store (&deadline_ms, ms);
 }
 
+void
+client_submit_reset (int entry,
+                     const char *path,
+                     const char *body,
+                     const char *id,
+                     int after_ms)
+{
+  struct linger at_once = { .l_onoff = 1, .l_linger = 0 };
+  char *text = NULL;
+  int fd = tcp_connect (scene_front (entry), atomic_load (&deadline_ms));
+  int n = asprintf (&text,
+                    "POST %s%s HTTP/1.1\r\nHost: nony24.example\r\n"
+                    "X-Deadline-Ms: %d\r\nContent-Length: %zu\r\n\r\n%s",
+                    path, id, atomic_load (&deadline_ms), strlen (body), body);
+
+  if (fd < 0 || n < 0 || !http_send (fd, text, (size_t)n))
+    scene_unable ("a client cannot send");
+  free (text);
+  note ("client sends %s: %.120s", id, body);
+  sleep_ms (after_ms);
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+  close (fd);
+  note ("the connection of %s is reset", id);
+}
+
+int
+client_submit_again (int entry, const char *path, const char *body, const char *id)
+{
+  Job job = { .entry = entry };
+  int status;
+
+  snprintf (job.path, sizeof job.path, "%s", path);
+  snprintf (job.id, sizeof job.id, "%s", id);
+  job.body = strdup (body);
+  status = submit (&job);
+  free (job.body);
+  return status;
+}
+
+void
+client_choose_id (char *id)
+{
+  choose_id (id);
+}
+
 int
 client_answers (void)
 {
--- a/review/standins/scene.h
+++ b/review/standins/scene.h
@@ -145,17 +145,6 @@
 /** server_running - number of tasks that run there. */
 int server_running (Server *server);
 
-/** server_keep_id - from the next boot on, all boots have one id, and say when they were
- * born. */
-void server_keep_id (Server *server);
-
-/** server_delay_next_start - the next run-start at any server gets no answer, and is
- * carried out 2.2 s later by the boot that is there. */
-void server_delay_next_start (void);
-
-/** server_with_late_start - the server that got that run-start; NULL: none yet. */
-Server *server_with_late_start (void);
-
 /** server_on_start - called on each start that is carried out: @spec as received, raw
  * JSON text; @labels of the boot. */
 typedef void (*OnStart) (Server *server, const char *task, int64_t run, const char *spec);
@@ -172,6 +161,20 @@
 /** client_submit_wait - send a job. Return: the status of the answer, 0 without one. */
 int client_submit_wait (int entry, const char *path, const char *body, char *id);
 
+/** client_choose_id - a new id of a job, with its NUL 17 bytes long. */
+void client_choose_id (char *id);
+
+/** client_submit_reset - send a job; after @after_ms its connection is reset. */
+void client_submit_reset (int entry,
+                          const char *path,
+                          const char *body,
+                          const char *id,
+                          int after_ms);
+
+/** client_submit_again - send a job that was sent before. Return: the status of the
+ * answer, 0 without one. */
+int client_submit_again (int entry, const char *path, const char *body, const char *id);
+
 /** client_set_deadline - how long clients wait for an answer from now on. */
 void client_set_deadline (int ms);
 
--- a/review/standins/server.c
+++ b/review/standins/server.c
@@ -23,7 +23,6 @@
 #define HEARTBEAT_TIMEOUT_MS 1000
 #define LISTED_ENDS 500
 #define WAIT_MAX_MS 2000
-#define LATE_MS 2200 /* applied_late: 2 to 12 s */
 
 typedef struct
 {
@@ -51,7 +50,6 @@
 struct Server
 {
   int64_t born_ms;
-  int64_t born; /* Unix time */
   int64_t sequence;
   int64_t token;
   int64_t lease_until; /* own clock */
@@ -74,7 +72,6 @@
   char report_to[TEXT];
   char id[TEXT];
   bool up;
-  bool keeps_id; /* restarts under its id, and says when it was born */
 };
 
 typedef struct
@@ -86,8 +83,6 @@
 
 static Server servers[MAX_SERVERS];
 static int n_servers;
-static atomic_bool late_next; /* the next start gets no answer, and is carried out late */
-static _Atomic (Server *) late_at;
 static OnStart on_start_call;
 /* One lock for all, so that what runs where is seen at one moment. */
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
@@ -99,16 +94,6 @@
   return now_ms () - server->born_ms + 1000;
 }
 
-/* The member that says when the server was born; empty if it does not. */
-static const char *
-born_member (const Server *server, char *text, size_t size)
-{
-  text[0] = '\0';
-  if (server->keeps_id)
-    snprintf (text, size, ",\"born\":%lld", (long long)server->born);
-  return text;
-}
-
 static int64_t *
 finished_run (Server *server, const char *name)
 {
@@ -261,7 +246,6 @@
   char *text = NULL;
   size_t size;
   FILE *out = open_memstream (&text, &size);
-  char born[TEXT];
   int listed = 0;
 
   fprintf (out, "{\"clock_ms\":%lld,\"running\":[", (long long)clock_of (server));
@@ -279,7 +263,7 @@
     fprintf (out, "%s[%lld,\"%s\",%lld,\"%s\",\"\"]", listed++ > 0 ? "," : "",
              (long long)server->ends[i].number, server->ends[i].name,
              (long long)server->ends[i].run, server->ends[i].how);
-  fprintf (out, "]%s}", born_member (server, born, sizeof born));
+  fprintf (out, "]}");
   fclose (out);
   return text;
 }
@@ -310,7 +294,6 @@
 carry_out (Server *server, int boot, const Message *request, char **answer)
 {
   char name[TASK_NAME];
-  char born[TEXT];
   const char *reason = NULL;
   int64_t token = json_number (request->body, "fencing_token", 0);
   bool is_hold = strncmp (request->head, "POST /hold", strlen ("POST /hold")) == 0;
@@ -338,8 +321,7 @@
       *answer = format_runs (server);
       return 200;
     }
-  if (asprintf (answer, "{\"clock_ms\":%lld%s%s%s%s}", (long long)clock_of (server),
-                born_member (server, born, sizeof born),
+  if (asprintf (answer, "{\"clock_ms\":%lld%s%s%s}", (long long)clock_of (server),
                 reason != NULL ? ",\"reason\":\"" : "", reason != NULL ? reason : "",
                 reason != NULL ? "\"" : "")
       < 0)
@@ -347,53 +329,6 @@
   return reason != NULL ? 409 : 200;
 }
 
-typedef struct
-{
-  Server *server;
-  Message request;
-} LateOrder;
-
-static void *
-carry_out_late (void *data)
-{
-  LateOrder *order = data;
-  char *answer = NULL;
-  int status = 0;
-
-  sleep_ms (LATE_MS);
-  pthread_mutex_lock (&lock);
-  if (order->server->up)
-    status = carry_out (order->server, order->server->boots, &order->request, &answer);
-  note ("%s carries out the late order: %d %s", order->server->name, status,
-        answer != NULL ? answer : "");
-  pthread_mutex_unlock (&lock);
-  free (answer);
-  http_clear (&order->request);
-  free (order);
-  return NULL;
-}
-
-/* Called with the lock held. Return: whether the order is one that gets no answer. */
-static bool
-delay_order (Server *server, const Message *request)
-{
-  bool expected = true;
-  LateOrder *order;
-
-  if (strncmp (request->head, "POST /run-start", strlen ("POST /run-start")) != 0
-      || !atomic_compare_exchange_strong (&late_next, &expected, false))
-    return false;
-  order = calloc (1, sizeof *order);
-  order->server = server;
-  order->request.head = strdup (request->head);
-  order->request.body = strdup (request->body);
-  order->request.size = request->size;
-  note ("%s gives no answer to %s", server->name, request->body);
-  atomic_store (&late_at, server);
-  thread_start (carry_out_late, order);
-  return true;
-}
-
 static void
 serve (Connection *connection, const Message *request)
 {
@@ -405,7 +340,7 @@
 
   pthread_mutex_lock (&lock);
   dead = !server->up || server->boots != connection->boot;
-  if (dead || delay_order (server, request))
+  if (dead)
     {
       pthread_mutex_unlock (&lock);
       return;
@@ -496,7 +431,6 @@
 format_report (Server *server)
 {
   char labels[TEXT] = "";
-  char born[TEXT];
   char *text = NULL;
 
   for (int i = 0; server->labels[i] != NULL; i++)
@@ -511,9 +445,9 @@
           "{\"service\":\"exchange\",\"address\":\"%s\",\"zone\":\"z\",\"version\":\"v1\""
           ",\"slots\":8,\"state\":\"ready\",\"cold_remaining_ms\":0,\"capacity\":"
           "{\"cpu\":%d,\"mem_mb\":65536,\"gpu\":0},\"labels\":[%s],\"clock_ms\":%lld,"
-          "\"seq\":%lld%s}",
+          "\"seq\":%lld}",
           server->address, server->cpu, labels, (long long)clock_of (server),
-          (long long)++server->sequence, born_member (server, born, sizeof born))
+          (long long)++server->sequence)
       < 0)
     scene_unable ("no memory");
   return text;
@@ -585,15 +519,6 @@
   return connection;
 }
 
-static int64_t
-unix_ms (void)
-{
-  struct timespec now;
-
-  clock_gettime (CLOCK_REALTIME, &now);
-  return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
-}
-
 void
 server_boot (Server *server, const char *const *labels)
 {
@@ -605,13 +530,12 @@
   pthread_mutex_lock (&lock);
   server->boots++;
   snprintf (server->id, sizeof server->id, "i-%s-%d-%d", server->name, (int)getpid (),
-            server->keeps_id ? 0 : server->boots);
+            server->boots);
   for (; labels[n] != NULL && n < MAX_LABELS; n++)
     server->labels[n] = labels[n];
   server->labels[n] = NULL;
   server->listener = fd;
   server->born_ms = now_ms ();
-  server->born = unix_ms ();
   server->sequence = 0;
   server->token = 0;
   server->lease_until = 0;
@@ -673,25 +597,6 @@
   return n;
 }
 
-void
-server_keep_id (Server *server)
-{
-  server->keeps_id = true;
-}
-
-void
-server_delay_next_start (void)
-{
-  atomic_store (&late_at, NULL);
-  atomic_store (&late_next, true);
-}
-
-Server *
-server_with_late_start (void)
-{
-  return atomic_load (&late_at);
-}
-
 void
 server_on_start (OnStart on_start)
 {
