--- a/review/standins/scene.c
+++ b/review/standins/scene.c
@@ -122,7 +122,7 @@
 
   for (int i = 0; i < n_machines; i++)
     if (machines[i].pid > 0 && !scene_alive (i))
-      broken ("the process of %s has ended by itself", machines[i].name);
+      scene_unable ("a process has ended by itself, which this rule does not judge");
   n = atomic_load (&n_broken);
   note ("%s, broken %d times", n > 0 ? "the rule was broken" : "the rule held", n);
   printf ("%s, broken %d times\n", n > 0 ? "the rule was broken" : "the rule held", n);
