--- a/review/standins/scene.h
+++ b/review/standins/scene.h
@@ -145,6 +145,17 @@
 /** server_running - number of tasks that run there. */
 int server_running (Server *server);
 
+/** server_keep_id - from the next boot on, all boots have one id, and say when they were
+ * born. */
+void server_keep_id (Server *server);
+
+/** server_delay_next_start - the next run-start at any server gets no answer, and is
+ * carried out 2.2 s later by the boot that is there. */
+void server_delay_next_start (void);
+
+/** server_with_late_start - the server that got that run-start; NULL: none yet. */
+Server *server_with_late_start (void);
+
 /** server_on_start - called on each start that is carried out: @spec as received, raw
  * JSON text; @labels of the boot. */
 typedef void (*OnStart) (Server *server, const char *task, int64_t run, const char *spec);
--- a/review/standins/server.c
+++ b/review/standins/server.c
@@ -23,6 +23,7 @@
 #define HEARTBEAT_TIMEOUT_MS 1000
 #define LISTED_ENDS 500
 #define WAIT_MAX_MS 2000
+#define LATE_MS 2200 /* applied_late: 2 to 12 s */
 
 typedef struct
 {
@@ -50,6 +51,7 @@
 struct Server
 {
   int64_t born_ms;
+  int64_t born; /* Unix time */
   int64_t sequence;
   int64_t token;
   int64_t lease_until; /* own clock */
@@ -72,6 +74,7 @@
   char report_to[TEXT];
   char id[TEXT];
   bool up;
+  bool keeps_id; /* restarts under its id, and says when it was born */
 };
 
 typedef struct
@@ -83,6 +86,8 @@
 
 static Server servers[MAX_SERVERS];
 static int n_servers;
+static atomic_bool late_next; /* the next start gets no answer, and is carried out late */
+static _Atomic (Server *) late_at;
 static OnStart on_start_call;
 /* One lock for all, so that what runs where is seen at one moment. */
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
@@ -94,6 +99,16 @@
   return now_ms () - server->born_ms + 1000;
 }
 
+/* The member that says when the server was born; empty if it does not. */
+static const char *
+born_member (const Server *server, char *text, size_t size)
+{
+  text[0] = '\0';
+  if (server->keeps_id)
+    snprintf (text, size, ",\"born\":%lld", (long long)server->born);
+  return text;
+}
+
 static int64_t *
 finished_run (Server *server, const char *name)
 {
@@ -246,6 +261,7 @@
   char *text = NULL;
   size_t size;
   FILE *out = open_memstream (&text, &size);
+  char born[TEXT];
   int listed = 0;
 
   fprintf (out, "{\"clock_ms\":%lld,\"running\":[", (long long)clock_of (server));
@@ -263,7 +279,7 @@
     fprintf (out, "%s[%lld,\"%s\",%lld,\"%s\",\"\"]", listed++ > 0 ? "," : "",
              (long long)server->ends[i].number, server->ends[i].name,
              (long long)server->ends[i].run, server->ends[i].how);
-  fprintf (out, "]}");
+  fprintf (out, "]%s}", born_member (server, born, sizeof born));
   fclose (out);
   return text;
 }
@@ -294,6 +310,7 @@
 carry_out (Server *server, int boot, const Message *request, char **answer)
 {
   char name[TASK_NAME];
+  char born[TEXT];
   const char *reason = NULL;
   int64_t token = json_number (request->body, "fencing_token", 0);
   bool is_hold = strncmp (request->head, "POST /hold", strlen ("POST /hold")) == 0;
@@ -321,7 +338,8 @@
       *answer = format_runs (server);
       return 200;
     }
-  if (asprintf (answer, "{\"clock_ms\":%lld%s%s%s}", (long long)clock_of (server),
+  if (asprintf (answer, "{\"clock_ms\":%lld%s%s%s%s}", (long long)clock_of (server),
+                born_member (server, born, sizeof born),
                 reason != NULL ? ",\"reason\":\"" : "", reason != NULL ? reason : "",
                 reason != NULL ? "\"" : "")
       < 0)
@@ -329,6 +347,53 @@
   return reason != NULL ? 409 : 200;
 }
 
+typedef struct
+{
+  Server *server;
+  Message request;
+} LateOrder;
+
+static void *
+carry_out_late (void *data)
+{
+  LateOrder *order = data;
+  char *answer = NULL;
+  int status = 0;
+
+  sleep_ms (LATE_MS);
+  pthread_mutex_lock (&lock);
+  if (order->server->up)
+    status = carry_out (order->server, order->server->boots, &order->request, &answer);
+  note ("%s carries out the late order: %d %s", order->server->name, status,
+        answer != NULL ? answer : "");
+  pthread_mutex_unlock (&lock);
+  free (answer);
+  http_clear (&order->request);
+  free (order);
+  return NULL;
+}
+
+/* Called with the lock held. Return: whether the order is one that gets no answer. */
+static bool
+delay_order (Server *server, const Message *request)
+{
+  bool expected = true;
+  LateOrder *order;
+
+  if (strncmp (request->head, "POST /run-start", strlen ("POST /run-start")) != 0
+      || !atomic_compare_exchange_strong (&late_next, &expected, false))
+    return false;
+  order = calloc (1, sizeof *order);
+  order->server = server;
+  order->request.head = strdup (request->head);
+  order->request.body = strdup (request->body);
+  order->request.size = request->size;
+  note ("%s gives no answer to %s", server->name, request->body);
+  atomic_store (&late_at, server);
+  thread_start (carry_out_late, order);
+  return true;
+}
+
 static void
 serve (Connection *connection, const Message *request)
 {
@@ -340,7 +405,7 @@
 
   pthread_mutex_lock (&lock);
   dead = !server->up || server->boots != connection->boot;
-  if (dead)
+  if (dead || delay_order (server, request))
     {
       pthread_mutex_unlock (&lock);
       return;
@@ -431,6 +496,7 @@
 format_report (Server *server)
 {
   char labels[TEXT] = "";
+  char born[TEXT];
   char *text = NULL;
 
   for (int i = 0; server->labels[i] != NULL; i++)
@@ -445,9 +511,9 @@
           "{\"service\":\"exchange\",\"address\":\"%s\",\"zone\":\"z\",\"version\":\"v1\""
           ",\"slots\":8,\"state\":\"ready\",\"cold_remaining_ms\":0,\"capacity\":"
           "{\"cpu\":%d,\"mem_mb\":65536,\"gpu\":0},\"labels\":[%s],\"clock_ms\":%lld,"
-          "\"seq\":%lld}",
+          "\"seq\":%lld%s}",
           server->address, server->cpu, labels, (long long)clock_of (server),
-          (long long)++server->sequence)
+          (long long)++server->sequence, born_member (server, born, sizeof born))
       < 0)
     scene_unable ("no memory");
   return text;
@@ -519,6 +585,15 @@
   return connection;
 }
 
+static int64_t
+unix_ms (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_REALTIME, &now);
+  return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
+}
+
 void
 server_boot (Server *server, const char *const *labels)
 {
@@ -530,12 +605,13 @@
   pthread_mutex_lock (&lock);
   server->boots++;
   snprintf (server->id, sizeof server->id, "i-%s-%d-%d", server->name, (int)getpid (),
-            server->boots);
+            server->keeps_id ? 0 : server->boots);
   for (; labels[n] != NULL && n < MAX_LABELS; n++)
     server->labels[n] = labels[n];
   server->labels[n] = NULL;
   server->listener = fd;
   server->born_ms = now_ms ();
+  server->born = unix_ms ();
   server->sequence = 0;
   server->token = 0;
   server->lease_until = 0;
@@ -597,6 +673,25 @@
   return n;
 }
 
+void
+server_keep_id (Server *server)
+{
+  server->keeps_id = true;
+}
+
+void
+server_delay_next_start (void)
+{
+  atomic_store (&late_at, NULL);
+  atomic_store (&late_next, true);
+}
+
+Server *
+server_with_late_start (void)
+{
+  return atomic_load (&late_at);
+}
+
 void
 server_on_start (OnStart on_start)
 {
