Notice callers whose connections are reset or closed while they wait

What callers saw: an entry went on with the job of a caller whose connection was reset. The caller sent it again 1.3 s later to another entry, and all its tasks ran twice at once. While such a job was open the entry used a whole core.

Cause: evhttp does not read between a request and its response, and the entry watched the socket for EV_CLOSED alone. On a reset epoll reports EPOLLERR and EPOLLHUP, which libevent passes on as EV_READ and EV_WRITE: nobody listened, and the level-triggered event came again at once. Entries of stored jobs watched nothing: a direct request of a lost client ran to its end.

Why this works: an open request keeps its connection's reads enabled with callbacks of its own until the response, as evhttp does while it writes one. A reset and an end of file then come as bufferevent events, on any backend of libevent. Bytes that arrive meanwhile stay in the buffer for the next request; beyond 64 KiB they are left in the socket, which is polled every 100 ms. Parked requests, requests during a stop, direct requests and operators' changes use the same watch. A client that shuts down its sending side counts as gone, as before.

Tests: /disconnects/*. The others passed before and guard the new watch.

--- a/src/callers.c
+++ b/src/callers.c
@@ -35,6 +35,7 @@
   LIST_REMOVE (caller, link_entry);
   caller->callers->open--;
   submission_free (caller->submission);
+  http_watch_free (caller->watch);
   g_free (caller);
 }
 
@@ -73,6 +74,7 @@
   HeldJob *job;
 
   caller->request = NULL;
+  g_clear_pointer (&caller->watch, http_watch_free);
   if (caller->reserved || caller->forwarding)
     return; /* freed when the pending call ends */
   job = holder_lookup (holder, &caller->key);
@@ -95,6 +97,7 @@
   LIST_INSERT_HEAD (&callers->list, caller, link_entry);
   evhttp_connection_set_timeout (connection, OPEN_TIMEOUT_S);
   evhttp_connection_set_closecb (connection, on_client_closed, caller);
+  caller->watch = http_watch_new (request, NULL, NULL);
   return caller;
 }
 
@@ -105,6 +108,7 @@
 
   if (caller->request == NULL)
     return;
+  g_clear_pointer (&caller->watch, http_watch_free);
   connection = evhttp_request_get_connection (caller->request);
   evhttp_connection_set_closecb (connection, NULL, NULL);
   evhttp_connection_set_timeout (connection, IDLE_TIMEOUT_S);
--- a/src/callers_parts.h
+++ b/src/callers_parts.h
@@ -3,6 +3,7 @@
  * jobs held by other entries). */
 #include "answers.h"
 #include "callers.h"
+#include "http_watch.h"
 #include "submission.h"
 
 #define JOBS_PATH "/v1/jobs"
@@ -15,6 +16,7 @@
   LIST_ENTRY (Caller) link_entry;
   Callers *callers;
   struct evhttp_request *request; /* NULL once the client has disconnected */
+  HttpWatch *watch;               /* of the request's connection */
   JobKey key;
   gboolean reserved; /* key is reserved, its job not submitted yet */
   Submission *submission;
--- a/src/operators.c
+++ b/src/operators.c
@@ -69,6 +69,7 @@
   PendingChange *pending = ctx;
 
   pending->request = NULL;
+  g_clear_pointer (&pending->watch, http_watch_free);
 }
 
 static void
@@ -97,6 +98,7 @@
   answer.body = json_to_text (builder);
   if (pending->request != NULL)
     {
+      http_watch_free (pending->watch);
       evhttp_connection_set_closecb (evhttp_request_get_connection (pending->request),
                                      NULL, NULL);
       answer_send (pending->request, &answer);
@@ -120,6 +122,7 @@
   pending->request = request;
   evhttp_connection_set_closecb (evhttp_request_get_connection (request),
                                  on_operator_disconnected, pending);
+  pending->watch = http_watch_new (request, NULL, NULL);
   config_change (operators->init.config, key, value, if_version, token, on_changed,
                  pending);
   g_free (value);
--- a/src/operators_parts.h
+++ b/src/operators_parts.h
@@ -1,6 +1,7 @@
 #pragma once
 /* Shared by operators.c (endpoints, configuration changes) and operators_rows.c (rows of
  * state). */
+#include "http_watch.h"
 #include "operators.h"
 
 struct Operators
@@ -12,6 +13,7 @@
 typedef struct
 {
   struct evhttp_request *request; /* NULL once the operator disconnected */
+  HttpWatch *watch;
 } PendingChange;
 
 /* operators.c */
