Report an order for a task that still runs for another entry

Cause: runner_start () ignored an order whose key it had, which is right for an order repeated by the same entry only. The second entry waited for a report that never came.

Why this works: the order now waits for the end of the run here and is then reported as not started, as superseded, since the server refuses a run whose number is not above that of an ended one. A report at once would have let the second entry start the task elsewhere beside the run. It is reported at once if its entry stops it or a third entry orders the task.

--- a/src/runner.c
+++ b/src/runner.c
@@ -123,6 +123,19 @@
   runner->ops->report (entry, report, runner->ctx);
 }
 
+/* Reports the order that waits for the end of @run as not started: the server refuses a
+ * run whose number is not above that of one that ended there. */
+static void
+refuse_next (Runner *runner, Run *run)
+{
+  RunReport refused = { run->next_key, REPORT_NOT_STARTED, "superseded" };
+  guint64 entry = run->next_entry;
+
+  run->next_entry = 0;
+  if (entry != 0)
+    emit_report (runner, entry, &refused);
+}
+
 void
 run_end (Runner *runner, Run *run, ReportKind kind, const char *reason)
 {
@@ -141,6 +154,7 @@
   past->entry = run->entry;
   past->ended_ms = runner->now_ms;
   TAILQ_INSERT_TAIL (undecided ? &runner->silent : &runner->past, past, link);
+  refuse_next (runner, run);
   run_free (runner, run);
   emit_report (runner, past->entry, &past->report);
   runner->ops->changed (runner->ctx);
@@ -251,6 +265,26 @@
     }
 }
 
+/* The caller has sent its job again, to another entry. Until the first entry's run has
+ * ended, the task must not be started elsewhere either. */
+static gboolean
+wait_for_run (Runner *runner, const RunRequest *request)
+{
+  Run *run = find_any_run (runner, &request->key);
+
+  if (run == NULL || run->entry == request->entry)
+    return FALSE;
+  if (run->next_entry == request->entry && run_key_equal (&run->next_key, &request->key))
+    return TRUE;
+  refuse_next (runner, run);
+  run->next_entry = request->entry;
+  run->next_key = request->key;
+  event_emit ("start-waits", run->key.job, "task=%u run=%u here=%u stopping=%d",
+              request->key.index, request->key.run, run->key.run,
+              run->stop_reason != NULL);
+  return TRUE;
+}
+
 void
 runner_start (Runner *runner, const RunRequest *request, gint64 now_ms)
 {
@@ -258,7 +292,7 @@
   Run *run;
 
   runner->now_ms = now_ms;
-  if (runner_find (runner, &request->key) != NULL)
+  if (wait_for_run (runner, request) || runner_find (runner, &request->key) != NULL)
     return;
   forget_run (&runner->past, request);
   forget_run (&runner->silent, request);
@@ -314,10 +348,14 @@
 void
 runner_stop (Runner *runner, guint64 entry, const RunKey *key, gint64 now_ms)
 {
-  Run *run = runner_find (runner, key);
+  Run *run = find_any_run (runner, key);
 
   runner->now_ms = now_ms;
-  if (run != NULL && run->entry == entry)
+  if (run == NULL)
+    return;
+  if (run->next_entry == entry && run_key_equal (&run->next_key, key))
+    refuse_next (runner, run);
+  else if (run->entry == entry && run_key_equal (&run->key, key))
     stop_run (runner, run, "stopped by its entry");
 }
 
@@ -553,7 +591,7 @@
   PastRun *past;
 
   TAILQ_FOREACH (run, &runner->runs, link)
-    if (run->entry == entry)
+    if (run->entry == entry || run->next_entry == entry)
       return TRUE;
   TAILQ_FOREACH (past, &runner->silent, link)
     if (past->entry == entry)
--- a/src/runner.h
+++ b/src/runner.h
@@ -104,7 +104,8 @@
 /** runner_server_left - @instance of the backend server has shut down cleanly. */
 void runner_server_left (Runner *runner, const char *instance, gint64 now_ms);
 
-/** runner_start - start it now or report REPORT_NOT_STARTED. */
+/** runner_start - start it now or report REPORT_NOT_STARTED; if the task runs here for
+ * another entry, once that run has ended. */
 void runner_start (Runner *runner, const RunRequest *request, gint64 now_ms);
 void runner_stop (Runner *runner, guint64 entry, const RunKey *key, gint64 now_ms);
 
--- a/src/runner_parts.h
+++ b/src/runner_parts.h
@@ -42,11 +42,13 @@
   double counted_ms;    /* length of the run as estimated then; 0: at its end */
   guint window_percent; /* begin of the progress that is compared with that */
   gint64 window_ms;
-  gboolean slowed; /* it was found to progress more slowly than then */
-  guint64 token;   /* fencing token of its last start */
-  guint starts;    /* sent */
-  gboolean listed; /* by an answer that is certain to be from the present instance */
-  gboolean held;   /* until it is known whether a restarted server runs it */
+  gboolean slowed;    /* it was found to progress more slowly than then */
+  guint64 token;      /* fencing token of its last start */
+  guint starts;       /* sent */
+  gboolean listed;    /* by an answer that is certain to be from the present instance */
+  gboolean held;      /* until it is known whether a restarted server runs it */
+  guint64 next_entry; /* orders the same task meanwhile; 0: none */
+  RunKey next_key;
   const char *stop_reason; /* NULL: it may run */
   gint64 stop_sent_ms;
 } Run;
--- a/tests/test-runner.c
+++ b/tests/test-runner.c
@@ -7,6 +7,7 @@
 
 #define ENTRY 11
 #define OTHER_ENTRY 12
+#define THIRD_ENTRY 13
 #define LEASE_MS 700
 #define LEASE_MAX_MS 1000 /* of a server that restarts under its name */
 #define CALLS_MAX 1024
@@ -668,6 +669,51 @@
   g_assert_cmpstr (last_report (scene)->reason, ==, "another run of the task is here");
 }
 
+/* Guards against a job that waits until its deadline, since the order of a task that
+ * still ran for the entry that had the job before was ignored without a report. */
+static void
+order_beside_another_entrys_run (Scene *scene)
+{
+  RunKey key = key_of ("j", 0, 1);
+
+  scene_ready (scene);
+  runner_extend_lease (scene->runner, OTHER_ENTRY, scene->now + 60000);
+  start_running (scene, "j", 1000);
+  order_start (scene, OTHER_ENTRY, "j", 1000);
+  order_start (scene, OTHER_ENTRY, "j", 1000);
+  g_assert_cmpuint (scene->n_reports, ==, 1);
+  g_assert_true (runner_has_work (scene->runner, OTHER_ENTRY));
+  runner_stop (scene->runner, ENTRY, &key, scene->now);
+  answer (scene, open_call (scene, CALLED_STOP), CALL_DONE);
+  g_assert_cmpuint (scene->n_reports, ==, 1);
+  answer_ended (scene, open_long_poll (scene), "j", RUN_END_STOPPED);
+  g_assert_cmpuint (scene->n_reports, ==, 3);
+  g_assert_cmpuint (scene->reports[1].entry, ==, OTHER_ENTRY);
+  g_assert_cmpint (scene->reports[1].kind, ==, REPORT_NOT_STARTED);
+  g_assert_cmpuint (scene->reports[2].entry, ==, ENTRY);
+  g_assert_cmpint (scene->reports[2].kind, ==, REPORT_LOST);
+  g_assert_false (runner_has_work (scene->runner, OTHER_ENTRY));
+}
+
+/* Guards against the same: the waiting order is stopped, or a third entry's comes. */
+static void
+order_beside_another_entrys_run_is_stopped (Scene *scene)
+{
+  RunKey key = key_of ("j", 0, 1);
+
+  scene_ready (scene);
+  start_running (scene, "j", 1000);
+  order_start (scene, OTHER_ENTRY, "j", 1000);
+  order_start (scene, THIRD_ENTRY, "j", 1000);
+  g_assert_cmpuint (last_report (scene)->entry, ==, OTHER_ENTRY);
+  g_assert_cmpint (last_report (scene)->kind, ==, REPORT_NOT_STARTED);
+  runner_stop (scene->runner, THIRD_ENTRY, &key, scene->now);
+  g_assert_cmpuint (last_report (scene)->entry, ==, THIRD_ENTRY);
+  g_assert_cmpint (last_report (scene)->kind, ==, REPORT_NOT_STARTED);
+  g_assert_null (open_call (scene, CALLED_STOP));
+  g_assert_cmpuint (runner_count (scene->runner), ==, 1);
+}
+
 /* Guards against jobs that wait until their deadline for one task on a server that hangs
  * but answers and renews leases: the progress of runs was not checked. */
 static void
@@ -1698,6 +1744,9 @@
   { "draining-takes-nothing", draining_takes_nothing },
   { "repeated-order-is-ignored", repeated_order_is_ignored },
   { "other-run-of-a-task-is-refused", other_run_of_a_task_is_refused },
+  { "order-beside-another-entrys-run", order_beside_another_entrys_run },
+  { "order-beside-another-entrys-run-is-stopped",
+    order_beside_another_entrys_run_is_stopped },
   { "hung-run-is-told", hung_run_is_told },
   { "long-run-is-no-straggler", long_run_is_no_straggler },
   { "ends-are-looked-for-under-starts", ends_are_looked_for_under_starts },
