Start nothing for a caller that is gone when its request is read

Cause: requests that were on their way at the reset. The entry reads them after it, as their bytes are in the socket still, and orders their tasks; the copy that the caller sends to another entry starts at the same time.

The end of a watched connection also goes before other events: the loop has two priorities, and looks for events of the higher every 2 ms.

Tests: /disconnects/unread/reset, close and half-close: the entry stands still while a caller sends a job and goes.

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -14,6 +14,7 @@
 /* The settings file is also polled, since it may change without a signal and the peer
  * addresses in it go out of date within seconds. */
 #define SETTINGS_POLL_MS 1000
+#define DISPATCH_MS 2
 
 typedef struct
 {
@@ -145,10 +146,26 @@
   reload (state);
 }
 
+/* Events have the lower priority of two unless they are set to the higher; those of the
+ * higher wait for DISPATCH_MS of others at most. */
+static struct event_base *
+event_loop_new (void)
+{
+  struct event_config *config = event_config_new ();
+  struct timeval interval = timeval_from_ms (DISPATCH_MS);
+  struct event_base *base;
+
+  event_config_set_max_dispatch_interval (config, &interval, -1, 1);
+  base = event_base_new_with_config (config);
+  event_base_priority_init (base, 2);
+  event_config_free (config);
+  return base;
+}
+
 static int
 run (const DaemonOps *ops, const Settings *settings, const char *settings_path)
 {
-  struct event_base *base = event_base_new ();
+  struct event_base *base = event_loop_new ();
   RunState state = { ops, ops->create (base, settings), settings_path };
   struct event *term = evsignal_new (base, SIGTERM, on_signal, &state);
   struct event *interrupt = evsignal_new (base, SIGINT, on_signal, &state);
--- a/src/http_watch.c
+++ b/src/http_watch.c
@@ -11,6 +11,7 @@
 #define MAX_AHEAD_BYTES (64 << 10)
 /* While it is not read, its socket is polled. */
 #define POLL_MS 100
+#define WATCH_PRIORITY 0 /* the highest */
 
 struct HttpWatch
 {
@@ -50,15 +51,23 @@
   event_add (watch->poll, &interval);
 }
 
+/* Return: the poll () events that tell of the connection's end. */
+static short
+poll_end (const HttpWatch *watch)
+{
+  struct pollfd socket = { .fd = bufferevent_getfd (watch->bev), .events = POLLRDHUP };
+
+  return poll (&socket, 1, 0) > 0 ? socket.revents : 0;
+}
+
 static void
 on_poll (evutil_socket_t fd, short what, void *ctx)
 {
   HttpWatch *watch = ctx;
-  struct pollfd socket
-      = { .fd = bufferevent_getfd (watch->bev), .events = POLLRDHUP, .revents = 0 };
+  short end = poll_end (watch);
 
-  if (poll (&socket, 1, 0) > 0 && socket.revents != 0)
-    disconnect (watch, (socket.revents & POLLERR) != 0);
+  if (end != 0)
+    disconnect (watch, (end & POLLERR) != 0);
 }
 
 HttpWatch *
@@ -74,16 +83,27 @@
                            on_poll, watch);
   /* evhttp installs its own callbacks again when the response is sent. */
   bufferevent_setcb (watch->bev, on_read, NULL, on_event, watch);
+  bufferevent_priority_set (watch->bev, WATCH_PRIORITY);
   bufferevent_enable (watch->bev, EV_READ);
   return watch;
 }
 
+gboolean
+http_watch_is_lost (const HttpWatch *watch)
+{
+  return poll_end (watch) != 0;
+}
+
 void
 http_watch_free (HttpWatch *watch)
 {
+  struct event_base *base;
+
   if (watch == NULL)
     return;
+  base = evhttp_connection_get_base (watch->connection);
   bufferevent_setcb (watch->bev, NULL, NULL, NULL, NULL);
+  bufferevent_priority_set (watch->bev, event_base_get_npriorities (base) / 2);
   event_free (watch->poll);
   g_free (watch);
 }
--- a/tests/test-disconnects.c
+++ b/tests/test-disconnects.c
@@ -324,6 +324,43 @@
   platform_scene_close (&scene);
 }
 
+typedef struct
+{
+  const char *name;
+  Go go;
+} UnreadCase;
+
+/* Each guards against an entry that is late to read a request and starts the tasks of a
+ * caller that has gone, beside those of its next attempt. */
+static const UnreadCase unread_cases[] = {
+  { "reset", GO_RESET },
+  { "close", GO_CLOSE },
+  { "half-close", GO_HALF_CLOSE },
+};
+
+static void
+test_unread (gconstpointer data)
+{
+  static const PlatformInit init = { 2, 2, FALSE, TRUE };
+  const UnreadCase *c = data;
+  PlatformScene scene;
+  Caller caller;
+  guint before;
+
+  platform_scene_open (&scene, &init);
+  before = platform_check_runs (&scene, NULL, NULL);
+  process_signal (scene.entries[0], SIGSTOP);
+  caller = submit (&scene, 0, TASK_MS, TASKS);
+  harness_run_ms (scene.harness, 20);
+  caller_go (&caller, c->go);
+  harness_run_ms (scene.harness, 20);
+  process_signal (scene.entries[0], SIGCONT);
+  submit_again (&scene, 1);
+  g_assert_cmpuint (platform_check_runs (&scene, NULL, NULL) - before, ==, TASKS);
+  caller_free (&caller);
+  platform_scene_close (&scene);
+}
+
 static gboolean
 one_was_cut (gpointer ctx)
 {
@@ -496,6 +533,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   ADD_CASES ("/disconnects", cases, test_case);
+  ADD_CASES ("/disconnects/unread", unread_cases, test_unread);
   g_test_add_func ("/disconnects/processor-time", test_processor_time);
   g_test_add_func ("/disconnects/parked", test_parked);
   g_test_add_func ("/disconnects/bytes-behind-a-parked-get",
