Let the server confirm an instance that reports while another is known

Cause: a report with an id that this agent had not seen was taken as proof that the present instance had ended. A heartbeat that a cut had delayed, of an instance from before the agent's first report, ended all runs in the agent's view while the server ran them on; the present instance was then put on the list of past ones, and its own reports were ignored.

Why this works: the server itself knows which instance it is. The report is kept, and a call that names its instance, with no lease and the lowest token, is sent. Another instance refuses it: the report is outdated. Any other answer confirms it. The known instance ends earlier only if it refuses a call itself, or leaves. A restart under the same name is not concerned: such servers say which start is the later. A report that is not taken is not stored for the agent's next start either.

Tests: /runner/late-report-of-an-unknown-instance, unconfirmed-instance-is-asked-again, known-instance-is-refused-meanwhile; all three failed before. unconfirmed-instance-is-forgotten guards the bound of the new calls. send_facts () of test-runner.c and a case of test-speed.c now let the server confirm a new instance; their assertions are unchanged.

--- a/src/leased_agent.c
+++ b/src/leased_agent.c
@@ -101,9 +101,6 @@
   offers_request (agent->offers, entry, resources, clock_now_ms ());
 }
 
-static const RunnerOps runner_ops
-    = { on_report, on_straggles, on_no_room, on_runner_changed };
-
 /* Links. */
 
 static void
@@ -146,6 +143,23 @@
   runner_set_zone_closed (agent->runner, closed);
 }
 
+static void
+on_facts (const ServerFacts *facts, gpointer ctx)
+{
+  LeasedAgent *agent = ctx;
+
+  g_free (agent->service);
+  agent->service = g_strdup (facts->service);
+  g_free (agent->zone);
+  agent->zone = g_strdup (facts->zone);
+  g_strfreev (agent->labels);
+  agent->labels = g_strdupv ((char **)facts->labels);
+  apply_zones (agent);
+}
+
+static const RunnerOps runner_ops
+    = { on_report, on_straggles, on_no_room, on_runner_changed, on_facts };
+
 static void
 zones_changed (LeasedAgent *agent)
 {
@@ -392,18 +406,10 @@
   runner_drain (agent->runner);
 }
 
-void
+gboolean
 leased_agent_facts (LeasedAgent *agent, const ServerFacts *facts)
 {
-  if (!runner_facts (agent->runner, facts, clock_now_ms ()))
-    return;
-  g_free (agent->service);
-  agent->service = g_strdup (facts->service);
-  g_free (agent->zone);
-  agent->zone = g_strdup (facts->zone);
-  g_strfreev (agent->labels);
-  agent->labels = g_strdupv ((char **)facts->labels);
-  apply_zones (agent);
+  return runner_facts (agent->runner, facts, clock_now_ms ());
 }
 
 void
--- a/src/leased_agent.h
+++ b/src/leased_agent.h
@@ -35,8 +35,9 @@
  * the drain limit has passed. */
 void leased_agent_drain (LeasedAgent *agent);
 
-/** leased_agent_facts - handle a heartbeat report of the backend server. */
-void leased_agent_facts (LeasedAgent *agent, const ServerFacts *facts);
+/** leased_agent_facts - handle a heartbeat report of the backend server. Return: FALSE if
+ * it is outdated, or of an instance that the server has yet to confirm. */
+gboolean leased_agent_facts (LeasedAgent *agent, const ServerFacts *facts);
 void leased_agent_server_leaves (LeasedAgent *agent, const char *instance);
 
 /** leased_agent_update_zones - apply zone states read from the platform's table;
--- a/src/runner.c
+++ b/src/runner.c
@@ -78,6 +78,7 @@
     g_free (runner->past_instances[i]);
   g_free (runner->past_instances);
   g_hash_table_unref (runner->entry_leases);
+  runner_drop_candidate (runner);
   g_free (runner->instance);
   g_free (runner->name);
   g_free (runner);
@@ -87,6 +88,7 @@
 runner_close (Runner *runner)
 {
   runner->instance_epoch++;
+  runner_drop_candidate (runner);
   runner->state = INSTANCE_UNKNOWN;
 }
 
@@ -481,6 +483,7 @@
   forget_past_runs (&runner->silent, now_ms - RESTART_SEEN_MS);
   g_hash_table_foreach_remove (runner->entry_leases, entry_lease_is_old, runner);
   runner_check_held (runner);
+  runner_check_candidate (runner);
   if (runner->state == INSTANCE_UNKNOWN)
     return;
   runner_check_cold (runner);
--- a/src/runner.h
+++ b/src/runner.h
@@ -80,6 +80,8 @@
   void (*no_room) (guint64 entry, const ResourceRequest *resources, gpointer ctx);
   /* Readiness, capacity or use have changed. */
   void (*changed) (gpointer ctx);
+  /* A report of the server was taken. NULL: not needed. */
+  void (*took_facts) (const ServerFacts *facts, gpointer ctx);
 } RunnerOps;
 
 typedef struct
@@ -98,7 +100,11 @@
 /** runner_close - make no more calls and ignore outstanding answers. */
 void runner_close (Runner *runner);
 
-/** runner_facts - take a heartbeat report of the server. Return: FALSE if outdated. */
+/** runner_facts - take a heartbeat report of the server. While another instance is known,
+ * an unknown one must be confirmed by an answer of the server first.
+ *
+ * Return: FALSE if it is outdated, or not confirmed yet.
+ */
 gboolean runner_facts (Runner *runner, const ServerFacts *facts, gint64 now_ms);
 
 /** runner_server_left - @instance of the backend server has shut down cleanly. */
--- a/src/runner_instance.c
+++ b/src/runner_instance.c
@@ -33,8 +33,8 @@
   return runner->clock_base + (guint64)server_ms;
 }
 
-static void
-remember_instance (Runner *runner, char *instance)
+void
+runner_remember_instance (Runner *runner, char *instance)
 {
   g_free (runner->past_instances[PAST_INSTANCES - 1]);
   memmove (runner->past_instances + 1, runner->past_instances,
@@ -45,7 +45,7 @@
 static void
 forget_instance (Runner *runner)
 {
-  remember_instance (runner, g_steal_pointer (&runner->instance));
+  runner_remember_instance (runner, g_steal_pointer (&runner->instance));
   runner->instance_epoch++;
   long_polls_reset (&runner->long_polls);
   runner->reconciling = FALSE;
@@ -325,21 +325,16 @@
   runner_set_state (runner, INSTANCE_CLEARING);
 }
 
-gboolean
-runner_facts (Runner *runner, const ServerFacts *facts, gint64 now_ms)
+void
+runner_take_facts (Runner *runner, const ServerFacts *facts)
 {
   gboolean is_new = g_strcmp0 (runner->instance, facts->instance) != 0;
   gboolean changed;
 
-  runner->now_ms = now_ms;
-  if (is_new && !facts->replaces && is_past_instance (runner, facts->instance))
-    return FALSE;
-  if (!is_new && facts->sequence <= runner->sequence)
-    return FALSE;
   if (is_new)
     begin_instance (runner, facts);
   runner->sequence = facts->sequence;
-  peer_clock_observe (&runner->clock, facts->server_ms, now_ms);
+  peer_clock_observe (&runner->clock, facts->server_ms, runner->now_ms);
   changed = is_new || runner->server_draining != facts->draining
             || memcmp (&runner->capacity, &facts->capacity, sizeof facts->capacity) != 0;
   runner->capacity = facts->capacity;
@@ -352,10 +347,39 @@
                 "server=%s service=%s cpu=%u memory=%u draining=%d cold_ms=%u",
                 facts->instance, facts->service, facts->capacity.cpu_milli,
                 facts->capacity.memory_mb, facts->draining, facts->cold_ms);
+  if (runner->ops->took_facts != NULL)
+    runner->ops->took_facts (facts, runner->ctx);
   if (changed)
     runner->ops->changed (runner->ctx);
   if (is_new)
     runner_send_reconcile (runner);
+}
+
+/* A server that restarts under its name says which of its starts is the later. */
+static gboolean
+must_be_confirmed (const Runner *runner, const ServerFacts *facts)
+{
+  const char *name = facts->name != NULL ? facts->name : facts->instance;
+
+  return runner->instance != NULL && g_strcmp0 (runner->name, name) != 0;
+}
+
+gboolean
+runner_facts (Runner *runner, const ServerFacts *facts, gint64 now_ms)
+{
+  gboolean is_new = g_strcmp0 (runner->instance, facts->instance) != 0;
+
+  runner->now_ms = now_ms;
+  if (is_new && !facts->replaces && is_past_instance (runner, facts->instance))
+    return FALSE;
+  if (!is_new && facts->sequence <= runner->sequence)
+    return FALSE;
+  if (is_new && must_be_confirmed (runner, facts))
+    {
+      runner_set_candidate (runner, facts);
+      return FALSE;
+    }
+  runner_take_facts (runner, facts);
   return TRUE;
 }
 
--- a/src/runner_parts.h
+++ b/src/runner_parts.h
@@ -2,7 +2,8 @@
 /* Shared by the source files of the runner. runner.c keeps the runs and decides
  * which to start and stop, runner_instance.c follows the instances of the backend server,
  * runner_calls.c makes the calls and handles their answers, runner_progress.c judges the
- * server's health by the runs' progress and ends. */
+ * server's health by the runs' progress and ends, runner_candidate.c finds out whether an
+ * unknown instance has replaced the known one. */
 #include "leaving.h"
 #include "long_polls.h"
 #include "peer_clock.h"
@@ -72,6 +73,15 @@
   INSTANCE_READY,
 } InstanceState;
 
+/* An instance that has reported while another is known. */
+typedef struct
+{
+  ServerFacts facts; /* own copies; instance is NULL if there is none */
+  gint64 until_ms;   /* the server is asked no longer */
+  guint number;      /* of the candidate, to spot outdated answers */
+  gboolean asking;   /* a call that names it is under way */
+} Candidate;
+
 struct Runner
 {
   RunnerInit init;
@@ -86,6 +96,7 @@
   char *instance;
   char *name; /* that calls to it use, also of the last instance */
   char **past_instances;
+  Candidate candidate;
   guint instance_epoch; /* raised at begin and end of an instance, to spot outdated
                            answers */
   InstanceState state;
@@ -147,6 +158,14 @@
 /* runner_instance.c */
 void runner_set_state (Runner *runner, InstanceState state);
 
+/** runner_take_facts - take a report of the present instance, or of one that is certain
+ * to have replaced it. */
+void runner_take_facts (Runner *runner, const ServerFacts *facts);
+
+/** runner_remember_instance - ignore further reports of @instance, which is taken over.
+ */
+void runner_remember_instance (Runner *runner, char *instance);
+
 /** runner_clock_token - Return: the fencing token for @server_ms on the server's clock;
  * above all that were drawn from it before, also by other agents and, if the server says
  * when it started, of its earlier instances.
@@ -183,6 +202,16 @@
 /** runner_check_held - release them if no instance has followed the one that left. */
 void runner_check_held (Runner *runner);
 
+/* runner_candidate.c */
+
+/** runner_set_candidate - ask the server whether it is the reporting instance; its report
+ * is taken once it says so. */
+void runner_set_candidate (Runner *runner, const ServerFacts *facts);
+
+/** runner_check_candidate - ask again if there was no answer. */
+void runner_check_candidate (Runner *runner);
+void runner_drop_candidate (Runner *runner);
+
 /* runner_calls.c */
 void runner_send_start (Runner *runner, Run *run);
 void runner_send_stop (Runner *runner, const RunKey *key);
--- a/tests/test-runner.c
+++ b/tests/test-runner.c
@@ -192,9 +192,11 @@
   runner_tick (scene->runner, scene->now);
 }
 
+/* Delivers a report, and lets the server confirm its instance if it is asked. */
 static void
 send_facts (Scene *scene, const char *instance, guint64 sequence, gboolean draining)
 {
+  guint calls_before = scene->n_calls;
   ServerFacts facts = { .instance = instance,
                         .service = "exchange",
                         .zone = "fukuoka-a",
@@ -203,7 +205,8 @@
                         .server_ms = scene->server_ms,
                         .sequence = sequence };
 
-  runner_facts (scene->runner, &facts, scene->now);
+  if (!runner_facts (scene->runner, &facts, scene->now) && scene->n_calls > calls_before)
+    answer (scene, &scene->calls[scene->n_calls - 1], CALL_DONE);
 }
 
 static void
@@ -581,6 +584,88 @@
   g_assert_cmpstr (runner_instance (scene->runner), ==, "two");
 }
 
+static gboolean
+report_as (Scene *scene, const char *instance, guint64 sequence)
+{
+  ServerFacts facts = { .instance = instance,
+                        .service = "exchange",
+                        .zone = "fukuoka-a",
+                        .capacity = { 4000, 1000, 0 },
+                        .server_ms = scene->server_ms,
+                        .sequence = sequence };
+
+  return runner_facts (scene->runner, &facts, scene->now);
+}
+
+/* Guards against tasks that run twice: a report of an earlier instance that this agent
+ * had never seen, delayed by a cut, ended all runs of the present one in its view. */
+static void
+late_report_of_an_unknown_instance (Scene *scene)
+{
+  guint calls_before;
+
+  scene_ready (scene);
+  start_running (scene, "j", 1000);
+  g_assert_false (report_as (scene, "late", 9));
+  g_assert_cmpstr (open_poll (scene)->call.instance, ==, "late");
+  g_assert_cmpint (open_poll (scene)->call.lease_until, ==, 0);
+  answer (scene, open_poll (scene), CALL_OTHER_INSTANCE);
+  g_assert_cmpint (last_report (scene)->kind, ==, REPORT_STARTED);
+  g_assert_cmpstr (runner_instance (scene->runner), ==, "one");
+  calls_before = scene->n_calls;
+  g_assert_false (report_as (scene, "late", 10));
+  g_assert_cmpuint (scene->n_calls, ==, calls_before);
+  g_assert_true (report_as (scene, "one", 2));
+  answer_ended (scene, open_long_poll (scene), "j", RUN_END_DONE);
+  g_assert_cmpint (last_report (scene)->kind, ==, REPORT_DONE);
+}
+
+/* Guards against a server that is not used after its restart since one call was lost. */
+static void
+unconfirmed_instance_is_asked_again (Scene *scene)
+{
+  scene_ready (scene);
+  start_running (scene, "j", 1000);
+  g_assert_false (report_as (scene, "two", 1));
+  answer (scene, open_poll (scene), CALL_UNANSWERED);
+  g_assert_cmpstr (runner_instance (scene->runner), ==, "one");
+  advance (scene, RUNNER_TICK_MS);
+  g_assert_cmpstr (open_poll (scene)->call.instance, ==, "two");
+  answer (scene, open_poll (scene), CALL_FENCED);
+  g_assert_cmpstr (runner_instance (scene->runner), ==, "two");
+  g_assert_cmpint (last_report (scene)->kind, ==, REPORT_SERVER_ENDED);
+}
+
+/* Guards against calls without an end for an instance that nobody hears of again. */
+static void
+unconfirmed_instance_is_forgotten (Scene *scene)
+{
+  scene_ready (scene);
+  g_assert_false (report_as (scene, "two", 1));
+  for (guint i = 0; i <= RESTART_SEEN_MS / RUNNER_TICK_MS + 1; i++)
+    {
+      if (open_poll (scene) != NULL)
+        answer (scene, open_poll (scene), CALL_UNHEALTHY);
+      advance (scene, RUNNER_TICK_MS);
+    }
+  g_assert_null (open_poll (scene));
+  g_assert_cmpstr (runner_instance (scene->runner), ==, "one");
+}
+
+/* The known instance is refused first: it has ended, whatever the other's answer is. */
+static void
+known_instance_is_refused_meanwhile (Scene *scene)
+{
+  scene_ready (scene);
+  start_running (scene, "j", 1000);
+  g_assert_false (report_as (scene, "two", 1));
+  answer (scene, open_long_poll (scene), CALL_OTHER_INSTANCE);
+  g_assert_cmpint (last_report (scene)->kind, ==, REPORT_SERVER_ENDED);
+  g_assert_null (runner_instance (scene->runner));
+  answer (scene, open_poll (scene), CALL_DONE);
+  g_assert_cmpstr (runner_instance (scene->runner), ==, "two");
+}
+
 static void
 send_capacity (Scene *scene, guint64 sequence, guint cpu)
 {
@@ -1739,6 +1824,10 @@
   { "start-to-a-crashed-server", start_to_a_crashed_server },
   { "start-to-a-silent-crashed-server", start_to_a_silent_crashed_server },
   { "earlier-life-is-not-believed", earlier_life_is_not_believed },
+  { "late-report-of-an-unknown-instance", late_report_of_an_unknown_instance },
+  { "unconfirmed-instance-is-asked-again", unconfirmed_instance_is_asked_again },
+  { "unconfirmed-instance-is-forgotten", unconfirmed_instance_is_forgotten },
+  { "known-instance-is-refused-meanwhile", known_instance_is_refused_meanwhile },
   { "other-life-answers", other_life_answers },
   { "shrunk-room-takes-nothing-more", shrunk_room_takes_nothing_more },
   { "draining-takes-nothing", draining_takes_nothing },
--- a/tests/test-speed.c
+++ b/tests/test-speed.c
@@ -761,6 +761,7 @@
   sim_play (sim, 5000);
   g_assert_cmpuint (server_speed_runs (runner_server_speed (sim->runner)), >=, 100);
   sim_facts (sim, "two", 0);
+  sim_answer_calls (sim, TRUE);
   g_assert_cmpuint (runner_server_speed (sim->runner)->runs, ==, 0);
   g_assert_cmpfloat (server_speed_ratio (runner_server_speed (sim->runner)), ==, 1);
   g_assert_false (runner_speed_seen (sim->runner, "one", 160, 255));
