Soak: reset the connections of callers, who then send their jobs again

The draws for it come from a generator of their own, so that what else a seed plays stays the same.

No fault of the product is changed here.

--- a/tests/soak_parts.h
+++ b/tests/soak_parts.h
@@ -53,10 +53,18 @@
   guint starts; /* of tasks of its job, before the caller may have resent it */
 } Cut;
 
+/* A caller whose connection is reset. */
+typedef struct
+{
+  int fd; /* -1: none */
+  gint64 reset_ms;
+} ResetCaller;
+
 struct Soak
 {
   PlatformScene scene;
   GRand *random;
+  GRand *resets; /* of soak_resets.c: what else a seed plays stays the same */
   ActiveFault active[N_TARGET_KINDS][PLATFORM_MAX];
   gint64 disturbed_ms[PLATFORM_MAX]; /* when an entry was last killed or frozen */
   GPtrArray *requests;
@@ -89,6 +97,18 @@
 /** soak_update_late_callers - call at each step. Return: whether all have ended. */
 gboolean soak_update_late_callers (Soak *soak);
 
+/** soak_send_and_reset - send a request, to be reset by soak_reset () at reset_ms.
+ * Return: FALSE if it was not sent.
+ */
+gboolean soak_send_and_reset (Soak *soak,
+                              guint entry,
+                              guint number,
+                              const char *body,
+                              ResetCaller *caller);
+
+/** soak_reset - reset the caller's connection, if it has one. */
+void soak_reset (ResetCaller *caller);
+
 /** soak_note_closed_zone - call at each step: record when the zone is closed. */
 void soak_note_closed_zone (Soak *soak);
 
--- a/tests/test-soak.c
+++ b/tests/test-soak.c
@@ -16,6 +16,7 @@
 #define MAX_TASKS 8
 #define MAX_RUN_MS 400
 #define CRASHING_SHARE 0.01
+#define RESET_SHARE 0.1
 #define MAX_TRIES 3
 #define MEAN_FAULT_INTERVAL_MS 250
 /* The operator's time limit for applying a confirmed version when no fault is active. */
@@ -49,11 +50,31 @@
   gint64 resend_ms;   /* time of the next try; 0: none */
   int status;         /* of the last try */
   gboolean completed;
-  gboolean crashes; /* its first task crashes each backend server that starts it */
+  gboolean crashes;   /* its first task crashes each backend server that starts it */
+  ResetCaller caller; /* of a first try whose connection is reset */
 } Request;
 
 /* Callers. */
 
+static void
+send_and_reset (Soak *soak, Request *request)
+{
+  if (soak_send_and_reset (soak, request->entry, request->number, request->body,
+                           &request->caller))
+    return;
+  request->n_not_run++;
+  request->resend_ms = clock_now_ms () + PLATFORM_RESEND_MS;
+}
+
+static void
+update_reset_caller (Request *request)
+{
+  if (request->caller.fd < 0 || clock_now_ms () < request->caller.reset_ms)
+    return;
+  soak_reset (&request->caller);
+  request->resend_ms = clock_now_ms () + PLATFORM_RESEND_MS;
+}
+
 static void
 send_request (Soak *soak, Request *request)
 {
@@ -67,7 +88,11 @@
   request->resend_ms = 0;
   request->tries++;
   request->entry = entry;
-  request->exchange = platform_call (&soak->scene, entry, request->number, request->body);
+  if (request->tries == 1 && g_rand_double (soak->resets) < RESET_SHARE)
+    send_and_reset (soak, request);
+  else
+    request->exchange
+        = platform_call (&soak->scene, entry, request->number, request->body);
 }
 
 static void
@@ -76,6 +101,7 @@
   Request *request = g_new0 (Request, 1);
   char *spec;
 
+  request->caller.fd = -1;
   request->crashes = g_rand_double (soak->random) < CRASHING_SHARE;
   spec = g_strdup_printf ("%s%d", request->crashes ? "crash:" : "",
                           g_rand_int_range (soak->random, 5, MAX_RUN_MS));
@@ -138,9 +164,11 @@
 
       if (request->exchange != NULL && request->exchange->done)
         handle_answer (soak, request);
+      update_reset_caller (request);
       if (request->resend_ms > 0 && clock_now_ms () >= request->resend_ms)
         send_request (soak, request);
-      pending |= request->exchange != NULL || request->resend_ms > 0;
+      pending |= request->exchange != NULL || request->resend_ms > 0
+                 || request->caller.fd >= 0;
     }
   return pending;
 }
@@ -283,6 +311,7 @@
 
   if (request->exchange != NULL)
     exchange_free (request->exchange);
+  soak_reset (&request->caller);
   g_free (request->body);
   g_free (request);
 }
@@ -363,7 +392,8 @@
                         .zones = SOAK_ZONES,
                         .relayed = TRUE,
                         .configured = TRUE };
-  Soak soak = { .random = g_rand_new_with_seed (seed) };
+  Soak soak
+      = { .random = g_rand_new_with_seed (seed), .resets = g_rand_new_with_seed (seed) };
 
   g_test_message ("seed %u", seed);
   platform_scene_open (&soak.scene, &init);
@@ -391,6 +421,7 @@
   g_hash_table_unref (soak.crashed);
   platform_scene_close (&soak.scene);
   g_rand_free (soak.random);
+  g_rand_free (soak.resets);
 }
 
 static void
