Drop the candidate once its instance has reported anew

A report that waits for the server's confirmation was taken when that came, also if a newer report of the same instance had been taken meanwhile, since the known instance had refused a call: for example, a leaving server counted as staying until its next report.

Test: /runner/confirmed-report-is-outdated, failed before.

--- a/src/runner_instance.c
+++ b/src/runner_instance.c
@@ -379,6 +379,8 @@
       runner_set_candidate (runner, facts);
       return FALSE;
     }
+  if (g_strcmp0 (runner->candidate.facts.instance, facts->instance) == 0)
+    runner_drop_candidate (runner);
   runner_take_facts (runner, facts);
   return TRUE;
 }
--- a/tests/test-runner.c
+++ b/tests/test-runner.c
@@ -666,6 +666,23 @@
   g_assert_cmpstr (runner_instance (scene->runner), ==, "two");
 }
 
+/* Guards against an older report that is taken after a newer one of the same instance:
+ * the server had confirmed it late, when the instance was known from the newer. */
+static void
+confirmed_report_is_outdated (Scene *scene)
+{
+  Call *asked;
+
+  scene_ready (scene);
+  g_assert_false (report_as (scene, "two", 1));
+  asked = open_poll (scene);
+  answer (scene, open_long_poll (scene), CALL_OTHER_INSTANCE);
+  send_facts (scene, "two", 2, TRUE);
+  g_assert_true (runner_draining (scene->runner));
+  answer (scene, asked, CALL_DONE);
+  g_assert_true (runner_draining (scene->runner));
+}
+
 static void
 send_capacity (Scene *scene, guint64 sequence, guint cpu)
 {
@@ -1828,6 +1845,7 @@
   { "unconfirmed-instance-is-asked-again", unconfirmed_instance_is_asked_again },
   { "unconfirmed-instance-is-forgotten", unconfirmed_instance_is_forgotten },
   { "known-instance-is-refused-meanwhile", known_instance_is_refused_meanwhile },
+  { "confirmed-report-is-outdated", confirmed_report_is_outdated },
   { "other-life-answers", other_life_answers },
   { "shrunk-room-takes-nothing-more", shrunk_room_takes_nothing_more },
   { "draining-takes-nothing", draining_takes_nothing },
