--- a/src/runner_parts.h
+++ b/src/runner_parts.h
@@ -3,7 +3,7 @@
  * which to start and stop, runner_instance.c follows the instances of the backend server,
  * runner_calls.c makes the calls and handles their answers, runner_progress.c judges the
  * server's health by the runs' progress and ends, runner_candidate.c finds out whether an
- * unknown instance has replaced the known one. */
+ * unknown instance has replaced the known one, runner_state.c answers the agent. */
 #include "leaving.h"
 #include "long_polls.h"
 #include "peer_clock.h"
