Do not interrupt other events for those of watched connections

Cause: the event loop looked for events of the higher priority every 2 ms, and so left the others that were due for a later iteration.

The two priorities stay: within an iteration a watched connection still goes first. Requests that are read after their caller has gone are found by the poll of their socket.

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -14,7 +14,7 @@
 /* The settings file is also polled, since it may change without a signal and the peer
  * addresses in it go out of date within seconds. */
 #define SETTINGS_POLL_MS 1000
-#define DISPATCH_MS 2
+#define PRIORITIES 2
 
 typedef struct
 {
@@ -146,19 +146,13 @@
   reload (state);
 }
 
-/* Events have the lower priority of two unless they are set to the higher; those of the
- * higher wait for DISPATCH_MS of others at most. */
+/* Events that are not set to the higher priority have the lower. */
 static struct event_base *
 event_loop_new (void)
 {
-  struct event_config *config = event_config_new ();
-  struct timeval interval = timeval_from_ms (DISPATCH_MS);
-  struct event_base *base;
-
-  event_config_set_max_dispatch_interval (config, &interval, -1, 1);
-  base = event_base_new_with_config (config);
-  event_base_priority_init (base, 2);
-  event_config_free (config);
+  struct event_base *base = event_base_new ();
+
+  event_base_priority_init (base, PRIORITIES);
   return base;
 }
 
