Declare the settings of the limits on clients

limits.memory_mb, limits.descriptors, limits.connections and limits.request_ms are read, checked and documented in the samples; nothing uses them yet. They come first so that the tests of misbehaving clients can lower them and still fail on the code as it stands for what it does, not for an unknown key.

--- a/src/settings.c
+++ b/src/settings.c
@@ -116,6 +116,17 @@
     "1: jobs are ranked, and stragglers found, by the distribution of a queue's run "
     "times; "
     "0: by their mean." },
+  { "limits.memory_mb", KIND_NUMBER, ALL, AT (memory_mb), "0", 0, 1 << 20,
+    "Memory of the process; bounds what clients, open jobs and links hold of it; 0: the "
+    "machine's." },
+  { "limits.descriptors", KIND_NUMBER, ALL, AT (descriptors), "0", 0, 10000000,
+    "Files and sockets that the process may open; 0: its RLIMIT_NOFILE." },
+  { "limits.connections", KIND_NUMBER, ALL, AT (connections), "0", 0, 10000000,
+    "Open connections of HTTP clients; beyond it those that wait for no answer are "
+    "closed, the oldest first; 0: half of limits.descriptors." },
+  { "limits.request_ms", KIND_NUMBER, ALL, AT (request_ms), "60000", 100, 3600000,
+    "A client whose request takes longer to arrive, or who reads nothing of its response "
+    "this long, is disconnected." },
   { "entries.http", KIND_ADDRESSES, SETTINGS_AGENT, AT (entries), NULL, 0, 0,
     "HTTP addresses of the entries or of the balancer in front of them." },
   { "backend.address", KIND_ADDRESS, SETTINGS_AGENT | SETTINGS_LEASED_AGENT,
@@ -458,8 +469,9 @@
 settings_sample (SettingsRole role)
 {
   static const char *const sections[]
-      = { "",       "listen", "log",   "timeline", "links",   "table", "entries",
-          "config", "agents", "drain", "leases",   "servers", "load",  "backend" };
+      = { "",       "listen",  "log",    "timeline", "links",
+          "table",  "entries", "config", "agents",   "drain",
+          "leases", "servers", "load",   "limits",   "backend" };
   GString *page = g_string_new (NULL);
 
   g_string_append_printf (
--- a/src/settings.h
+++ b/src/settings.h
@@ -40,6 +40,11 @@
   guint load_shared_ms;  /* between two summaries of the load to other entries; 0: none */
   guint run_shapes; /* 1: the distribution of run times counts, not their mean alone */
 
+  guint memory_mb;   /* of the process; 0: the machine's */
+  guint descriptors; /* open files and sockets; 0: the process's own limit */
+  guint connections; /* of HTTP clients; 0: half of the descriptors */
+  guint request_ms;  /* for a client to send a request, or to read its response */
+
   char **entries; /* an agent's: HTTP addresses of the entries */
   char *backend_address;
   char *backend_service;
