--- a/tests/platform_scene.c
+++ b/tests/platform_scene.c
@@ -36,7 +36,8 @@
     }
   g_string_append_printf (text,
                           "],\"services\":[{\"name\":\"exchange\"}],"
-                          "\"limits\":{\"max_body_bytes\":20000,\"idle_timeout_ms\":%u}}",
+                          "\"limits\":{\"max_body_bytes\":%u,\"idle_timeout_ms\":%u}}",
+                          scene->max_body_bytes > 0 ? scene->max_body_bytes : 20000,
                           scene->idle_timeout_ms > 0 ? scene->idle_timeout_ms : 15000);
   return g_string_free (text, FALSE);
 }
@@ -165,8 +166,9 @@
       "name = \"%s\"\nzone = \"z\"\nlisten.http = \"127.0.0.1:0\"\n"
       "links.heartbeat_ms = 120\nlinks.timeout_ms = 500\ntable.address = \"%s\"\n"
       "entries.peers = [\"%s\"]\nbackend.address = \"%s\"\n"
-      "servers.speed_runs = 12\nservers.drain_ms = 3000\n",
-      name, scene->store->http, entry_address (scene, 0), scene->servers[i]->http);
+      "servers.speed_runs = 12\nservers.drain_ms = 3000\n%s",
+      name, scene->store->http, entry_address (scene, 0), scene->servers[i]->http,
+      scene->agent_settings != NULL ? scene->agent_settings : "");
   Process *process
       = harness_spawn_daemon (scene->harness, PLATFORM_AGENT_EXE, name, settings);
 
@@ -298,6 +300,8 @@
   scene->n_entries = init->entries;
   scene->n_servers = init->servers;
   scene->settings = init->settings;
+  scene->agent_settings = init->agent_settings;
+  scene->max_body_bytes = init->max_body_bytes;
   scene->store = harness_spawn (scene->harness, "store", store);
   if (init->configured)
     platform_put_config (scene, PLATFORM_PREFIX);
--- a/tests/platform_scene.h
+++ b/tests/platform_scene.h
@@ -22,6 +22,8 @@
   Relay *store_relay;          /* between the last entry and the store, or NULL */
   RelayLine *line;             /* limits what the last entry receives, or NULL */
   const char *settings;        /* further ones of the entries */
+  const char *agent_settings;  /* further ones of the agents */
+  guint max_body_bytes;        /* of requests, in the next configuration; 0: 20000 */
   guint idle_timeout_ms;       /* of callers' connections, in the next configuration */
   guint jobs;
   guint version;
@@ -36,6 +38,8 @@
   guint zones;            /* servers are spread over z0, z1, ...; 0: all in z */
   guint line_bytes_per_s; /* limit of what the last entry receives in total; 0: none */
   const char *settings;   /* further ones of the entries, as lines; NULL: none */
+  const char *agent_settings; /* the same of the agents */
+  guint max_body_bytes;       /* of requests; 0: 20000 */
 } PlatformInit;
 
 void platform_scene_open (PlatformScene *scene, const PlatformInit *init);
