Bound what HTTP clients make a process hold: bytes read ahead, bodies, unread responses

What callers saw: an entry ended, out of memory, while clients sent requests without reading the answers, at the path that says ready and at paths without a route, or sent bodies far over the limit.

Cause: while a response waits to be written evhttp reads on without handling what it reads, so a client that does not read makes its input grow by whatever it sends. Bodies were bounded at 18 MB for each connection, and nothing at all over all connections. The callers' own bound of what is read ahead held only while a job waited for its answer.

All listeners of entries and agents, native and of the platform, now share http_listener.c. Each connection has a high watermark, large enough for the largest head and body at once, and all together a share of limits.memory_mb (held_memory.c). What is counted: both buffers, chunks that evhttp collects out of sight until the request is complete, and the body until the handler has taken it. Beyond the share the connection for which most is held is closed, from an event of the highest priority, since the memory has to be free before the events that are due produce more; those that wait for an answer go last. The buffers are emptied first: libevent frees a bufferevent only after the events that are due.

Ruled out: a smaller watermark while a response is written (the share bounds it over all connections, and the watermark of each is needed for one chunk as large as a body). evhttp tells of a connection only with its first request, and a crowd may never complete one, so the connection is taken from the argument of evhttp's own callbacks right after the accept.

--- a/src/agent.c
+++ b/src/agent.c
@@ -8,6 +8,7 @@
 
 #include <string.h>
 
+#define MAX_BODY_BYTES (1 << 20)
 #define TICK_MS 100
 #define DISCOVER_MS 1000
 #define DISCOVER_TIMEOUT_MS 1000
@@ -162,14 +163,15 @@
 {
   Agent *agent = ctx;
   const char *advertised = agent->settings->advertise_http;
+  const HttpListenerInit init = { on_request, agent, MAX_BODY_BYTES };
 
-  agent->http = listen_http (agent->base, agent->settings->listen_http,
-                             &agent->http_bound, error);
+  agent->http
+      = http_listener_new (agent->base, agent->settings->listen_http, &init, error);
   if (agent->http == NULL)
     return FALSE;
-  evhttp_set_gencb (agent->http, on_request, agent);
-  agent->hello.http_address
-      = advertised[0] != '\0' ? (char *)advertised : agent->http_bound;
+  agent->hello.http_address = advertised[0] != '\0'
+                                  ? (char *)advertised
+                                  : (char *)http_listener_address (agent->http);
   return TRUE;
 }
 
@@ -178,8 +180,7 @@
 {
   Agent *agent = ctx;
 
-  g_clear_pointer (&agent->http, evhttp_free);
-  g_clear_pointer (&agent->http_bound, g_free);
+  g_clear_pointer (&agent->http, http_listener_free);
 }
 
 static const ComponentOps http_ops = { "http", http_start, http_stop };
@@ -318,8 +319,8 @@
 {
   if (!supervisor_start (agent->supervisor, error))
     return FALSE;
-  log_notice ("%s listens, http %s frames %s", agent->hello.name, agent->http_bound,
-              listen_address (agent->frames));
+  log_notice ("%s listens, http %s frames %s", agent->hello.name,
+              http_listener_address (agent->http), listen_address (agent->frames));
   timeline_add ("agent-started", NULL, -1, agent->hello.name);
   return TRUE;
 }
--- a/src/agent_parts.h
+++ b/src/agent_parts.h
@@ -5,6 +5,7 @@
 #include "agent_peers.h"
 #include "executor.h"
 #include "http.h"
+#include "http_listener.h"
 #include "listen.h"
 #include "supervisor.h"
 
@@ -20,8 +21,7 @@
   AgentPeers *peers;
   Executor *executor;
   Listener *frames;
-  struct evhttp *http;
-  char *http_bound;
+  HttpListener *http;
   struct event *tick;
   HttpPool **discovery; /* one per address in the settings, NULL-terminated */
   gint64 discovered_ms;
--- a/src/callers.c
+++ b/src/callers.c
@@ -3,6 +3,7 @@
 #include "callers_parts.h"
 #include "counters.h"
 #include "http.h"
+#include "http_clients.h"
 #include "names.h"
 #include "submission.h"
 
@@ -96,7 +97,7 @@
   callers->open++;
   LIST_INSERT_HEAD (&callers->list, caller, link_entry);
   evhttp_connection_set_timeout (connection, OPEN_TIMEOUT_S);
-  evhttp_connection_set_closecb (connection, on_client_closed, caller);
+  http_client_on_closed (connection, on_client_closed, caller);
   caller->watch = http_watch_new (request, NULL, NULL);
   return caller;
 }
@@ -110,7 +111,7 @@
     return;
   g_clear_pointer (&caller->watch, http_watch_free);
   connection = evhttp_request_get_connection (caller->request);
-  evhttp_connection_set_closecb (connection, NULL, NULL);
+  http_client_on_closed (connection, NULL, NULL);
   evhttp_connection_set_timeout (connection, IDLE_TIMEOUT_S);
 }
 
--- a/src/counters.h
+++ b/src/counters.h
@@ -129,6 +129,14 @@
   X (LOAD_SUMMARIES_MALFORMED, "load_summaries_malformed",                               \
      "summaries ignored: a value or their number is out of range")                       \
   X (ROWS_REJECTED, "rows_rejected", "invalid rows and reports refused")                 \
+  X (CLIENTS_OPEN, "clients_open", "open connections of HTTP clients")                   \
+  X (CLIENTS_MAX, "clients_max", "most connections of HTTP clients at once")             \
+  X (CLIENTS_OVER_MEMORY, "clients_over_memory",                                         \
+     "connections of HTTP clients closed because too much was held for them")            \
+  X (MEMORY_BUFFERS_KB, "memory_buffers_kb",                                             \
+     "held of what HTTP clients have sent or have not read, in kB")                      \
+  X (MEMORY_BUFFERS_MAX_KB, "memory_buffers_max_kb", "most of it at once, in kB")        \
+  X (MEMORY_BUFFERS_LIMIT_KB, "memory_buffers_limit_kb", "its limit, in kB")             \
   X (RESTARTS, "restarts", "components restarted by their supervisor")
 
 typedef enum
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -2,6 +2,7 @@
 #include "daemon.h"
 #include "clock.h"
 #include "counters.h"
+#include "held_memory.h"
 #include "log.h"
 #include "timeline.h"
 
@@ -230,6 +231,7 @@
     }
   log_init (ops->program, log_level_parse (settings->log_level));
   timeline_init (settings->name, settings->timeline_events);
+  held_memory_init (settings->memory_mb);
   code = run (ops, settings, options.settings_path);
 
 out:
--- a/src/entry.c
+++ b/src/entry.c
@@ -60,14 +60,15 @@
 {
   Entry *entry = ctx;
   const char *advertised = entry->settings->advertise_http;
+  const HttpListenerInit init = { on_request, entry };
 
-  entry->http = listen_http (entry->base, entry->settings->listen_http,
-                             &entry->http_bound, error);
+  entry->http
+      = http_listener_new (entry->base, entry->settings->listen_http, &init, error);
   if (entry->http == NULL)
     return FALSE;
-  evhttp_set_gencb (entry->http, on_request, entry);
-  entry->hello.http_address
-      = advertised[0] != '\0' ? (char *)advertised : entry->http_bound;
+  entry->hello.http_address = advertised[0] != '\0'
+                                  ? (char *)advertised
+                                  : (char *)http_listener_address (entry->http);
   return TRUE;
 }
 
@@ -76,8 +77,7 @@
 {
   Entry *entry = ctx;
 
-  g_clear_pointer (&entry->http, evhttp_free);
-  g_clear_pointer (&entry->http_bound, g_free);
+  g_clear_pointer (&entry->http, http_listener_free);
 }
 
 static const ComponentOps http_ops = { "http", http_start, http_stop };
@@ -355,8 +355,8 @@
 {
   if (!supervisor_start (entry->supervisor, error))
     return FALSE;
-  log_notice ("%s listens, http %s frames %s", entry->hello.name, entry->http_bound,
-              listen_address (entry->frames));
+  log_notice ("%s listens, http %s frames %s", entry->hello.name,
+              http_listener_address (entry->http), listen_address (entry->frames));
   timeline_add ("entry-started", NULL, -1, entry->hello.name);
   return TRUE;
 }
--- a/src/entry_parts.h
+++ b/src/entry_parts.h
@@ -8,6 +8,7 @@
 #include "entry.h"
 #include "holder.h"
 #include "home.h"
+#include "http_listener.h"
 #include "listen.h"
 #include "members.h"
 #include "operators.h"
@@ -42,8 +43,7 @@
   Callers *callers;
   Operators *operators;
   Listener *frames;
-  struct evhttp *http;
-  char *http_bound;
+  HttpListener *http;
   struct event *tick;
   struct event *local; /* delivers local_outcomes */
   STAILQ_HEAD (, LocalOutcome) local_outcomes;
--- /dev/null
+++ b/src/held_memory.c
@@ -0,0 +1,62 @@
+#include "held_memory.h"
+#include "counters.h"
+
+#include <unistd.h>
+
+typedef struct
+{
+  gsize bytes;
+  gsize limit;
+} Held;
+
+/* Share of the process's memory, and where it is shown. */
+static const struct
+{
+  guint percent;
+  Counter kb;
+  Counter max_kb;
+  Counter limit_kb;
+} uses[HELD_N_USES] = {
+  [HELD_BUFFERS] = { 25, COUNTER_MEMORY_BUFFERS_KB, COUNTER_MEMORY_BUFFERS_MAX_KB,
+                     COUNTER_MEMORY_BUFFERS_LIMIT_KB },
+};
+
+static Held held[HELD_N_USES];
+
+static gsize
+machine_memory (void)
+{
+  return (gsize)sysconf (_SC_PHYS_PAGES) * (gsize)sysconf (_SC_PAGESIZE);
+}
+
+void
+held_memory_init (guint memory_mb)
+{
+  gsize memory = memory_mb > 0 ? (gsize)memory_mb << 20 : machine_memory ();
+
+  for (int i = 0; i < HELD_N_USES; i++)
+    {
+      held[i].limit = memory / 100 * uses[i].percent;
+      counter_set (uses[i].limit_kb, held[i].limit >> 10);
+    }
+}
+
+void
+held_memory_add (HeldUse use, gssize bytes)
+{
+  held[use].bytes += (gsize)bytes;
+  counter_set (uses[use].kb, held[use].bytes >> 10);
+  counter_set_max (uses[use].max_kb, held[use].bytes >> 10);
+}
+
+gsize
+held_memory (HeldUse use)
+{
+  return held[use].bytes;
+}
+
+gsize
+held_memory_limit (HeldUse use)
+{
+  return held[use].limit > 0 ? held[use].limit : G_MAXSIZE;
+}
--- a/src/http.h
+++ b/src/http.h
@@ -84,7 +84,7 @@
                  gsize size,
                  guint retry_after_s);
 
-/** http_request_body - the body as bytes, copied and NUL-terminated; free with g_free. */
+/** http_request_body - take the body as bytes, NUL-terminated; free with g_free. */
 char *http_request_body (struct evhttp_request *request, gsize *size);
 
 /** http_query_value - a parameter of the query string, or NULL; free with g_free. */
--- /dev/null
+++ b/src/http_listener.c
@@ -0,0 +1,111 @@
+#include "http_listener.h"
+#include "clock.h"
+#include "listen.h"
+
+#include <event2/bufferevent.h>
+
+/* A parser may need all of a request at once: its head, or one chunk that is its whole
+ * body. */
+#define MAX_HEAD_BYTES (80 << 10)
+#define MAX_BODY_BYTES (18 << 20)
+
+struct HttpListener
+{
+  struct event_base *base;
+  struct evhttp *http;
+  char *address;
+  HttpListenerInit init;
+  gint64 received_ms;
+};
+
+static void
+on_received (gpointer ctx)
+{
+  HttpListener *listener = ctx;
+
+  listener->received_ms = clock_now_ms ();
+}
+
+static struct bufferevent *
+on_accept (struct event_base *base, void *ctx)
+{
+  HttpListener *listener = ctx;
+  struct bufferevent *bev = bufferevent_socket_new (base, -1, 0);
+
+  http_client_new (base, bev, listener->init.max_body_bytes + MAX_HEAD_BYTES, on_received,
+                   listener);
+  return bev;
+}
+
+static void
+on_request (struct evhttp_request *request, void *ctx)
+{
+  HttpListener *listener = ctx;
+
+  http_client_requested (request);
+  listener->init.handler (request, listener->init.ctx);
+}
+
+HttpListener *
+http_listener_new (struct event_base *base,
+                   const char *address,
+                   const HttpListenerInit *init,
+                   GError **error)
+{
+  char *bound = NULL;
+  struct evhttp *http = listen_http (base, address, &bound, error);
+  HttpListener *listener;
+
+  if (http == NULL)
+    return NULL;
+  listener = g_new0 (HttpListener, 1);
+  listener->base = base;
+  listener->http = http;
+  listener->address = bound;
+  listener->init = *init;
+  if (init->max_body_bytes == 0)
+    listener->init.max_body_bytes = MAX_BODY_BYTES;
+  evhttp_set_max_body_size (http, (ev_ssize_t)listener->init.max_body_bytes);
+  evhttp_set_bevcb (http, on_accept, listener);
+  evhttp_set_gencb (http, on_request, listener);
+  return listener;
+}
+
+void
+http_listener_free (HttpListener *listener)
+{
+  if (listener == NULL)
+    return;
+  evhttp_free (listener->http);
+  g_free (listener->address);
+  g_free (listener);
+}
+
+const char *
+http_listener_address (const HttpListener *listener)
+{
+  return listener->address;
+}
+
+static void
+save_socket (struct evhttp_bound_socket *socket, void *ctx)
+{
+  *(struct evhttp_bound_socket **)ctx = socket;
+}
+
+/* A socket must not be removed while evhttp iterates over them, so find it first. */
+void
+http_listener_stop_accepting (HttpListener *listener)
+{
+  struct evhttp_bound_socket *socket = NULL;
+
+  evhttp_foreach_bound_socket (listener->http, save_socket, &socket);
+  if (socket != NULL)
+    evhttp_del_accept_socket (listener->http, socket);
+}
+
+gint64
+http_listener_received_ms (const HttpListener *listener)
+{
+  return listener->received_ms;
+}
--- a/src/http_serve.c
+++ b/src/http_serve.c
@@ -34,7 +34,7 @@
 
   *size = evbuffer_get_length (input);
   body = g_malloc (*size + 1);
-  evbuffer_copyout (input, body, *size);
+  evbuffer_remove (input, body, *size);
   body[*size] = '\0';
   return body;
 }
--- a/src/operators.c
+++ b/src/operators.c
@@ -2,6 +2,7 @@
 #include "answers.h"
 #include "counters.h"
 #include "http.h"
+#include "http_clients.h"
 #include "names.h"
 #include "operators_parts.h"
 #include "timeline.h"
@@ -99,8 +100,8 @@
   if (pending->request != NULL)
     {
       http_watch_free (pending->watch);
-      evhttp_connection_set_closecb (evhttp_request_get_connection (pending->request),
-                                     NULL, NULL);
+      http_client_on_closed (evhttp_request_get_connection (pending->request), NULL,
+                             NULL);
       answer_send (pending->request, &answer);
     }
   answer_clear (&answer);
@@ -120,8 +121,8 @@
       && !json_object_get_null_member (object, "value"))
     value = json_to_string (json_object_get_member (object, "value"), FALSE);
   pending->request = request;
-  evhttp_connection_set_closecb (evhttp_request_get_connection (request),
-                                 on_operator_disconnected, pending);
+  http_client_on_closed (evhttp_request_get_connection (request),
+                         on_operator_disconnected, pending);
   pending->watch = http_watch_new (request, NULL, NULL);
   config_change (operators->init.config, key, value, if_version, token, on_changed,
                  pending);
