Refuse bodies over the limit in force before they are read

What callers saw: nothing; the entry read up to 18 MB of a body, whatever the configuration allowed, and refused it then.

Cause: evhttp compares with a limit that was fixed at the start, above every limit that a configuration may set.

The limit follows the configuration, on open connections too, and evhttp refuses an announced body with its head, before "100 Continue", and a chunked one at the chunk that is too long. The watermark of a connection follows as well. An entry of stored jobs still reads up to 1 MB, so that an operator's requests pass whatever limits.max_body_kb says, and names the limit when it refuses a job below that.

--- a/src/entry.c
+++ b/src/entry.c
@@ -7,6 +7,7 @@
 #include "timeline.h"
 
 #define PROTOCOL_VERSION 1
+#define MIN_BODY_LIMIT_BYTES (1 << 20)
 #define TICK_MS 20
 #define LOADS_MS 500 /* between reports of the groups' load */
 #define BACKENDS_TICK_MS 100
@@ -55,6 +56,17 @@
   answer_send (request, &answer);
 }
 
+/* Jobs beyond limits.max_body_kb are refused with a reason; other requests of operators
+ * may be as long as this. */
+static void
+limit_bodies (Entry *entry)
+{
+  gsize jobs = (gsize)config_fleet (entry->config)->max_body_kb << 10;
+
+  if (entry->http != NULL)
+    http_listener_set_max_body (entry->http, MAX (jobs, MIN_BODY_LIMIT_BYTES));
+}
+
 static gboolean
 http_start (gpointer ctx, GError **error)
 {
@@ -66,6 +78,8 @@
       = http_listener_new (entry->base, entry->settings->listen_http, &init, error);
   if (entry->http == NULL)
     return FALSE;
+  if (config_known (entry->config))
+    limit_bodies (entry);
   entry->hello.http_address = advertised[0] != '\0'
                                   ? (char *)advertised
                                   : (char *)http_listener_address (entry->http);
@@ -202,6 +216,7 @@
 
   home_reconfigured (entry->home);
   backends_reconfigured (entry->backends);
+  limit_bodies (entry);
   entry->ranking_changed = TRUE;
   entry_push_config (entry);
   if (g_hash_table_contains (config_fleet (entry->config)->drained_entries,
--- a/src/http_clients.c
+++ b/src/http_clients.c
@@ -9,6 +9,9 @@
 #include <event2/bufferevent.h>
 #include <sys/queue.h>
 
+/* A parser may need all of a request at once: its head, or one chunk that is its whole
+ * body. */
+#define MAX_HEAD_BYTES (80 << 10)
 /* The highest: closing must not wait behind all events that are due. */
 #define RECLAIM_PRIORITY 0
 /* After connections were closed for their memory, a line is logged at most this often. */
@@ -31,9 +34,9 @@
   HttpClosed closed;
   gpointer closed_ctx;
   ClientState state;
-  gsize held;  /* buffered in either direction, and the body of an open request */
-  gsize taken; /* of these, what evhttp has taken out of the input buffer */
-  gsize body;  /* of these, the body */
+  gsize held;       /* buffered in either direction, and the body of an open request */
+  gsize taken;      /* of these, what evhttp has taken out of the input buffer */
+  gsize body;       /* of these, the body */
 };
 
 typedef TAILQ_HEAD (HttpClientList, HttpClient) HttpClientList;
@@ -184,10 +187,17 @@
     }
 }
 
+/* What is received is handled before more is read, unless a request needs it all. */
+static void
+set_max_unread (HttpClient *client, gsize max_body_bytes)
+{
+  bufferevent_setwatermark (client->bev, EV_READ, 0, max_body_bytes + MAX_HEAD_BYTES);
+}
+
 HttpClient *
 http_client_new (struct event_base *base,
                  struct bufferevent *bev,
-                 gsize max_unread,
+                 gsize max_body_bytes,
                  HttpClientReceived received,
                  gpointer ctx)
 {
@@ -199,7 +209,7 @@
   client->received_ctx = ctx;
   evbuffer_add_cb (bufferevent_get_input (bev), on_input, client);
   evbuffer_add_cb (bufferevent_get_output (bev), on_output, client);
-  http_client_set_max_unread (client, max_unread);
+  set_max_unread (client, max_body_bytes);
   TAILQ_INSERT_TAIL (&all.clients, client, link);
   counter_set (COUNTER_CLIENTS_OPEN, counter_values[COUNTER_CLIENTS_OPEN] + 1);
   counter_set_max (COUNTER_CLIENTS_MAX, counter_values[COUNTER_CLIENTS_OPEN]);
@@ -208,9 +218,20 @@
 }
 
 void
-http_client_set_max_unread (HttpClient *client, gsize max_unread)
+http_clients_set_max_body (gsize max_body_bytes, gpointer ctx)
 {
-  bufferevent_setwatermark (client->bev, EV_READ, 0, max_unread);
+  HttpClient *client;
+
+  if (all.base == NULL)
+    return;
+  TAILQ_FOREACH (client, &all.clients, link)
+    {
+      if (client->received_ctx != ctx)
+        continue;
+      evhttp_connection_set_max_body_size (client->connection,
+                                           (ev_ssize_t)max_body_bytes);
+      set_max_unread (client, max_body_bytes);
+    }
 }
 
 void
--- a/src/http_clients.h
+++ b/src/http_clients.h
@@ -12,17 +12,18 @@
 /**
  * http_client_new - take over a connection that evhttp accepts.
  * @bev: its bufferevent, from the callback of evhttp_set_bevcb ().
- * @max_unread: the process reads no more than this before it has handled some of it.
+ * @max_body_bytes: of a request.
  * @received: called when data arrives.
  */
 HttpClient *http_client_new (struct event_base *base,
                              struct bufferevent *bev,
-                             gsize max_unread,
+                             gsize max_body_bytes,
                              HttpClientReceived received,
                              gpointer ctx);
 
-/** http_client_set_max_unread - change the limit of an open connection. */
-void http_client_set_max_unread (HttpClient *client, gsize max_unread);
+/** http_clients_set_max_body - change the limit of the open connections with this @ctx.
+ */
+void http_clients_set_max_body (gsize max_body_bytes, gpointer ctx);
 
 /** http_client_requested - evhttp has handed over a complete request. */
 void http_client_requested (struct evhttp_request *request);
--- a/src/http_listener.c
+++ b/src/http_listener.c
@@ -4,9 +4,6 @@
 
 #include <event2/bufferevent.h>
 
-/* A parser may need all of a request at once: its head, or one chunk that is its whole
- * body. */
-#define MAX_HEAD_BYTES (80 << 10)
 #define MAX_BODY_BYTES (18 << 20)
 
 struct HttpListener
@@ -32,8 +29,7 @@
   HttpListener *listener = ctx;
   struct bufferevent *bev = bufferevent_socket_new (base, -1, 0);
 
-  http_client_new (base, bev, listener->init.max_body_bytes + MAX_HEAD_BYTES, on_received,
-                   listener);
+  http_client_new (base, bev, listener->init.max_body_bytes, on_received, listener);
   return bev;
 }
 
@@ -87,6 +83,14 @@
   return listener->address;
 }
 
+void
+http_listener_set_max_body (HttpListener *listener, gsize max_body_bytes)
+{
+  listener->init.max_body_bytes = MIN (max_body_bytes, MAX_BODY_BYTES);
+  evhttp_set_max_body_size (listener->http, (ev_ssize_t)listener->init.max_body_bytes);
+  http_clients_set_max_body (listener->init.max_body_bytes, listener);
+}
+
 static void
 save_socket (struct evhttp_bound_socket *socket, void *ctx)
 {
--- a/src/http_listener.h
+++ b/src/http_listener.h
@@ -28,6 +28,10 @@
 /** http_listener_address - the bound address, with the kernel's port. */
 const char *http_listener_address (const HttpListener *listener);
 
+/** http_listener_set_max_body - limit the bodies of requests from now on, also on open
+ * connections. */
+void http_listener_set_max_body (HttpListener *listener, gsize max_body_bytes);
+
 /** http_listener_stop_accepting - close the listening socket, not the connections. */
 void http_listener_stop_accepting (HttpListener *listener);
 
--- a/src/leased_entry.h
+++ b/src/leased_entry.h
@@ -29,6 +29,8 @@
   void (*stop_accepting) (gpointer ctx);
   /* Whether all callers have their answers and none has begun to send a request. */
   gboolean (*callers_are_quiet) (gpointer ctx);
+  /* A configuration is in force from now on. */
+  void (*config_adopted) (const Catalog *catalog, gpointer ctx);
   /* The entry exits: refuse what is still received. */
   void (*refuse_callers) (gpointer ctx);
 } LeasedEntryOps;
--- a/src/leased_entry_config.c
+++ b/src/leased_entry_config.c
@@ -216,6 +216,7 @@
   catalog_unref (entry->catalog);
   entry->catalog = catalog;
   drop_left_queues (entry);
+  entry->ops->config_adopted (catalog, entry->ctx);
   leased_entry_send_all (entry);
 }
 
