Let a refusal reach a client that is still sending

What callers saw: a connection reset in place of the status 413.

Cause: evhttp closes the connection once the response is written; a socket that is closed with unread bytes is reset, and further sending fails.

Evidence: /requests/body-far-over-the-limit and chunk-far-over-the-limit failed with a reset on the code before.

--- a/src/http_clients.c
+++ b/src/http_clients.c
@@ -4,6 +4,7 @@
 #include "counters.h"
 #include "events.h"
 #include "held_memory.h"
+#include "lingering.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -34,6 +35,7 @@
   HttpClosed closed;
   gpointer closed_ctx;
   ClientState state;
+  gboolean refused; /* evhttp answers a request that it has not handed over */
   gsize held;       /* buffered in either direction, and the body of an open request */
   gsize taken;      /* of these, what evhttp has taken out of the input buffer */
   gsize body;       /* of these, the body */
@@ -114,6 +116,7 @@
     {
       release (client, &client->taken);
       release (client, &client->body);
+      client->refused = client->state == CLIENT_SENDS;
       client->state = CLIENT_READS;
     }
   else if (client->state == CLIENT_READS && evbuffer_get_length (buffer) == 0)
@@ -162,6 +165,8 @@
 {
   HttpClient *client = ctx;
 
+  if (client->refused)
+    lingering_keep (all.base, bufferevent_getfd (client->bev));
   if (client->closed != NULL)
     client->closed (connection, client->closed_ctx);
   client_free (client);
@@ -242,6 +247,7 @@
   struct evbuffer *body = evhttp_request_get_input_buffer (request);
 
   release (client, &client->taken);
+  client->refused = FALSE;
   client->state = CLIENT_WAITS;
   client->body = evbuffer_get_length (body);
   client_hold (client, (gssize)client->body);
--- a/tests/test-requests.c
+++ b/tests/test-requests.c
@@ -30,6 +30,7 @@
   int fd;
   GString *received;
   gboolean ended;
+  gboolean reset;
 } Client;
 
 static Client
@@ -66,7 +67,10 @@
       gssize n = send (client->fd, text + sent, MIN (piece, size - sent), MSG_NOSIGNAL);
 
       if (n < 0 && errno != EAGAIN)
-        return;
+        {
+          client->reset = TRUE;
+          return;
+        }
       sent += n > 0 ? (gsize)n : 0;
       if (n < 0 || piece < size)
         harness_run_ms (client->scene->harness, n < 0 ? 1 : 0);
@@ -81,7 +85,8 @@
 
   if (n > 0)
     g_string_append_len (client->received, block, n);
-  client->ended = n == 0 || (n < 0 && errno != EAGAIN);
+  client->reset |= n < 0 && errno != EAGAIN;
+  client->ended = n == 0 || client->reset;
 }
 
 static gboolean
@@ -185,6 +190,7 @@
   platform_scene_open (&scene, &init);
   client = client_connect (&scene);
   g_assert_cmpint (send_request (&scene, &client, c), ==, c->status);
+  g_assert_false (client.reset);
   client_free (&client);
   platform_scene_close (&scene);
 }
