Bound the connections of HTTP clients, and pause when none can be accepted

What callers saw: no answer at all, at the callers' address or at the balancer's, while others held as many connections as the process had descriptors; the entry meanwhile used a core to try again.

Cause: nothing bounded the number of connections, idle ones included, and a listening socket whose accept () fails for want of descriptors stays readable, so that the event loop calls it again at once.

All listeners of a process share limits.connections, by default half of its descriptors; the other half is for links, calls to others and files. At the limit the sockets are not listened to, and connections that wait for no answer are closed, those first that have been idle, or sending, or not reading, for the longest: a client that sends a byte now and then does not become newer by it. An idle one with a request that was not read yet is kept. Only three quarters may wait for responses; beyond that a job is refused at once, not run, so that there are always connections on which to refuse and to answer the balancer. If accept () fails nevertheless, some are closed and accepting pauses for 100 ms.

--- a/src/callers.c
+++ b/src/callers.c
@@ -188,6 +188,8 @@
     }
   if (holder_open_jobs (callers->init.holder) >= config_fleet (config)->max_jobs)
     return "this entry holds as many jobs as it may";
+  if (http_clients_are_full ())
+    return "too many requests are open";
   return NULL;
 }
 
--- a/src/counters.h
+++ b/src/counters.h
@@ -133,6 +133,9 @@
   X (CLIENTS_MAX, "clients_max", "most connections of HTTP clients at once")             \
   X (CLIENTS_OVER_MEMORY, "clients_over_memory",                                         \
      "connections of HTTP clients closed because too much was held for them")            \
+  X (CLIENTS_EVICTED, "clients_evicted",                                                 \
+     "connections of HTTP clients closed to make room for others")                       \
+  X (ACCEPTS_FAILED, "accepts_failed", "pauses after a connection was not accepted")     \
   X (MEMORY_BUFFERS_KB, "memory_buffers_kb",                                             \
      "held of what HTTP clients have sent or have not read, in kB")                      \
   X (MEMORY_BUFFERS_MAX_KB, "memory_buffers_max_kb", "most of it at once, in kB")        \
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -3,6 +3,7 @@
 #include "clock.h"
 #include "counters.h"
 #include "held_memory.h"
+#include "http_clients.h"
 #include "log.h"
 #include "timeline.h"
 
@@ -204,6 +205,7 @@
 {
   Options options = { NULL };
   Settings *settings = NULL;
+  HttpClientLimits limits = { 0 };
   GError *error = NULL;
   int code = EXIT_USAGE;
 
@@ -232,6 +234,9 @@
   log_init (ops->program, log_level_parse (settings->log_level));
   timeline_init (settings->name, settings->timeline_events);
   held_memory_init (settings->memory_mb);
+  limits.connections = settings->connections;
+  limits.descriptors = settings->descriptors;
+  http_clients_limit (&limits);
   code = run (ops, settings, options.settings_path);
 
 out:
--- a/src/http_clients.h
+++ b/src/http_clients.h
@@ -3,10 +3,30 @@
  * hold, and closes connections when that is too much. */
 #include <event2/event.h>
 #include <event2/http.h>
+#include <event2/listener.h>
 #include <glib.h>
 
 typedef struct HttpClient HttpClient;
 
+typedef struct
+{
+  guint connections; /* open at once; 0: half of the descriptors */
+  guint descriptors; /* of the process; 0: its RLIMIT_NOFILE */
+} HttpClientLimits;
+
+/** http_clients_limit - replace the limits. */
+void http_clients_limit (const HttpClientLimits *limits);
+
+/** http_clients_accept_from - bound what is accepted from a listening socket. */
+void http_clients_accept_from (struct event_base *base, struct evconnlistener *socket);
+
+/** http_clients_forget_socket - the socket is being closed. */
+void http_clients_forget_socket (struct evconnlistener *socket);
+
+/** http_clients_are_full - whether so many clients wait for responses that the next
+ * request that would wait has to be refused. */
+gboolean http_clients_are_full (void);
+
 typedef void (*HttpClientReceived) (gpointer ctx);
 
 /**
--- a/src/http_listener.c
+++ b/src/http_listener.c
@@ -42,6 +42,21 @@
   listener->init.handler (request, listener->init.ctx);
 }
 
+static void
+save_socket (struct evhttp_bound_socket *socket, void *ctx)
+{
+  *(struct evhttp_bound_socket **)ctx = socket;
+}
+
+static struct evconnlistener *
+listening_socket (HttpListener *listener)
+{
+  struct evhttp_bound_socket *socket = NULL;
+
+  evhttp_foreach_bound_socket (listener->http, save_socket, &socket);
+  return evhttp_bound_socket_get_listener (socket);
+}
+
 HttpListener *
 http_listener_new (struct event_base *base,
                    const char *address,
@@ -62,6 +77,7 @@
   if (init->max_body_bytes == 0)
     listener->init.max_body_bytes = MAX_BODY_BYTES;
   evhttp_set_max_body_size (http, (ev_ssize_t)listener->init.max_body_bytes);
+  http_clients_accept_from (base, listening_socket (listener));
   evhttp_set_bevcb (http, on_accept, listener);
   evhttp_set_gencb (http, on_request, listener);
   return listener;
@@ -72,6 +88,7 @@
 {
   if (listener == NULL)
     return;
+  http_listener_stop_accepting (listener);
   evhttp_free (listener->http);
   g_free (listener->address);
   g_free (listener);
@@ -91,12 +108,6 @@
   http_clients_set_max_body (listener->init.max_body_bytes, listener);
 }
 
-static void
-save_socket (struct evhttp_bound_socket *socket, void *ctx)
-{
-  *(struct evhttp_bound_socket **)ctx = socket;
-}
-
 /* A socket must not be removed while evhttp iterates over them, so find it first. */
 void
 http_listener_stop_accepting (HttpListener *listener)
@@ -104,8 +115,10 @@
   struct evhttp_bound_socket *socket = NULL;
 
   evhttp_foreach_bound_socket (listener->http, save_socket, &socket);
-  if (socket != NULL)
-    evhttp_del_accept_socket (listener->http, socket);
+  if (socket == NULL)
+    return;
+  http_clients_forget_socket (evhttp_bound_socket_get_listener (socket));
+  evhttp_del_accept_socket (listener->http, socket);
 }
 
 gint64
--- a/tests/test-crowds.c
+++ b/tests/test-crowds.c
@@ -62,6 +62,13 @@
   POST (PLATFORM_PREFIX, "X-Deadline-Ms: 60000\r\nContent-Length: 4053\r\n") LARGEST_JOB
 G_STATIC_ASSERT (sizeof (LARGEST_JOB) - 1 == 4053);
 
+#define SHORT_JOB                                                                        \
+  "{\"spec\":\"3600\",\"best_effort\":true,\"steps\":[{\"count\":1,\"cpu\":1000,"        \
+  "\"mem_mb\":64,\"estimate_ms\":3600}]}"
+#define SHORT_JOB_POST                                                                   \
+  POST (PLATFORM_PREFIX, "X-Deadline-Ms: 60000\r\nContent-Length: 98\r\n") SHORT_JOB
+G_STATIC_ASSERT (sizeof (SHORT_JOB) - 1 == 98);
+
 static Process *
 platform_target (PlatformScene *scene, Target target)
 {
@@ -187,6 +194,8 @@
   { "idle-connections-at-ready", READY, 400, NULL, 0, NULL, 0, LIMITS_AND_DESCRIPTORS },
   { "parts-of-requests", FRONT, 400, "GET / HTTP/1.1\r\nHost: x", 0, NULL, 0,
     LIMITS_AND_DESCRIPTORS },
+  { "connections-that-wait", FRONT, 400, SHORT_JOB_POST, 0, NULL, 0,
+    LIMITS_AND_DESCRIPTORS },
   { "idle-connections-to-frames", FRAMES, 400, NULL, 0, NULL, 0, LIMITS_AND_DESCRIPTORS },
   { "agent-unread", AGENT, 8, NULL, 0, GET ("/no/such/page"), 20 * MB, LIMITS },
   { "agent-metrics-unread", AGENT_METRICS, 4, NULL, 0, GET ("/metrics"), 30 * MB,
