Bound the memory of open leased jobs, and refuse what exceeds it before it is taken

What callers saw: an entry that ended, out of memory, under jobs that were each within every limit.

Cause: a job of 10,000 tasks makes its entry hold 1.5 MB before anything runs, for as long as its caller waits, and only the number of connections bounded how many of them there are.

Open jobs have a share of limits.memory_mb. A job is refused with 503 before anything is allocated for it, so it never runs, when it takes more than a quarter of what is left: a crowd of large jobs leaves room for the small ones of ordinary callers. Retry-After is the estimated time to finish the open jobs, at most until the last of them is given up. A job that is sent again by its caller joins the open one and is not refused.

--- a/src/counters.h
+++ b/src/counters.h
@@ -140,6 +140,11 @@
      "held of what HTTP clients have sent or have not read, in kB")                      \
   X (MEMORY_BUFFERS_MAX_KB, "memory_buffers_max_kb", "most of it at once, in kB")        \
   X (MEMORY_BUFFERS_LIMIT_KB, "memory_buffers_limit_kb", "its limit, in kB")             \
+  X (JOBS_OVER_MEMORY, "jobs_over_memory",                                               \
+     "jobs refused because open jobs hold too much memory")                              \
+  X (MEMORY_JOBS_KB, "memory_jobs_kb", "held by open jobs, in kB")                       \
+  X (MEMORY_JOBS_MAX_KB, "memory_jobs_max_kb", "most of it at once, in kB")              \
+  X (MEMORY_JOBS_LIMIT_KB, "memory_jobs_limit_kb", "its limit, in kB")                   \
   X (RESTARTS, "restarts", "components restarted by their supervisor")
 
 typedef enum
--- a/src/dispatcher.c
+++ b/src/dispatcher.c
@@ -2,11 +2,14 @@
 #include "counters.h"
 #include "dispatcher_parts.h"
 #include "events.h"
+#include "held_memory.h"
 
 #include <string.h>
 
 /* A caller that lost its connection submits its job again within this time. */
 #define RECENT_JOB_MS 5000
+/* The shortest time after which a job that was refused for memory is asked for again. */
+#define MIN_ROOM_MS 1000
 
 static const char *const end_names[] = { "completed", "failed", "refused", "given-up" };
 
@@ -55,9 +58,17 @@
   g_free ((char *)spec->rack);
 }
 
+static gsize
+job_bytes (const LeasedSpec *spec)
+{
+  return sizeof (LeasedJob) + spec->count * sizeof (LeasedTask) + strlen (spec->payload)
+         + strlen (spec->label) + strlen (spec->rack);
+}
+
 static void
 job_free (LeasedJob *job)
 {
+  held_memory_add (HELD_JOBS, -(gssize)job_bytes (&job->spec));
   TAILQ_REMOVE (&job->dispatcher->jobs, job, link);
   job->dispatcher->n_jobs--;
   spec_clear (&job->spec);
@@ -316,6 +327,7 @@
   job->typical_work = runtimes_observe_work (
       runtimes, spec->count * job->task_ms * MAX (spec->demand.cpu_milli, 1));
   set_objective (job);
+  held_memory_add (HELD_JOBS, (gssize)job_bytes (&job->spec));
   TAILQ_INSERT_TAIL (&dispatcher->jobs, job, link);
   dispatcher->n_jobs++;
   dispatcher->n_waiting += spec->count;
@@ -323,6 +335,38 @@
   return job;
 }
 
+/* Return: in ms, until the last open job is over at the latest. */
+static guint
+last_deadline_ms (const Dispatcher *dispatcher)
+{
+  gint64 last_ms = 0;
+  const LeasedJob *job;
+
+  TAILQ_FOREACH (job, &dispatcher->jobs, link)
+    last_ms = MAX (last_ms, job->spec.deadline_ms);
+  return (guint)MAX (last_ms - dispatcher->now_ms, 0);
+}
+
+guint
+dispatcher_room_ms (Dispatcher *dispatcher, const LeasedSpec *spec, gint64 now_ms)
+{
+  gsize bytes = job_bytes (spec);
+  guint room_ms;
+
+  dispatcher->now_ms = now_ms;
+  if (held_memory_takes (HELD_JOBS, bytes)
+      || g_hash_table_contains (dispatcher->by_id, spec->id))
+    return 0;
+  room_ms = MAX (MIN (dispatcher_wait_ms (dispatcher), last_deadline_ms (dispatcher)),
+                 MIN_ROOM_MS);
+  counter_add (COUNTER_JOBS_OVER_MEMORY, 1);
+  event_emit ("job-over-memory", spec->id,
+              "bytes=%zu held_kb=%zu limit_kb=%zu jobs=%u retry_after_ms=%u", bytes,
+              held_memory (HELD_JOBS) >> 10, held_memory_limit (HELD_JOBS) >> 10,
+              dispatcher->n_jobs, room_ms);
+  return room_ms;
+}
+
 /* The caller reconnected and submitted the job again. A second job would run the same
  * tasks twice, concurrently. */
 static void
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -190,6 +190,12 @@
                               gpointer ctx,
                               gint64 now_ms);
 
+/**
+ * dispatcher_room_ms - when there will be memory for the job.
+ * Return: 0 if there is now, else an estimate in ms: the job must be refused.
+ */
+guint dispatcher_room_ms (Dispatcher *dispatcher, const LeasedSpec *spec, gint64 now_ms);
+
 /** dispatcher_cancel - the caller disconnected: stop the job, do not call LeasedDone. */
 void dispatcher_cancel (LeasedJob *job, gint64 now_ms);
 
--- a/src/held_memory.c
+++ b/src/held_memory.c
@@ -3,6 +3,9 @@
 
 #include <unistd.h>
 
+/* What is added takes at most this part of what is free. */
+#define TAKEN_PART 4
+
 typedef struct
 {
   gsize bytes;
@@ -19,6 +22,8 @@
 } uses[HELD_N_USES] = {
   [HELD_BUFFERS] = { 25, COUNTER_MEMORY_BUFFERS_KB, COUNTER_MEMORY_BUFFERS_MAX_KB,
                      COUNTER_MEMORY_BUFFERS_LIMIT_KB },
+  [HELD_JOBS] = { 25, COUNTER_MEMORY_JOBS_KB, COUNTER_MEMORY_JOBS_MAX_KB,
+                  COUNTER_MEMORY_JOBS_LIMIT_KB },
 };
 
 static Held held[HELD_N_USES];
@@ -49,6 +54,14 @@
   counter_set_max (uses[use].max_kb, held[use].bytes >> 10);
 }
 
+gboolean
+held_memory_takes (HeldUse use, gsize bytes)
+{
+  gsize limit = held_memory_limit (use);
+
+  return held[use].bytes < limit && bytes <= (limit - held[use].bytes) / TAKEN_PART;
+}
+
 gsize
 held_memory (HeldUse use)
 {
--- a/src/held_memory.h
+++ b/src/held_memory.h
@@ -7,6 +7,7 @@
 typedef enum
 {
   HELD_BUFFERS, /* what HTTP clients have sent, or have not read */
+  HELD_JOBS,    /* open jobs */
   HELD_N_USES,
 } HeldUse;
 
@@ -17,6 +18,10 @@
 /** held_memory_add - count @bytes more, or less if negative. */
 void held_memory_add (HeldUse use, gssize bytes);
 
+/** held_memory_takes - whether there is room for @bytes more. The less is free, the
+ * smaller they must be: many large amounts leave room for small ones. */
+gboolean held_memory_takes (HeldUse use, gsize bytes);
+
 /** held_memory - bytes held now. */
 gsize held_memory (HeldUse use);
 
