Bound what links hold of frames that are still being received

What callers saw: an entry or an agent that ends, out of memory, when anyone sends frames of 16 MB without their last bytes to the address of its links.

Cause: a frame is kept until it is complete, up to 16 MB for each connection, also from a peer that has not said who it is.

The first frame, with which a peer says who it is, may be 256 kB. Of accepted links whose peers have not said who they are at most a quarter of the descriptors are open; the oldest is closed for a new one. Accepting pauses for 100 ms if it fails, as for HTTP.

--- a/src/counters.h
+++ b/src/counters.h
@@ -145,6 +145,13 @@
   X (MEMORY_JOBS_KB, "memory_jobs_kb", "held by open jobs, in kB")                       \
   X (MEMORY_JOBS_MAX_KB, "memory_jobs_max_kb", "most of it at once, in kB")              \
   X (MEMORY_JOBS_LIMIT_KB, "memory_jobs_limit_kb", "its limit, in kB")                   \
+  X (LINKS_EVICTED, "links_evicted",                                                     \
+     "connections closed for want of room before they said who they are")                \
+  X (LINKS_OVER_MEMORY, "links_over_memory",                                             \
+     "connections closed because parts of frames hold too much memory")                  \
+  X (MEMORY_FRAMES_KB, "memory_frames_kb", "held by parts of frames, in kB")             \
+  X (MEMORY_FRAMES_MAX_KB, "memory_frames_max_kb", "most of it at once, in kB")          \
+  X (MEMORY_FRAMES_LIMIT_KB, "memory_frames_limit_kb", "its limit, in kB")               \
   X (RESTARTS, "restarts", "components restarted by their supervisor")
 
 typedef enum
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -4,6 +4,7 @@
 #include "counters.h"
 #include "held_memory.h"
 #include "http_clients.h"
+#include "link.h"
 #include "log.h"
 #include "timeline.h"
 
@@ -237,6 +238,7 @@
   limits.connections = settings->connections;
   limits.descriptors = settings->descriptors;
   http_clients_limit (&limits);
+  links_limit_unidentified (http_clients_descriptors () / 4);
   code = run (ops, settings, options.settings_path);
 
 out:
--- a/src/http_clients.c
+++ b/src/http_clients.c
@@ -120,8 +120,8 @@
   all.limits = *limits;
 }
 
-static guint
-descriptor_limit (void)
+guint
+http_clients_descriptors (void)
 {
   struct rlimit limit;
 
@@ -136,8 +136,8 @@
 static guint
 connection_limit (void)
 {
-  guint limit
-      = all.limits.connections > 0 ? all.limits.connections : descriptor_limit () / 2;
+  guint limit = all.limits.connections > 0 ? all.limits.connections
+                                           : http_clients_descriptors () / 2;
 
   return MAX (limit, MIN_CONNECTIONS);
 }
--- a/src/http_clients.h
+++ b/src/http_clients.h
@@ -17,6 +17,9 @@
 /** http_clients_limit - replace the limits. */
 void http_clients_limit (const HttpClientLimits *limits);
 
+/** http_clients_descriptors - the limit of the process's descriptors. */
+guint http_clients_descriptors (void);
+
 /** http_clients_accept_from - bound what is accepted from a listening socket. */
 void http_clients_accept_from (struct event_base *base, struct evconnlistener *socket);
 
--- a/src/link.c
+++ b/src/link.c
@@ -1,6 +1,7 @@
 #define LOG_MODULE "link"
 #include "clock.h"
 #include "counters.h"
+#include "held_memory.h"
 #include "link_parts.h"
 #include "log.h"
 
@@ -11,8 +12,18 @@
 #include <netinet/tcp.h>
 
 #define FRAME_MAX (16u << 20) /* bytes */
+/* Of the first frame, from a peer that may be anyone. */
+#define FIRST_FRAME_MAX (256u << 10)
 #define CONNECT_TIMEOUT_MS 1000
 
+typedef TAILQ_HEAD (LinkQueue, Link) LinkQueue;
+
+static struct
+{
+  LinkQueue open; /* oldest first */
+  guint max_unidentified;
+} all = { TAILQ_HEAD_INITIALIZER (all.open), G_MAXUINT };
+
 static const char *const end_names[]
     = { "refused", "unreachable", "closed", "silent", "broken" };
 
@@ -22,10 +33,34 @@
   return end_names[end];
 }
 
+void
+links_limit_unidentified (guint limit)
+{
+  all.max_unidentified = limit;
+}
+
+static void
+on_input (struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *ctx)
+{
+  held_memory_add (HELD_FRAMES, (gssize)info->n_added - (gssize)info->n_deleted);
+}
+
+/* The bufferevent itself is freed only after all events that are due now. */
+static void
+drop_received (Link *link)
+{
+  struct evbuffer *input = bufferevent_get_input (link->bev);
+
+  evbuffer_drain (input, evbuffer_get_length (input));
+  evbuffer_remove_cb (input, on_input, NULL);
+}
+
 static void
 link_release (Link *link)
 {
   link->closed = TRUE;
+  TAILQ_REMOVE (&all.open, link, link);
+  drop_received (link);
   g_clear_pointer (&link->bev, bufferevent_free);
   g_clear_pointer (&link->frame, evbuffer_free);
   g_clear_pointer (&link->heartbeat, event_free);
@@ -147,7 +182,7 @@
   if (evbuffer_copyout (input, &header, LINK_HEADER_SIZE) < LINK_HEADER_SIZE)
     return FALSE;
   size = ntohl (header);
-  if (size > FRAME_MAX)
+  if (size > (link->peer != NULL ? FRAME_MAX : FIRST_FRAME_MAX))
     {
       link_end (link, LINK_PROTOCOL_ERROR);
       return FALSE;
@@ -162,6 +197,31 @@
   return TRUE;
 }
 
+/* Closes the link on which most of an incomplete frame has arrived. */
+static void
+end_largest (void)
+{
+  Link *largest = NULL;
+  gsize most = 0;
+  Link *link;
+
+  TAILQ_FOREACH (link, &all.open, link)
+    {
+      gsize size = evbuffer_get_length (bufferevent_get_input (link->bev));
+
+      if (size <= most)
+        continue;
+      largest = link;
+      most = size;
+    }
+  if (largest == NULL)
+    return;
+  counter_add (COUNTER_LINKS_OVER_MEMORY, 1);
+  log_warn ("a connection is closed: parts of frames hold %zu kB, %zu kB of them here",
+            held_memory (HELD_FRAMES) >> 10, most >> 10);
+  link_end (largest, LINK_PROTOCOL_ERROR);
+}
+
 static void
 on_read (struct bufferevent *bev, void *ctx)
 {
@@ -181,6 +241,8 @@
   while (!link->closed && read_frame (link))
     ;
   link_unref (link);
+  if (held_memory (HELD_FRAMES) > held_memory_limit (HELD_FRAMES))
+    end_largest ();
 }
 
 static void
@@ -232,6 +294,8 @@
   link->flush = event_new (config->base, -1, 0, on_flush, link);
   link->heartbeat = event_new (config->base, -1, EV_PERSIST, on_heartbeat, link);
   event_add (link->heartbeat, &interval);
+  TAILQ_INSERT_TAIL (&all.open, link, link);
+  evbuffer_add_cb (bufferevent_get_input (link->bev), on_input, NULL);
   bufferevent_setcb (link->bev, on_read, NULL, on_event, link);
   bufferevent_enable (link->bev, EV_READ | EV_WRITE);
   return link;
@@ -270,14 +334,38 @@
   return link;
 }
 
+/* A peer says who it is with its first frame, at once: the oldest link of those that have
+ * not is the least likely to. */
+static void
+make_room (void)
+{
+  Link *oldest = NULL;
+  guint n = 0;
+  Link *link;
+
+  TAILQ_FOREACH (link, &all.open, link)
+    {
+      if (!link->accepted || link->peer != NULL)
+        continue;
+      oldest = oldest != NULL ? oldest : link;
+      n++;
+    }
+  if (oldest == NULL || n < all.max_unidentified)
+    return;
+  counter_add (COUNTER_LINKS_EVICTED, 1);
+  link_end (oldest, LINK_PROTOCOL_ERROR);
+}
+
 Link *
 link_accept (const LinkConfig *config, evutil_socket_t fd)
 {
   Link *link;
 
+  make_room ();
   evutil_make_socket_nonblocking (fd);
   set_no_delay (fd);
   link = link_new (config, fd);
+  link->accepted = TRUE;
   link_send_pending (link);
   return link;
 }
--- a/src/link.h
+++ b/src/link.h
@@ -72,6 +72,10 @@
 /** link_accept - take over an accepted socket. */
 Link *link_accept (const LinkConfig *config, evutil_socket_t fd);
 
+/** links_limit_unidentified - how many accepted links may be open before their peers have
+ * said who they are; beyond it the oldest is closed. */
+void links_limit_unidentified (guint limit);
+
 Link *link_ref (Link *link);
 void link_unref (Link *link);
 
--- a/src/link_parts.h
+++ b/src/link_parts.h
@@ -4,15 +4,18 @@
 #include "link.h"
 
 #include <event2/buffer.h>
+#include <sys/queue.h>
 
 #define LINK_HEADER_SIZE 4
 
 struct Link
 {
+  TAILQ_ENTRY (Link) link; /* of the open links */
   const LinkConfig *config;
   struct bufferevent *bev;
   struct evbuffer *frame; /* the frame that is being sent */
   gboolean connected;
+  gboolean accepted; /* dialled by the peer */
   struct event *heartbeat;
   struct event *flush;
   Gw__Hello *peer;
--- a/src/listen.c
+++ b/src/listen.c
@@ -1,4 +1,6 @@
 #include "listen.h"
+#include "clock.h"
+#include "counters.h"
 #include "findings.h"
 
 #include <arpa/inet.h>
@@ -11,9 +13,13 @@
  * it and is answered with an error. */
 #define BODY_MAX_BYTES (18 << 20)
 
+/* After accept () has failed, for want of descriptors or memory. */
+#define ACCEPT_PAUSE_MS 100
+
 struct Listener
 {
   struct evconnlistener *listener;
+  struct event *resume;
   char *address;
   ListenAccept accept;
   gpointer ctx;
@@ -44,6 +50,26 @@
   listener->accept (fd, listener->ctx);
 }
 
+/* Without a pause the loop would find the socket readable again at once. */
+static void
+on_accept_error (struct evconnlistener *evlistener, void *ctx)
+{
+  const struct timeval pause = timeval_from_ms (ACCEPT_PAUSE_MS);
+  Listener *listener = ctx;
+
+  counter_add (COUNTER_ACCEPTS_FAILED, 1);
+  evconnlistener_disable (evlistener);
+  event_add (listener->resume, &pause);
+}
+
+static void
+on_resume (evutil_socket_t fd, short what, void *ctx)
+{
+  Listener *listener = ctx;
+
+  evconnlistener_enable (listener->listener);
+}
+
 static gboolean
 parse_address (const char *address, struct sockaddr_in *where, GError **error)
 {
@@ -97,6 +123,8 @@
       g_free (listener);
       return NULL;
     }
+  listener->resume = evtimer_new (base, on_resume, listener);
+  evconnlistener_set_error_cb (listener->listener, on_accept_error);
   listener->address = socket_address (evconnlistener_get_fd (listener->listener));
   return listener;
 }
@@ -107,6 +135,7 @@
   if (listener == NULL)
     return;
   evconnlistener_free (listener->listener);
+  event_free (listener->resume);
   g_free (listener->address);
   g_free (listener);
 }
