Close connections whose requests do not arrive, or whose responses are not read, in time

What callers saw: nothing by itself; such connections held descriptors and buffers for as long as their clients liked.

Cause: evhttp's timeout, where there is one, starts again with each byte, and callers' connections of a leased entry have none while a response is not read.

A request has limits.request_ms from its first byte to its last; a client that reads nothing of its response for as long is disconnected as well. One timer checks, and only while some client sends or reads.

Evidence: /requests/slow/*; they count by a new counter, so they were not run on the code before.

--- a/src/counters.h
+++ b/src/counters.h
@@ -135,6 +135,8 @@
      "connections of HTTP clients closed because too much was held for them")            \
   X (CLIENTS_EVICTED, "clients_evicted",                                                 \
      "connections of HTTP clients closed to make room for others")                       \
+  X (CLIENTS_SLOW, "clients_slow",                                                       \
+     "connections closed for a request, or a response, that took too long")              \
   X (ACCEPTS_FAILED, "accepts_failed", "pauses after a connection was not accepted")     \
   X (MEMORY_BUFFERS_KB, "memory_buffers_kb",                                             \
      "held of what HTTP clients have sent or have not read, in kB")                      \
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -237,6 +237,7 @@
   held_memory_init (settings->memory_mb);
   limits.connections = settings->connections;
   limits.descriptors = settings->descriptors;
+  limits.request_ms = settings->request_ms;
   http_clients_limit (&limits);
   links_limit_unidentified (http_clients_descriptors () / 4);
   code = run (ops, settings, options.settings_path);
--- a/src/http_clients.c
+++ b/src/http_clients.c
@@ -30,6 +30,8 @@
  * refused at once, and for the balancer. */
 #define WAITING_PERCENT 75
 #define MIN_CONNECTIONS 16
+/* How often limits.request_ms is checked within it. */
+#define SLOW_CHECKS 8
 
 typedef enum
 {
@@ -50,6 +52,7 @@
   ClientState state;
   gboolean sending; /* part of a request has arrived */
   gboolean refused; /* evhttp answers a request that it has not handed over */
+  gint64 since_ms;  /* when it began to send, or last read some of the response */
   gsize held;       /* buffered in either direction, and the body of an open request */
   gsize taken;      /* of these, what evhttp has taken out of the input buffer */
   gsize body;       /* of these, the body */
@@ -74,6 +77,7 @@
 } Reason;
 
 static Reason over_memory = { "memory", COUNTER_CLIENTS_OVER_MEMORY };
+static Reason over_time = { "time", COUNTER_CLIENTS_SLOW };
 static Reason over_number = { "connections", COUNTER_CLIENTS_EVICTED };
 
 static struct
@@ -90,12 +94,14 @@
   gboolean paused; /* nothing is accepted */
   struct event *adopt;
   struct event *reclaim;
+  struct event *slow;  /* pending while a client sends or reads */
   struct event *retry; /* pending after accept () has failed */
 } all;
 
 static void on_adopt (evutil_socket_t fd, short what, void *ctx);
 static void on_reclaim (evutil_socket_t fd, short what, void *ctx);
 static void on_retry (evutil_socket_t fd, short what, void *ctx);
+static void on_slow (evutil_socket_t fd, short what, void *ctx);
 
 static void
 clients_init (struct event_base *base)
@@ -112,6 +118,7 @@
   all.reclaim = event_new (base, -1, 0, on_reclaim, NULL);
   event_priority_set (all.reclaim, RECLAIM_PRIORITY);
   all.retry = evtimer_new (base, on_retry, NULL);
+  all.slow = evtimer_new (base, on_slow, NULL);
 }
 
 void
@@ -169,6 +176,18 @@
     event_active (all.reclaim, EV_TIMEOUT, 0);
 }
 
+/* The client sends or reads: it has limits.request_ms from now on. */
+static void
+client_progress (HttpClient *client)
+{
+  const struct timeval interval
+      = timeval_from_ms (MAX (all.limits.request_ms / SLOW_CHECKS, 1));
+
+  client->since_ms = clock_now_ms ();
+  if (all.limits.request_ms > 0 && !event_pending (all.slow, EV_TIMEOUT, NULL))
+    event_add (all.slow, &interval);
+}
+
 static void
 client_hold (HttpClient *client, gssize bytes)
 {
@@ -207,6 +226,7 @@
     {
       client->sending = TRUE;
       client_enter (client, CLIENT_SENDS);
+      client_progress (client);
     }
   client->received (client->received_ctx);
 }
@@ -223,11 +243,18 @@
       release (client, &client->body);
       client->refused = client->state == CLIENT_SENDS;
       client_enter (client, CLIENT_READS);
+      client_progress (client);
     }
   else if (client->state == CLIENT_READS && evbuffer_get_length (buffer) == 0)
     {
       client->sending = evbuffer_get_length (bufferevent_get_input (client->bev)) > 0;
       client_enter (client, CLIENT_SENDS);
+      if (client->sending)
+        client_progress (client);
+    }
+  else if (client->state == CLIENT_READS && info->n_deleted > 0)
+    {
+      client->since_ms = clock_now_ms ();
     }
 }
 
@@ -491,6 +518,30 @@
     }
 }
 
+static void
+on_slow (evutil_socket_t fd, short what, void *ctx)
+{
+  const struct timeval interval
+      = timeval_from_ms (MAX (all.limits.request_ms / SLOW_CHECKS, 1));
+  gint64 before_ms = clock_now_ms () - all.limits.request_ms;
+  gboolean open = FALSE;
+  HttpClient *client;
+  HttpClient *next;
+
+  for (client = TAILQ_FIRST (&all.closable); client != NULL; client = next)
+    {
+      next = TAILQ_NEXT (client, link);
+      if (client->state == CLIENT_SENDS && !client->sending)
+        continue;
+      if (client->since_ms < before_ms)
+        client_close (client, &over_time);
+      else
+        open = TRUE;
+    }
+  if (open)
+    event_add (all.slow, &interval);
+}
+
 static void
 on_reclaim (evutil_socket_t fd, short what, void *ctx)
 {
--- a/src/http_clients.h
+++ b/src/http_clients.h
@@ -12,6 +12,7 @@
 {
   guint connections; /* open at once; 0: half of the descriptors */
   guint descriptors; /* of the process; 0: its RLIMIT_NOFILE */
+  guint request_ms;  /* to send a request, or to read some of a response; 0: no limit */
 } HttpClientLimits;
 
 /** http_clients_limit - replace the limits. */
--- a/tests/test-requests.c
+++ b/tests/test-requests.c
@@ -246,6 +246,61 @@
   platform_scene_close (&scene);
 }
 
+/* A client that holds its connection with part of a request, or does not read. */
+static const struct
+{
+  const char *name;
+  const char *text;
+  gsize times;
+} slow_cases[] = {
+  { "part-of-a-head", "POST / HTTP/1.1\r\nHost: x", 1 },
+  { "part-of-a-body", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n1", 1 },
+  { "responses-unread", "GET / HTTP/1.1\r\nHost: x\r\n\r\n", 1 << 17 },
+};
+
+static gboolean
+one_was_slow (gpointer scene)
+{
+  PlatformScene *all = scene;
+
+  return harness_counter (all->harness, all->entries[0]->metrics, "clients_slow") == 1;
+}
+
+/* Guards against an entry that keeps such a connection, and what it holds, for ever: a
+ * byte now and then starts every timeout of idle connections again. */
+static void
+test_slow (gconstpointer data)
+{
+  static const PlatformInit init
+      = { 1, 1, FALSE, TRUE, .settings = "limits.request_ms = 300\n" };
+  guint i = GPOINTER_TO_UINT (data);
+  PlatformScene scene;
+  Client client;
+  gsize size = strlen (slow_cases[i].text);
+
+  platform_scene_open (&scene, &init);
+  client = client_connect (&scene);
+  for (gsize n = 0; n < slow_cases[i].times; n++)
+    if (send (client.fd, slow_cases[i].text, size, MSG_NOSIGNAL) < 0)
+      break;
+  harness_wait (scene.harness, one_was_slow, &scene, "the end of the connection");
+  g_assert_false (process_has_exited (scene.entries[0]));
+  client_free (&client);
+  platform_scene_close (&scene);
+}
+
+static void
+add_slow_cases (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (slow_cases); i++)
+    {
+      char *path = g_strdup_printf ("/requests/slow/%s", slow_cases[i].name);
+
+      g_test_add_data_func (path, GUINT_TO_POINTER (i), test_slow);
+      g_free (path);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -253,5 +308,6 @@
   g_test_set_nonfatal_assertions ();
   ADD_CASES ("/requests", cases, test_case);
   g_test_add_func ("/requests/limit-raised-while-connected", test_raised_limit);
+  add_slow_cases ();
   return g_test_run ();
 }
