Refuse bodies whose JSON tree would be far larger than their text

What callers saw: an entry that ends, out of memory, over a body inside the limit of its bytes.

Cause: a value of two bytes takes some 85 in a parsed tree: a body of 4 MB that is a list of zeros, 170 MB.

The values of a client's text are counted before it is parsed; the tree may take as much as open jobs may altogether. A job of 10,000 tasks has some 80,000 values, a 27th of that list.

--- a/src/operators.c
+++ b/src/operators.c
@@ -3,6 +3,7 @@
 #include "counters.h"
 #include "http.h"
 #include "http_clients.h"
+#include "json_size.h"
 #include "names.h"
 #include "operators_parts.h"
 #include "timeline.h"
@@ -134,8 +135,10 @@
 {
   gsize size;
   char *body = http_request_body (request, &size);
-  JsonNode *root
-      = g_utf8_validate (body, (gssize)size, NULL) ? json_from_string (body, NULL) : NULL;
+  JsonNode *root = NULL;
+
+  if (g_utf8_validate (body, (gssize)size, NULL) && json_size_fits (body, size))
+    root = json_from_string (body, NULL);
 
   g_free (body);
   if (root != NULL && JSON_NODE_HOLDS_OBJECT (root))
--- a/src/submission.c
+++ b/src/submission.c
@@ -1,4 +1,5 @@
 #include "submission.h"
+#include "json_size.h"
 #include "names.h"
 
 #include <json-glib/json-glib.h>
@@ -302,6 +303,8 @@
   parser.submission->specs = task_specs_new ();
   if (!g_utf8_validate (body, (gssize)size, NULL))
     findings_add (findings, "body", "not valid UTF-8");
+  else if (!json_size_fits (body, size))
+    findings_add (findings, "body", "has too many values");
   else
     root = json_from_string (body, &error);
   if (error != NULL)
