Bound the memory of stored jobs: payloads, answers, and what ended jobs keep

What callers saw: an entry that ends, out of memory, under jobs that were each within every limit.

Cause: an entry took jobs by their number alone (limits.max_jobs), whatever their payloads; a payload is copied once more for its home.

Evidence: /crowds/native/jobs, 60 jobs of 2 MB: 323 MB where 64 are allowed.

A job is refused with 503 before its id is reserved, so it never runs, when it takes more than a quarter of what is left of the share of open jobs; ended jobs give way first, the oldest ones, and keep half of the share at most. Retry-After is the time until the next open job is over at the latest.

Open: answers count as they arrive, but a job that was taken gets all of its answers, so these alone may exceed the share.

--- a/src/callers.c
+++ b/src/callers.c
@@ -248,6 +248,7 @@
   Callers *callers = caller->callers;
   const char *reason = refusal_reason (callers);
   Findings *findings;
+  guint room_s;
 
   if (reason != NULL)
     {
@@ -263,6 +264,13 @@
       return;
     }
   findings_free (findings);
+  room_s = holder_room_s (callers->init.holder, caller->submission->specs);
+  if (room_s > 0)
+    {
+      counter_add (COUNTER_JOBS_OVER_MEMORY, 1);
+      callers_refuse (caller, 503, "open jobs hold too much memory", room_s);
+      return;
+    }
   caller->key = holder_reserve (callers->init.holder);
   if (caller->submission->client_key == NULL)
     {
--- a/src/holder.c
+++ b/src/holder.c
@@ -1,6 +1,7 @@
 #define LOG_MODULE "holder"
 #include "clock.h"
 #include "counters.h"
+#include "held_memory.h"
 #include "holder_parts.h"
 #include "messages.h"
 #include "timeline.h"
@@ -10,6 +11,7 @@
 /* A job whose homes have not reported what ran by then is answered "may have run". */
 #define ENDING_TIMEOUT_MS 300
 /* Callers can fetch the answer of an ended job at most this long. */
+#define ROOM_MAX_S 60
 #define RETAIN_MS 120000
 #define ABANDONED_TTL_MS 3600000
 
@@ -95,11 +97,34 @@
   g_free (part);
 }
 
+/* A payload is copied for its home, which may be another process. */
+static gsize
+bytes_of_specs (const GPtrArray *specs)
+{
+  gsize bytes = sizeof (HeldJob);
+
+  for (guint i = 0; i < specs->len; i++)
+    {
+      const TaskSpec *spec = g_ptr_array_index (specs, i);
+
+      bytes += sizeof *spec + sizeof (HeldTask) + 2 * g_bytes_get_size (spec->payload);
+    }
+  return bytes;
+}
+
+void
+holder_hold (HeldJob *job, gssize bytes)
+{
+  job->held_bytes += (gsize)bytes;
+  held_memory_add (HELD_JOBS, bytes);
+}
+
 static void
 job_free (Holder *holder, HeldJob *job)
 {
   HeldPart *part;
 
+  holder_hold (job, -(gssize)job->held_bytes);
   while ((part = LIST_FIRST (&job->parts)) != NULL)
     part_free (part);
   g_hash_table_remove (holder->jobs, &job->key);
@@ -296,6 +321,32 @@
   part->open++;
 }
 
+static guint
+next_end_s (const Holder *holder)
+{
+  gint64 now_ms = clock_now_ms ();
+  gint64 next_ms = G_MAXINT;
+  const HeldJob *job;
+
+  LIST_FOREACH (job, &holder->running, link_entry)
+    next_ms = MIN (next_ms, job->deadline_ms - now_ms);
+  return (guint)CLAMP (next_ms / 1000, 1, ROOM_MAX_S);
+}
+
+guint
+holder_room_s (Holder *holder, const GPtrArray *specs)
+{
+  gsize bytes = bytes_of_specs (specs);
+
+  while (!held_memory_takes (HELD_JOBS, bytes))
+    {
+      if (TAILQ_EMPTY (&holder->ended))
+        return next_end_s (holder);
+      holder_drop_ended (holder, TAILQ_FIRST (&holder->ended));
+    }
+  return 0;
+}
+
 HeldJob *
 holder_submit (Holder *holder, const JobInit *init)
 {
@@ -318,6 +369,7 @@
   g_hash_table_insert (holder->jobs, &job->key, job);
   LIST_INSERT_HEAD (&holder->running, job, link_entry);
   holder->open_jobs++;
+  holder_hold (job, (gssize)bytes_of_specs (job->specs));
   counter_add (COUNTER_JOBS_SUBMITTED, 1);
   budget_deposit (&holder->budget);
   timeline_add ("job-submitted", &job->key, -1, job->team);
--- a/src/holder.h
+++ b/src/holder.h
@@ -66,6 +66,7 @@
   Gw__Outcome__Reason reason;
   guint retry_after_s;
   gsize answer_bytes; /* retained once ended */
+  gsize held_bytes;   /* counted as held: payloads and tasks, then answers as well */
   LIST_HEAD (, HeldPart) parts;
   GPtrArray *waiters; /* of JobWaiter */
 } HeldJob;
@@ -119,6 +120,14 @@
 /** task_specs_new - an empty array for JobInit.specs. */
 GPtrArray *task_specs_new (void);
 
+/**
+ * holder_room_s - when there will be memory for a job with these @specs; drops ended jobs
+ * for it.
+ * Return: 0 if there is now, else in s the time until the next open job is over at the
+ * latest: the new one must be refused.
+ */
+guint holder_room_s (Holder *holder, const GPtrArray *specs);
+
 HeldJob *holder_submit (Holder *holder, const JobInit *init);
 HeldJob *holder_lookup (Holder *holder, const JobKey *key);
 
--- a/src/holder_outcomes.c
+++ b/src/holder_outcomes.c
@@ -2,6 +2,7 @@
 /* Outcomes, retries and the end of jobs. */
 #include "clock.h"
 #include "counters.h"
+#include "held_memory.h"
 #include "holder_parts.h"
 #include "messages.h"
 #include "rendezvous.h"
@@ -19,7 +20,8 @@
 {
   TAILQ_INSERT_TAIL (&holder->ended, job, ended_entry);
   holder->ended_bytes += job->answer_bytes;
-  while (holder->ended_bytes > RETAIN_BYTES_MAX && TAILQ_FIRST (&holder->ended) != job)
+  while (holder->ended_bytes > MIN (RETAIN_BYTES_MAX, held_memory_limit (HELD_JOBS) / 2)
+         && TAILQ_FIRST (&holder->ended) != job)
     holder_drop_ended (holder, TAILQ_FIRST (&holder->ended));
 }
 
@@ -89,6 +91,7 @@
   ack_homes (holder, job);
   drop_payloads (job);
   measure_results (job);
+  holder_hold (job, (gssize)job->answer_bytes - (gssize)job->held_bytes);
   retain_job (holder, job);
   if (job->client_key != NULL && state != JOB_COMPLETE && !job->started)
     holder->ops->release (job, holder->ctx);
@@ -250,6 +253,7 @@
   detach_task (task);
   task->ended = TRUE;
   task->outcome = message_outcome_copy (outcome);
+  holder_hold (job, (gssize)outcome->body.len);
   job->open--;
   if (outcome->kind != GW__OUTCOME__KIND__NOT_RUN)
     job->started = TRUE;
--- a/src/holder_parts.h
+++ b/src/holder_parts.h
@@ -43,6 +43,10 @@
 };
 
 /* holder.c */
+
+/** holder_hold - count @bytes more as held by the job, or less if negative. */
+void holder_hold (HeldJob *job, gssize bytes);
+
 HeldTask *holder_task_at (const HeldJob *job, guint32 index);
 HeldPart *holder_part_by_grant (HeldJob *job, guint32 grant);
 void holder_drop_ended (Holder *holder, HeldJob *job);
