Bound the responses to calls, and end a task whose answer cannot be passed on

What callers saw: no answer to any job at an agent whose backend server had answered a task with over 16 MB; the agent grew to 1.56 GB within seconds and would have ended.

Cause: a response may have 32 MB, a frame 16 MB. The outcome with the long answer breaks the link, is not acknowledged, and is sent again on the next link, with all that waits behind it. The responses of all calls had no common bound.

Evidence: /long-answers/agent, 8 answers of 30 MB: 1560 MB where 64 are allowed, then no answer to the next job in 30 s; in the entry's log "link to the agent of agent-0: broken" without end.

An answer of over 15 MB ends its task as one that may have run: it did, but nobody can get the answer. Responses that are being received share 12% of limits.memory_mb; the call that exceeds it ends as broken. Outcomes that were not acknowledged have the same share, at most 48 MB as before. A bound of 15 MB for every response was tried and dropped: entries pass whole jobs to each other, and that of /answers/big is larger.

--- a/src/counters.h
+++ b/src/counters.h
@@ -154,6 +154,11 @@
   X (MEMORY_FRAMES_KB, "memory_frames_kb", "held by parts of frames, in kB")             \
   X (MEMORY_FRAMES_MAX_KB, "memory_frames_max_kb", "most of it at once, in kB")          \
   X (MEMORY_FRAMES_LIMIT_KB, "memory_frames_limit_kb", "its limit, in kB")               \
+  X (CALLS_OVER_MEMORY, "calls_over_memory",                                             \
+     "calls ended because their responses hold too much memory")                         \
+  X (MEMORY_ANSWERS_KB, "memory_answers_kb", "held by responses to calls, in kB")        \
+  X (MEMORY_ANSWERS_MAX_KB, "memory_answers_max_kb", "most of it at once, in kB")        \
+  X (MEMORY_ANSWERS_LIMIT_KB, "memory_answers_limit_kb", "its limit, in kB")             \
   X (RESTARTS, "restarts", "components restarted by their supervisor")
 
 typedef enum
--- a/src/executor.c
+++ b/src/executor.c
@@ -1,12 +1,15 @@
 #include "executor.h"
 #include "clock.h"
 #include "counters.h"
+#include "held_memory.h"
 #include "http.h"
 #include "timeline.h"
 
 #define SWEEP_S 1
 /* For outcomes not yet acknowledged; well inside a node's 128 MB. */
 #define HELD_BYTES_MAX (48u << 20)
+/* Of one answer: it is passed on in one frame. */
+#define ANSWER_MAX_BYTES (15u << 20)
 
 struct Executor
 {
@@ -51,8 +54,9 @@
 {
   Owner *owner = call->executor->owner;
   gint64 now = clock_now_ms ();
+  gboolean too_long = answer->end == HTTP_ANSWERED && answer->size > ANSWER_MAX_BYTES;
 
-  switch (answer->end)
+  switch (too_long ? HTTP_BROKEN : answer->end)
     {
     case HTTP_ANSWERED:
       counter_add (COUNTER_TASKS_ANSWERED, 1);
@@ -141,7 +145,8 @@
 {
   static const OwnerOps owner_ops = { on_start, on_report };
   Executor *executor = g_new0 (Executor, 1);
-  OwnerLimits limits = { init->slots, HELD_BYTES_MAX };
+  OwnerLimits limits
+      = { init->slots, MIN (HELD_BYTES_MAX, held_memory_limit (HELD_ANSWERS)) };
   struct timeval interval = { SWEEP_S, 0 };
 
   executor->owner = owner_new (&limits, &owner_ops, executor);
--- a/src/held_memory.h
+++ b/src/held_memory.h
@@ -9,6 +9,7 @@
   HELD_BUFFERS, /* what HTTP clients have sent, or have not read */
   HELD_JOBS,    /* open jobs */
   HELD_FRAMES,  /* parts of frames that are being received */
+  HELD_ANSWERS, /* responses to calls that are being received */
   HELD_N_USES,
 } HeldUse;
 
--- a/src/http.c
+++ b/src/http.c
@@ -1,5 +1,7 @@
 #include "http.h"
 #include "clock.h"
+#include "counters.h"
+#include "held_memory.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -34,6 +36,7 @@
   struct event *timer;
   guint read_timeout_ms;
   gsize received;
+  gboolean over_memory;
   gint64 called_ms;
   gint64 begun_ms; /* time of the response's first byte; 0: none yet */
   gint64 received_ms;
@@ -85,6 +88,7 @@
 static void
 job_free (HttpJob *job)
 {
+  held_memory_add (HELD_ANSWERS, -(gssize)job->received);
   g_clear_pointer (&job->timer, event_free);
   g_clear_pointer (&job->body, g_bytes_unref);
   g_strfreev (job->headers);
@@ -131,6 +135,13 @@
   if (job == NULL || info->n_added == 0)
     return;
   job->received += info->n_added;
+  held_memory_add (HELD_ANSWERS, (gssize)info->n_added);
+  if (held_memory (HELD_ANSWERS) > held_memory_limit (HELD_ANSWERS))
+    {
+      /* Connections must not be freed from the callbacks of their buffers. */
+      job->over_memory = TRUE;
+      event_active (job->timer, EV_TIMEOUT, 0);
+    }
   job->received_ms = clock_now_ms ();
   if (job->begun_ms == 0)
     job->begun_ms = job->received_ms;
@@ -363,7 +374,8 @@
   HttpJob *job = ctx;
   HttpAnswer answer = partial_answer (job);
 
-  answer.timed_out = TRUE;
+  answer.timed_out = !job->over_memory;
+  counter_add (COUNTER_CALLS_OVER_MEMORY, job->over_memory);
   detach (job);
   job_end (job, &answer);
   job_free (job);
