--- a/tests/test-crowds.c
+++ b/tests/test-crowds.c
@@ -15,6 +15,8 @@
 /* Memory and descriptors of each process under test. */
 #define MEMORY_MB 64
 #define DESCRIPTORS 300
+/* How often several crowds send in turn. */
+#define ROUNDS 3
 #define LIMITS "limits.memory_mb = 64\n"
 #define LIMITS_AND_DESCRIPTORS LIMITS "limits.descriptors = 300\n"
 /* Of requests, in the configurations used here: a limit of the platform's pages. */
@@ -231,6 +233,50 @@
   platform_scene_close (&scene);
 }
 
+static const Case *
+find_case (const char *name)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    if (strcmp (cases[i].name, name) == 0)
+      return &cases[i];
+  g_assert_not_reached ();
+}
+
+/* Guards against limits that each hold by themselves and exceed the memory together:
+ * unread responses at two addresses, bodies, frames and jobs. */
+static void
+test_all_at_once (void)
+{
+  static const char *const which[] = { "ready-unread",
+                                       "unknown-path-unread",
+                                       "body-chunked-over-the-limit",
+                                       "bodies-without-their-end",
+                                       "frames-without-their-end",
+                                       "jobs" };
+  Crowd *crowds[G_N_ELEMENTS (which)];
+  PlatformScene scene;
+
+  open_platform (&scene, LIMITS "limits.descriptors = 2000\n");
+  for (guint i = 0; i < G_N_ELEMENTS (which); i++)
+    {
+      const Case *c = find_case (which[i]);
+      const CrowdInit init = { c->clients, c->first, c->first_size, c->repeat, c->bytes };
+
+      crowds[i] = crowd_open (scene.harness, target_address (scene.entries[0], c->target),
+                              &init);
+    }
+  for (guint round = 0; round < ROUNDS; round++)
+    for (guint i = 0; i < G_N_ELEMENTS (which); i++)
+      crowd_send (crowds[i]);
+  assert_answered (&scene);
+  assert_memory (scene.harness, scene.entries[0], scene.entries[0]->metrics);
+  for (guint i = 0; i < G_N_ELEMENTS (which); i++)
+    crowd_free (crowds[i]);
+  harness_wait (scene.harness, platform_is_ready, &scene, "an ordinary job");
+  assert_memory (scene.harness, scene.entries[0], scene.entries[0]->metrics);
+  platform_scene_close (&scene);
+}
+
 /* Entries and agents of stored jobs. */
 
 static Process *
@@ -358,6 +404,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_set_nonfatal_assertions ();
   ADD_CASES ("/crowds", cases, test_case);
+  g_test_add_func ("/crowds/all-at-once", test_all_at_once);
   ADD_CASES ("/crowds/native", native_cases, test_native);
   g_test_add_func ("/crowds/native/answers-unread", test_native_answers_unread);
   g_test_add_func ("/crowds/native/jobs", test_native_jobs);
