--- a/src/http_clients.c
+++ b/src/http_clients.c
@@ -213,8 +213,7 @@
   http_clients_adopt ();
 }
 
-/* What is received is handled before more is read, unless a request needs it
- * http_clients. */
+/* What is received is handled before more is read, as far as a request may need. */
 static void
 set_max_unread (HttpClient *client, gsize max_body_bytes)
 {
--- a/src/http_listener.c
+++ b/src/http_listener.c
@@ -4,11 +4,11 @@
 
 #include <event2/bufferevent.h>
 
+/* While no configuration says less. */
 #define MAX_BODY_BYTES (18 << 20)
 
 struct HttpListener
 {
-  struct event_base *base;
   struct evhttp *http;
   char *address;
   HttpListenerInit init;
@@ -70,7 +70,6 @@
   if (http == NULL)
     return NULL;
   listener = g_new0 (HttpListener, 1);
-  listener->base = base;
   listener->http = http;
   listener->address = bound;
   listener->init = *init;
