review: case 5, an agent loops while its executor is gone

Cause: a call that could not be sent counts as an answer of the executor, so a reconciling call is repeated at once without end and the server's lease is never found to be over.

--- a/review/scene-2/scene.py
+++ b/review/scene-2/scene.py
@@ -65,17 +65,20 @@
     return lines[0], headers, body
 
 
-async def serve(address, handler):
-    """handler(method, path, headers, body) returns (status, object)."""
+async def serve(address, handler, writers=None):
+    """handler(method, path, headers, body) returns (status, object). The writers of open
+    connections are kept in writers."""
 
     async def on_connection(reader, writer):
+        if writers is not None:
+            writers.add(writer)
         try:
             while True:
                 line, headers, body = await read_head(reader)
                 method, path, _ = line.split(" ", 2)
                 answer = await handler(method, path, headers, body)
                 if answer is None:
-                    continue
+                    break
                 status, value = answer
                 data = json.dumps(value).encode()
                 writer.write(
@@ -86,6 +89,8 @@
                 asyncio.CancelledError):
             pass
         finally:
+            if writers is not None:
+                writers.discard(writer)
             writer.close()
 
     host, port = address.rsplit(":", 1)
@@ -213,12 +218,13 @@
         self.labels = list(labels)
         self.id = f"i-{random.getrandbits(32):08x}"
         self.news = asyncio.Event()
+        self.writers = set()
 
     def clock_ms(self):
         return now_ms() - self.zero
 
     async def start(self):
-        self.server = await serve(self.address, self.handle)
+        self.server = await serve(self.address, self.handle, self.writers)
         self.tasks = [asyncio.create_task(self.work()), asyncio.create_task(self.beat())]
 
     def log(self, what, run):
@@ -241,6 +247,9 @@
             self.end_run(run, "terminated")
         self.up = False
         self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+        self.news.set()
 
     async def work(self):
         last = now_ms()
@@ -326,6 +335,8 @@
                 await asyncio.wait_for(self.news.wait(), (until - now_ms()) / 1000 + 0.001)
             except asyncio.TimeoutError:
                 pass
+        if not self.up:
+            return None
         running = [[run.name, run.number, "",
                     min(100 * run.done // max(self.length_ms(run.name, run.spec), 1), 99), 0]
                    for run in self.runs.values()]
