--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A job's spec has a character that ends strings in C."""
+"""A client cancels a job while the entry that it was handed to runs it."""
 
 import asyncio
 import os
@@ -9,23 +9,40 @@
 
 import scene as s
 
+TASK_MS = 5000
+JOB = {"count": 4, "cpu": 8000, "estimate_ms": 5000, "deadline_ms": 30000}
+
 
 async def case(scene, trouble):
-    await scene.start(entries=1, executors=1, length_ms=lambda task, spec: 60)
-    spec = "stock check" + ("\0" if trouble else " ") + "basket 17"
-    status, answer = await scene.submit(s.new_id(), spec=spec, estimate_ms=60,
-                                        deadline_ms=1500)
-    scene.record(f"client: sent the spec {spec!r}")
+    await scene.start(entries=1, executors=1, length_ms=lambda task, spec: TASK_MS)
+    job = s.new_id()
+    call = asyncio.create_task(scene.submit(job, **JOB))
+    if not await scene.until(lambda: scene.executors[0].runs):
+        raise s.CannotRun("the job does not start")
+    await asyncio.sleep(1)
+    acknowledged = 0
+    if trouble:
+        scene.record(f"client: DELETE {job}")
+        status, answer = await s.request(scene.fronts[0], "DELETE", s.PREFIX + job,
+                                         {"Host": s.HOST})
+        acknowledged = s.now_ms()
+        scene.record(f"client: DELETE {job} answered {status} {answer}")
+        if not (200 <= status < 300 or status == 410):
+            return [f"ack: the cancelling is answered {status}"]
+    await asyncio.wait([call], timeout=15)
+    if not trouble:
+        status, answer = call.result() if call.done() else (0, "")
+        return [] if "completed" in answer else [f"the job ends with {status} {answer}"]
+    bound = acknowledged + s.BOUNDS["cancel_ms"]
     broken = []
-    for _, executor, what, name, number, got in scene.runs:
-        if what != "start":
-            continue
-        scene.record(f"{executor.name}: {name} run {number} has the spec {got!r}")
-        if got != spec:
-            broken.append(f"UNASKED: {name} run {number} starts with the spec {got!r},"
-                          f" sent was {spec!r}; the client got {status} {answer}")
-    if not trouble and status != 200:
-        broken.append(f"the job ends with {status} {answer}")
+    for at, executor, what, name, number, _ in scene.runs:
+        after = at - acknowledged
+        if what == "start" and at > bound:
+            broken.append(f"UNASKED: {name} run {number} starts {after} ms after the"
+                          " acknowledgement")
+        elif what != "start" and at > bound + s.BOUNDS["stop_ms"]:
+            broken.append(f"UNASKED: {name} run {number} runs until {after} ms after the"
+                          " acknowledgement")
     return broken
 
 
--- a/review/scene-2/scene.py
+++ b/review/scene-2/scene.py
@@ -212,6 +212,7 @@
         self.token = 0
         self.lease = 0
         self.up = True
+        self.beat_ms = 0  # when the last heartbeat was answered or given up
         self.draining_until = 0
         self.sequence = 0
         self.zero = now_ms() - random.randint(100000, 400000)
@@ -230,6 +231,8 @@
     def log(self, what, run):
         self.scene.record(f"{self.name}: {what} {run.name} run {run.number}")
         self.scene.runs.append((now_ms(), self, what, run.name, run.number, run.spec))
+        if what == "start" and self in self.scene.on_start:
+            self.scene.on_start[self]()
 
     def end_run(self, run, how):
         del self.runs[run.name]
@@ -282,9 +285,14 @@
                              body=self.report(), timeout_s=1)
 
     async def beat(self):
+        known = False
         while self.up:
+            begun = now_ms()
             status, _ = await self.heartbeat()
-            await asyncio.sleep(HEARTBEAT_MS / 1000 if status == 200 else 0.1)
+            known = known or status == 200
+            self.beat_ms = now_ms()
+            interval = HEARTBEAT_MS if known else 100
+            await asyncio.sleep(max(begun + interval - now_ms(), 0) / 1000)
 
     async def handle(self, method, path, headers, body):
         if not self.up:
@@ -391,8 +399,10 @@
         self.net = f"127.{random.randint(16, 250)}.{random.randint(1, 250)}"
         self.last_vm = 0
         self.runs = []
+        self.on_start = {}  # executor -> called after each start there
         self.processes = []
         self.executors = []
+        self.agents = []
         with open(os.path.join(ROOT, "deploy/system.toml"), "rb") as file:
             self.roles = tomllib.load(file)["roles"]
 
@@ -446,18 +456,21 @@
         self.readies = [f"{ip}:8167" for ip in ips]
         self.entries = [await self.start_process("entry", f"front-{i}", ip)
                         for i, ip in enumerate(ips)]
-        self.agents = []
-        for i in range(executors):
-            await self.add_executor(f"side-{i}", length_ms, cpu)
+        for _ in range(executors):
+            await self.add_executor(length_ms, cpu)
         await self.until_ready()
 
-    async def add_executor(self, name, length_ms, cpu):
+    async def add_executor(self, length_ms, cpu):
         ip = self.vm()
         executor = Executor(self, f"{ip}:8080", f"{ip}:8166", length_ms, cpu)
         self.executors.append(executor)
-        self.agents.append(await self.start_process("agent", name, ip, executor.address))
+        self.agents.append(await self.start_agent(len(self.agents)))
         await executor.start()
 
+    async def start_agent(self, i):
+        address = self.executors[i].address
+        return await self.start_process("agent", f"side-{i}", address.rsplit(":", 1)[0], address)
+
     async def until_ready(self):
         end = now_ms() + 15000
         for ready in self.readies:
@@ -479,6 +492,20 @@
         self.record(f"client: {job} answered {status} {answer}")
         return status, answer
 
+    async def fill(self, executors, cpu, **step):
+        """Hands in jobs of one task each until every one of the executors runs one."""
+        calls = []
+        for _ in executors:
+            before = sum(len(e.runs) for e in self.executors)
+            calls.append(asyncio.create_task(
+                self.submit(new_id(), cpu=cpu, deadline_ms=30000, **step)))
+            if not await self.until(
+                    lambda: sum(len(e.runs) for e in self.executors) > before):
+                raise CannotRun("a job does not start")
+        if not all(e.runs for e in executors):
+            raise CannotRun("the jobs do not spread over the executors")
+        return calls
+
     async def until(self, condition, timeout_s=10):
         end = now_ms() + timeout_s * 1000
         while not condition():
