--- a/review/scene-2/scene.py
+++ b/review/scene-2/scene.py
@@ -581,6 +581,8 @@
     """Runs case(scene, trouble), which returns what broke the rule, or nothing."""
 
     async def run():
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel)
         scene = Scene(folder)
         try:
             return await case(scene, os.environ.get("TROUBLE", "1") != "0")
@@ -589,7 +591,8 @@
 
     try:
         broken = asyncio.run(asyncio.wait_for(run(), 100))
-    except (CannotRun, asyncio.TimeoutError, OSError, KeyError) as error:
+    except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError, OSError,
+            KeyError) as error:
         print(f"could not run: {error!r}")
         sys.exit(2)
     for line in broken:
