--- a/review/7/case.py
+++ b/review/7/case.py
@@ -9,17 +9,19 @@
 
 import scene as s
 
-TASK_MS = 5000
-JOB = {"count": 4, "cpu": 8000, "estimate_ms": 5000, "deadline_ms": 30000}
+# The longest tasks of the site.
+TASK_MS = 3600
+JOB = {"count": 4, "cpu": 3100, "estimate_ms": 900, "deadline_ms": 14000}
 
 
 async def case(scene, trouble):
-    await scene.start(entries=1, executors=1, length_ms=lambda task, spec: TASK_MS)
+    await scene.start(entries=3, executors=11, cpu=32000,
+                      length_ms=lambda task, spec: TASK_MS)
     job = s.new_id()
     call = asyncio.create_task(scene.submit(job, **JOB))
-    if not await scene.until(lambda: scene.executors[0].runs):
+    if not await scene.until(lambda: any(e.runs for e in scene.executors)):
         raise s.CannotRun("the job does not start")
-    await asyncio.sleep(1)
+    await asyncio.sleep(0.2)
     acknowledged = 0
     if trouble:
         scene.record(f"client: DELETE {job}")
@@ -29,7 +31,7 @@
         scene.record(f"client: DELETE {job} answered {status} {answer}")
         if not (200 <= status < 300 or status == 410):
             return [f"ack: the cancelling is answered {status}"]
-    await asyncio.wait([call], timeout=15)
+    await asyncio.wait([call], timeout=8)
     if not trouble:
         status, answer = call.result() if call.done() else (0, "")
         return [] if "completed" in answer else [f"the job ends with {status} {answer}"]
@@ -46,4 +48,5 @@
     return broken
 
 
-s.main(case, FOLDER)
+s.main(case, record=os.path.join(FOLDER, "record.txt"),
+       trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -29,4 +29,5 @@
     return broken
 
 
-s.main(case, FOLDER)
+s.main(case, record=os.path.join(FOLDER, "record.txt"),
+       trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/scene-2/scene.py
+++ b/review/scene-2/scene.py
@@ -41,10 +41,10 @@
 
 
 class Record:
-    """What was sent, answered and run, in record.txt of the case's folder."""
+    """What was sent, answered and run."""
 
-    def __init__(self, folder):
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+    def __init__(self, path):
+        self.file = open(path, "w", encoding="utf-8")
         self.begun = now_ms()
 
     def __call__(self, text):
@@ -154,7 +154,13 @@
         path, _, query = path.partition("?")
         fields = dict(part.partition("=")[::2] for part in query.split("&") if part)
         if path == "/rows-tx":
-            for put in json.loads(body).get("puts", []):
+            call = json.loads(body)
+            wanted = [(row["table"], row["key"], row["ver"]) for row in call.get("expected", [])]
+            if any(self.rows.get((table, key), {"ver": 0})["ver"] != ver
+                   for table, key, ver in wanted):
+                return 412, {"rows": [self.rows[(table, key)] for table, key, _ in wanted
+                                      if (table, key) in self.rows], "ver": self.version}
+            for put in call.get("puts", []):
                 await self.put(put["table"], put["key"],
                                base64.b64decode(put["value"]).decode())
             return self.reply([])
@@ -395,8 +401,8 @@
 
 
 class Scene:
-    def __init__(self, folder):
-        self.record = Record(folder)
+    def __init__(self, record):
+        self.record = Record(record)
         self.tmp = tempfile.mkdtemp(prefix="godwitspar-review-")
         self.net = f"127.{random.randint(16, 250)}.{random.randint(1, 250)}"
         self.last_vm = 0
@@ -500,7 +506,7 @@
         for _ in executors:
             before = sum(len(e.runs) for e in self.executors)
             calls.append(asyncio.create_task(
-                self.submit(new_id(), cpu=cpu, deadline_ms=30000, **step)))
+                self.submit(new_id(), cpu=cpu, deadline_ms=14000, **step)))
             if not await self.until(
                     lambda: sum(len(e.runs) for e in self.executors) > before):
                 raise CannotRun("a job does not start")
@@ -575,8 +581,9 @@
     return found
 
 
-def main(case, folder):
-    """Runs case(scene, trouble), which returns what broke the rule, or nothing."""
+def main(case, record, trouble):
+    """Runs case(scene, trouble), which returns what broke the rule, or nothing. What happens
+    is written to the file record."""
 
     def finish(code, lines):
         # Without waiting for the tasks of the stand-ins.
@@ -589,8 +596,8 @@
         loop.call_later(MAX_S, asyncio.current_task().cancel)
         scene = None
         try:
-            scene = Scene(folder)
-            broken = await case(scene, os.environ.get("TROUBLE", "1") != "0")
+            scene = Scene(record)
+            broken = await case(scene, trouble)
         except (CannotRun, asyncio.CancelledError, OSError, KeyError) as error:
             broken = None
             reason = f"could not run: {error!r}"
