review: case 7, a task is started on an executor that lacks its label

An order names no instance: if an executor restarts as another kind while an entry is cut off for 0.25 s, the new boot takes orders meant for the one before. The shared scene has got executors of several kinds and a link that can be cut.

--- a/review/scene-2/scene.py
+++ b/review/scene-2/scene.py
@@ -425,7 +425,7 @@
                     raise CannotRun(f"{ip}:{port} is not free") from error
         return ip
 
-    async def start_process(self, role, name, ip, app=""):
+    async def start_process(self, role, name, ip, app="", advertised=""):
         with open(os.path.join(ROOT, self.roles[role]["template"]), encoding="utf-8") as file:
             template = file.read()
         fields = {
@@ -436,7 +436,11 @@
         }
         path = os.path.join(self.tmp, name + ".toml")
         with open(path, "w", encoding="utf-8") as file:
-            file.write(render(template, fields))
+            text = render(template, fields)
+            if advertised:
+                text = text.replace("[listen]\n",
+                                    f'[listen]\nadvertise_frames = "{advertised}"\n')
+            file.write(text)
         words = self.roles[role]["run"].split()
         words = [path if word.startswith("/etc/") else word for word in words]
         log = open(os.path.join(self.tmp, name + ".log"), "ab")
@@ -449,7 +453,9 @@
         self.record(f"{name} started")
         return process
 
-    async def start(self, entries, executors, length_ms, cpu=16000):
+    async def start(self, entries, executors, length_ms, cpu=16000, kinds=("a",), linked=()):
+        """The executors are of these kinds in turn. Other machines reach the entries
+        numbered in linked over a Link, in links."""
         self.store = Store(f"{self.vm()}:8169")
         await self.store.start()
         await self.store.put("op", "config", json.dumps({
@@ -459,18 +465,24 @@
                         "target_latency_ms": 60, "timeout_ms": 60000}],
             "services": [{"name": "shopfront"}]}))
         ips = [self.vm() for _ in range(entries)]
-        self.seeds = [f"{ip}:8166" for ip in ips[:3]]
+        self.links = {i: Link(f"{self.vm()}:8166", f"{ips[i]}:8166") for i in linked}
+        for link in self.links.values():
+            await link.start()
+        self.seeds = [self.links[i].address if i in self.links else f"{ip}:8166"
+                      for i, ip in enumerate(ips[:3])]
         self.fronts = [f"{ip}:8161" for ip in ips]
         self.readies = [f"{ip}:8167" for ip in ips]
-        self.entries = [await self.start_process("entry", f"front-{i}", ip)
-                        for i, ip in enumerate(ips)]
-        for _ in range(executors):
-            await self.add_executor(length_ms, cpu)
+        self.entries = [
+            await self.start_process("entry", f"front-{i}", ip, advertised=(
+                self.links[i].address if i in self.links else ""))
+            for i, ip in enumerate(ips)]
+        for i in range(executors):
+            await self.add_executor(length_ms, cpu, kinds[i % len(kinds)])
         await self.until_ready()
 
-    async def add_executor(self, length_ms, cpu):
+    async def add_executor(self, length_ms, cpu, kind):
         ip = self.vm()
-        executor = Executor(self, f"{ip}:8080", f"{ip}:8166", length_ms, cpu)
+        executor = Executor(self, f"{ip}:8080", f"{ip}:8166", length_ms, cpu, (kind, "r1-1"))
         self.executors.append(executor)
         self.agents.append(await self.start_agent(len(self.agents)))
         await executor.start()
@@ -534,6 +546,46 @@
             shutil.rmtree(self.tmp, ignore_errors=True)
 
 
+class Link:
+    """A relay that holds up what is sent in both directions while it is cut."""
+
+    def __init__(self, address, target):
+        self.address = address
+        self.target = target
+        self.passes = asyncio.Event()
+        self.passes.set()
+
+    async def start(self):
+        host, port = self.address.rsplit(":", 1)
+        self.server = await asyncio.start_server(self.on_connection, host, int(port))
+
+    async def on_connection(self, reader, writer):
+        host, port = self.target.rsplit(":", 1)
+        try:
+            to_reader, to_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.close()
+            return
+        await asyncio.gather(self.forward(reader, to_writer), self.forward(to_reader, writer))
+
+    async def forward(self, reader, writer):
+        try:
+            while data := await reader.read(65536):
+                await self.passes.wait()
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        finally:
+            writer.close()
+
+    def cut(self):
+        self.passes.clear()
+
+    def restore(self):
+        self.passes.set()
+
+
 async def reset_answers(address, target):
     """A relay that forwards a request whole and resets the connection at its answer."""
 
