--- a/review/scene-2/scene.py
+++ b/review/scene-2/scene.py
@@ -9,6 +9,7 @@
 import base64
 import json
 import os
+import queue
 import random
 import re
 import shutil
@@ -17,6 +18,7 @@
 import struct
 import sys
 import tempfile
+import threading
 import time
 import tomllib
 
@@ -453,9 +455,10 @@
         self.record(f"{name} started")
         return process
 
-    async def start(self, entries, executors, length_ms, cpu=16000, kinds=("a",), linked=()):
-        """The executors are of these kinds in turn. Other machines reach the entries
-        numbered in linked over a Link, in links."""
+    async def start(self, entries, executors, length_ms, cpu=16000, kinds=("a",),
+                    latency_ms=0):
+        """The executors are of these kinds in turn. With a latency, other machines reach all
+        entries but the first over a Link."""
         self.store = Store(f"{self.vm()}:8169")
         await self.store.start()
         await self.store.put("op", "config", json.dumps({
@@ -465,9 +468,14 @@
                         "target_latency_ms": 60, "timeout_ms": 60000}],
             "services": [{"name": "shopfront"}]}))
         ips = [self.vm() for _ in range(entries)]
-        self.links = {i: Link(f"{self.vm()}:8166", f"{ips[i]}:8166") for i in linked}
+        self.links = {}
+        if latency_ms:
+            # Between two wakes of a thread, the default is 5 ms.
+            sys.setswitchinterval(0.0002)
+            self.links = {i: Link(f"{self.vm()}:8166", f"{ip}:8166", latency_ms)
+                          for i, ip in enumerate(ips) if i > 0}
         for link in self.links.values():
-            await link.start()
+            link.start()
         self.seeds = [self.links[i].address if i in self.links else f"{ip}:8166"
                       for i, ip in enumerate(ips[:3])]
         self.fronts = [f"{ip}:8161" for ip in ips]
@@ -547,43 +555,58 @@
 
 
 class Link:
-    """A relay that holds up what is sent in both directions while it is cut."""
+    """A relay that passes on what is sent after a fixed time, in both directions. In threads,
+    since the timers of an event loop are rounded to milliseconds."""
 
-    def __init__(self, address, target):
+    def __init__(self, address, target, latency_ms):
         self.address = address
         self.target = target
-        self.passes = asyncio.Event()
-        self.passes.set()
+        self.latency_s = latency_ms / 1000
 
-    async def start(self):
+    def start(self):
         host, port = self.address.rsplit(":", 1)
-        self.server = await asyncio.start_server(self.on_connection, host, int(port))
+        self.listener = socket.create_server((host, int(port)))
+        self.start_thread(self.accept)
+
+    def start_thread(self, run, *args):
+        threading.Thread(target=run, args=args, daemon=True).start()
 
-    async def on_connection(self, reader, writer):
+    def accept(self):
         host, port = self.target.rsplit(":", 1)
+        while True:
+            near, _ = self.listener.accept()
+            try:
+                far = socket.create_connection((host, int(port)))
+            except OSError:
+                near.close()
+                continue
+            for source, sink in ((near, far), (far, near)):
+                source.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                received = queue.SimpleQueue()
+                self.start_thread(self.receive, source, received)
+                self.start_thread(self.send, sink, received)
+
+    def receive(self, source, received):
         try:
-            to_reader, to_writer = await asyncio.open_connection(host, int(port))
+            while data := source.recv(65536):
+                received.put((time.monotonic() + self.latency_s, data))
         except OSError:
-            writer.close()
-            return
-        await asyncio.gather(self.forward(reader, to_writer), self.forward(to_reader, writer))
+            pass
+        received.put(None)
 
-    async def forward(self, reader, writer):
+    def send(self, sink, received):
         try:
-            while data := await reader.read(65536):
-                await self.passes.wait()
-                writer.write(data)
-                await writer.drain()
+            while item := received.get():
+                due_s, data = item
+                time.sleep(max(due_s - time.monotonic(), 0))
+                sink.sendall(data)
         except OSError:
             pass
-        finally:
-            writer.close()
-
-    def cut(self):
-        self.passes.clear()
-
-    def restore(self):
-        self.passes.set()
+        try:
+            sink.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+        sink.close()
 
 
 async def reset_answers(address, target):
