--- a/review/scene-2/scene.py
+++ b/review/scene-2/scene.py
@@ -28,6 +28,8 @@
     "cancel_ms": 3000, "ack_ms": 4000, "config_apply_ms": 2000, "loss_slack_ms": 200,
 }
 HEARTBEAT_MS = 1500
+RETRANSMIT_MS = 1300
+ATTEMPTS = 3  # of a client to hand a job in, where it gets no response, a 502 or a 504
 HOST = "shop.example"
 PREFIX = "/queue1/"
 # A case that takes longer could not run.
@@ -513,11 +515,16 @@
         body = {"spec": spec, "best_effort": True,
                 "steps": [{"count": count, "cpu": cpu, "mem_mb": 64,
                            "estimate_ms": estimate_ms, **step}]}
-        self.record(f"client: POST {job} to entry {front}")
-        status, answer = await request(
-            self.fronts[front], "POST", PREFIX + job,
-            {"Host": HOST, "X-Deadline-Ms": str(deadline_ms)}, body, deadline_ms / 1000)
-        self.record(f"client: {job} answered {status} {answer}")
+        for attempt in range(ATTEMPTS):
+            self.record(f"client: POST {job} to entry {front}")
+            status, answer = await request(
+                self.fronts[front], "POST", PREFIX + job,
+                {"Host": HOST, "X-Deadline-Ms": str(deadline_ms)}, body, deadline_ms / 1000)
+            self.record(f"client: {job} answered {status} {answer}")
+            if status not in (0, 502, 504) or attempt + 1 == ATTEMPTS:
+                break
+            await asyncio.sleep(RETRANSMIT_MS / 1000)
+            front = (front + 1) % len(self.fronts)
         return status, answer
 
     async def fill(self, executors, cpu, **step):
