Keep the texts of JSON bodies whole, or refuse them with the member's name

Cause: parsers that give out C strings. json_parse.c copied texts and members' names with g_strndup (), json-glib cuts strings off in the same way, and yajl replaces half of a surrogate pair by "?" and accepts overlong UTF-8. The path is one for all bodies, so the spec was only one case of it: a label was cut to another one, "spec\u0000x" took the place of "spec", 4,001 zero characters passed the limit of 4,000 bytes, a configured host was in force for another.

Ruled out: json_append_text () and the frame, which pass on what they get.

Fix: strings are checked where they are read (json_text.c: UTF-8, surrogate pairs, U+0000). The adapter keeps U+0000, as C0 80, which no valid UTF-8 has, and writes it as \u0000; it may be in a spec by the platform's page, so refusing it would refuse a valid job. Our own interface, whose payload_base64 carries any bytes, refuses it with 400 and the member's name. Agents say which version of orders they understand, since one of an earlier build would pass C0 80 on; a job that needs more is not placed there.

Tests, each failing before: /decoders/spec/*, /decoders/spec-size, /decoders/names-with-nul, /decoders/own-interface-with-nul, /decoders/config-with-nul; new: /decoders/text/*, /dispatcher/earlier-agent-gets-no-nul.

--- a/proto/godwitspar.pb-c.c
+++ b/proto/godwitspar.pb-c.c
@@ -4329,7 +4329,7 @@
   gw__server_state__trust__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor gw__server_state__field_descriptors[17] =
+static const ProtobufCFieldDescriptor gw__server_state__field_descriptors[18] =
 {
   {
     "instance",
@@ -4535,6 +4535,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "order_version",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__ServerState, order_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__server_state__field_indices_by_name[] = {
   4,   /* field[4] = capacity */
@@ -4545,6 +4557,7 @@
   3,   /* field[3] = labels */
   15,   /* field[15] = leaving_ms */
   11,   /* field[11] = offered */
+  17,   /* field[17] = order_version */
   6,   /* field[6] = ready */
   16,   /* field[16] = restart_lease_ms */
   1,   /* field[1] = service */
@@ -4559,7 +4572,7 @@
 {
   { 1, 0 },
   { 13, 11 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor gw__server_state__descriptor =
 {
@@ -4569,7 +4582,7 @@
   "Gw__ServerState",
   "gw",
   sizeof(Gw__ServerState),
-  17,
+  18,
   gw__server_state__field_descriptors,
   gw__server_state__field_indices_by_name,
   2,  gw__server_state__number_ranges,
--- a/proto/godwitspar.pb-c.h
+++ b/proto/godwitspar.pb-c.h
@@ -640,6 +640,9 @@
   char *job;
   size_t n_runs;
   Gw__TaskRun **runs;
+  /*
+   * U+0000 is encoded as C0 80
+   */
   char *payload;
   Gw__Demand *demand;
   /*
@@ -790,10 +793,17 @@
    * its runs may outlast its agent by this, as it may restart
    */
   uint32_t restart_lease_ms;
+  /*
+   * under its name; 0: by the receiver's own setting
+   */
+  /*
+   * that the agent understands; 1: U+0000 in a payload
+   */
+  uint32_t order_version;
 };
 #define GW__SERVER_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__server_state__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, NULL, NULL, 0, 0, 0, 0, 0, GW__SERVER_STATE__TRUST__FULL, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, NULL, NULL, 0, 0, 0, 0, 0, GW__SERVER_STATE__TRUST__FULL, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -8,7 +8,7 @@
 flags="$(pkg-config --cflags glib-2.0 gio-2.0 json-glib-1.0 libevent libprotobuf-c libxxhash yajl)"
 libs="$(pkg-config --libs glib-2.0 gio-2.0 json-glib-1.0 libevent libprotobuf-c libxxhash yajl) -lm"
 sources='src/command.c src/findings.c src/fleet.c src/submission.c src/holder.c src/holder_groups.c src/holder_outcomes.c src/holder_reconcile.c src/messages.c src/names.c
-  src/jobid.c src/held_memory.c src/json_size.c src/budget.c src/clock.c src/counters.c src/log.c src/rendezvous.c
+  src/jobid.c src/held_memory.c src/json_size.c src/json_text.c src/budget.c src/clock.c src/counters.c src/log.c src/rendezvous.c
   src/timeline.c proto/godwitspar.pb-c.c
   src/catalog.c src/demand.c src/events.c src/peer_clock.c platform/json.c platform/json_parse.c platform/job_body.c platform/operator_config.c
   platform/server_rows.c'
--- a/src/agent.c
+++ b/src/agent.c
@@ -2,6 +2,7 @@
 #include "agent_parts.h"
 #include "answers.h"
 #include "clock.h"
+#include "json_text.h"
 #include "log.h"
 #include "operators.h"
 #include "timeline.h"
@@ -38,9 +39,8 @@
 on_discovered (const HttpAnswer *answer, gpointer ctx)
 {
   Agent *agent = ctx;
-  char *text = g_strndup (answer->body != NULL ? answer->body : "", answer->size);
   JsonNode *root = answer->end == HTTP_ANSWERED && answer->status == 200
-                       ? json_from_string (text, NULL)
+                       ? json_text_parse (answer->body, answer->size, NULL)
                        : NULL;
   JsonArray *rows;
 
@@ -51,7 +51,6 @@
         learn_row (agent, json_array_get_object_element (rows, i));
     }
   g_clear_pointer (&root, json_node_unref);
-  g_free (text);
 }
 
 static void
--- a/src/callers_keys.c
+++ b/src/callers_keys.c
@@ -4,6 +4,7 @@
 #include "answers.h"
 #include "callers_parts.h"
 #include "http.h"
+#include "json_text.h"
 #include "submission.h"
 
 #include <event2/buffer.h>
@@ -30,8 +31,7 @@
 static gboolean
 says_not_run (const HttpAnswer *answer)
 {
-  char *text = g_strndup (answer->body != NULL ? answer->body : "", answer->size);
-  JsonNode *root = json_from_string (text, NULL);
+  JsonNode *root = json_text_parse (answer->body, answer->size, NULL);
   gboolean not_run = FALSE;
 
   if (root != NULL && JSON_NODE_HOLDS_OBJECT (root))
@@ -40,7 +40,6 @@
                          "not run")
               == 0;
   g_clear_pointer (&root, json_node_unref);
-  g_free (text);
   return not_run && answer->status != 404;
 }
 
--- a/src/client.c
+++ b/src/client.c
@@ -1,5 +1,6 @@
 #include "client.h"
 #include "http.h"
+#include "json_text.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -111,7 +112,7 @@
 
   if (!client_call (client, address, EVHTTP_REQ_GET, path, NULL, &answer, error))
     goto out;
-  root = json_from_string (answer.body, NULL);
+  root = json_text_parse (answer.body, strlen (answer.body), NULL);
   if (answer.status == 200 && root != NULL && JSON_NODE_HOLDS_ARRAY (root))
     rows = json_array_ref (json_node_get_array (root));
   else
--- a/src/config_row.c
+++ b/src/config_row.c
@@ -1,4 +1,5 @@
 #include "config_row.h"
+#include "json_text.h"
 
 #include <json-glib/json-glib.h>
 #include <string.h>
@@ -30,7 +31,7 @@
 ConfigRow *
 config_row_parse (const char *text)
 {
-  JsonNode *root = json_from_string (text, NULL);
+  JsonNode *root = json_text_parse (text, strlen (text), NULL);
   JsonObject *object;
   JsonArray *tokens;
   ConfigRow *row = NULL;
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -4,6 +4,7 @@
  * time are passed in. */
 #include "closed_zones.h"
 #include "load_view.h"
+#include "order_version.h"
 #include "peer_clock.h"
 #include "resource_request.h"
 #include "server_calls.h"
@@ -20,9 +21,10 @@
   const char *queue;
   const char *service;
   const char *payload;
-  const char *label; /* required of the backend server; empty: any */
-  const char *rack;  /* label of the servers near its data; empty: any */
-  guint priority;    /* 0 is the highest */
+  const char *label;          /* required of the backend server; empty: any */
+  const char *rack;           /* label of the servers near its data; empty: any */
+  OrderVersion order_version; /* the least that an agent must understand */
+  guint priority;             /* 0 is the highest */
   guint max_attempts;
   guint count;           /* tasks */
   guint declared_ms;     /* run time of one task */
@@ -73,6 +75,7 @@
   guint leaving_ms;       /* it leaves, but takes runs that end within this; 0: none */
   guint failing_percent;  /* of the last runs */
   guint restart_lease_ms; /* see runner_restart_lease_ms () */
+  guint order_version;    /* that its agent understands */
 } ServerStatus;
 
 typedef struct
--- a/src/dispatcher_costs.c
+++ b/src/dispatcher_costs.c
@@ -92,9 +92,8 @@
 
   TAILQ_FOREACH (server, &dispatcher->servers, link)
     if (server_is_open (server) && server_is_trusted (server)
-        && strcmp (server->status.service, job->spec.service) == 0
-        && demand_fits (&server->status.capacity, &(Demand){ 0 }, &job->spec.demand)
-        && server_has_label (server, job->spec.label))
+        && server_may_run (server, job)
+        && demand_fits (&server->status.capacity, &(Demand){ 0 }, &job->spec.demand))
       least = MIN (least, time_factor (server, job));
   return MAX (least, dispatcher->speeds.fast);
 }
--- a/src/dispatcher_order.c
+++ b/src/dispatcher_order.c
@@ -340,8 +340,7 @@
 
   TAILQ_FOREACH (server, &dispatcher->servers, link)
     {
-      if (g_strcmp0 (server->status.service, job->spec.service) != 0
-          || !server_has_label (server, job->spec.label))
+      if (!server_may_run (server, job))
         continue;
       if (!server->closed)
         return FALSE;
--- a/src/dispatcher_parts.h
+++ b/src/dispatcher_parts.h
@@ -238,6 +238,10 @@
 
 gboolean server_has_label (const LeasedServer *server, const char *label);
 
+/** server_may_run - whether it is of the kind that @job needs, and its agent reads the
+ * job's orders. */
+gboolean server_may_run (const LeasedServer *server, const LeasedJob *job);
+
 /** server_is_open - it takes orders, if it has free capacity. */
 gboolean server_is_open (const LeasedServer *server);
 
--- a/src/dispatcher_place.c
+++ b/src/dispatcher_place.c
@@ -39,6 +39,14 @@
              && g_strv_contains ((const char *const *)server->status.labels, label));
 }
 
+gboolean
+server_may_run (const LeasedServer *server, const LeasedJob *job)
+{
+  return g_strcmp0 (server->status.service, job->spec.service) == 0
+         && server->status.order_version >= job->spec.order_version
+         && server_has_label (server, job->spec.label);
+}
+
 static guint
 tasks_of_job (const LeasedServer *server, const LeasedJob *job)
 {
@@ -144,9 +152,7 @@
   if (!fits (server, task) || !server_is_trusted (server)
       || !ends_before_server (server, job)
       || server_is_offered_for_better (server, job->rank)
-      || (server == task->avoid && waited_ms < AVOID_MS)
-      || strcmp (server->status.service, job->spec.service) != 0
-      || !server_has_label (server, job->spec.label))
+      || (server == task->avoid && waited_ms < AVOID_MS) || !server_may_run (server, job))
     return FALSE;
   /* If only a slow server is free, waiting for another one may end the task sooner. Once
    * the task has waited as long as the slow server would cost it, it is placed there. */
--- a/src/dispatcher_requests.c
+++ b/src/dispatcher_requests.c
@@ -86,8 +86,7 @@
       const LeasedJob *job = g_ptr_array_index (jobs, i);
 
       if (job->waiting > 0 && job->rank < RANK_INFEASIBLE
-          && strcmp (server->status.service, job->spec.service) == 0
-          && server_has_label (server, job->spec.label))
+          && server_may_run (server, job))
         return job;
     }
   return NULL;
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -1,4 +1,5 @@
 #include "fleet.h"
+#include "json_text.h"
 #include "names.h"
 
 #include <json-glib/json-glib.h>
@@ -278,7 +279,7 @@
 parse_object (const char *body, const char *place, Findings *findings)
 {
   GError *error = NULL;
-  JsonNode *root = json_from_string (body, &error);
+  JsonNode *root = json_text_parse (body, strlen (body), &error);
 
   if (error != NULL)
     findings_add (findings, place, "%s", error->message);
@@ -352,7 +353,7 @@
     }
   else
     {
-      node = json_from_string (value, &error);
+      node = json_text_parse (value, strlen (value), &error);
       if (node == NULL)
         {
           findings_add (findings, key, "'%s' is not a JSON value", value);
--- a/src/leased_agent_state.c
+++ b/src/leased_agent_state.c
@@ -1,5 +1,6 @@
 #include "clock.h"
 #include "leased_agent_parts.h"
+#include "order_version.h"
 #include "throttle.h"
 
 #include <string.h>
@@ -242,6 +243,7 @@
   agent->state.speed_runs = state->speed_runs;
   agent->state.leaving_ms = state->leaving_ms;
   agent->state.restart_lease_ms = state->restart_lease_ms;
+  agent->state.order_version = ORDER_VERSION;
   demand_to_wire (&state->capacity, &agent->capacity);
   demand_to_wire (&state->used_by_others, &agent->used_by_others);
   agent->state.capacity = &agent->capacity;
--- a/src/leased_entry.c
+++ b/src/leased_entry.c
@@ -130,6 +130,7 @@
                           .speed_runs = state->speed_runs,
                           .leaving_ms = state->leaving_ms,
                           .restart_lease_ms = state->restart_lease_ms,
+                          .order_version = state->order_version,
                           .failing_percent = state->failing_percent };
 
   status.labels = g_new0 (char *, state->n_labels + 1);
--- a/src/members_rows.c
+++ b/src/members_rows.c
@@ -1,6 +1,7 @@
 #define LOG_MODULE "members"
 /* Entries' rows in the platform's table: writes the own row, reads the others. */
 #include "clock.h"
+#include "json_text.h"
 #include "members_parts.h"
 
 #include <json-glib/json-glib.h>
@@ -55,7 +56,7 @@
 learn_row (Members *members, const TableRow *row)
 {
   const char *name = row->key + strlen (ROW_PREFIX);
-  JsonNode *root = json_from_string (row->value, NULL);
+  JsonNode *root = json_text_parse (row->value, strlen (row->value), NULL);
   JsonObject *object;
   Member *member;
   gint64 now = clock_now_ms ();
--- a/src/operators.c
+++ b/src/operators.c
@@ -4,6 +4,7 @@
 #include "http.h"
 #include "http_clients.h"
 #include "json_size.h"
+#include "json_text.h"
 #include "names.h"
 #include "operators_parts.h"
 #include "timeline.h"
@@ -131,18 +132,22 @@
 }
 
 static JsonNode *
-request_object (struct evhttp_request *request)
+request_object (struct evhttp_request *request, Findings *findings)
 {
   gsize size;
   char *body = http_request_body (request, &size);
   JsonNode *root = NULL;
+  GError *error = NULL;
 
-  if (g_utf8_validate (body, (gssize)size, NULL) && json_size_fits (body, size))
-    root = json_from_string (body, NULL);
+  if (json_size_fits (body, size))
+    root = json_text_parse (body, size, &error);
 
   g_free (body);
   if (root != NULL && JSON_NODE_HOLDS_OBJECT (root))
     return root;
+  findings_add (findings, "body", "%s",
+                error != NULL ? error->message : "expected a JSON object");
+  g_clear_error (&error);
   g_clear_pointer (&root, json_node_unref);
   return NULL;
 }
@@ -159,20 +164,24 @@
 static void
 serve_change (Operators *operators, struct evhttp_request *request)
 {
-  JsonNode *root = request_object (request);
-  Answer answer;
+  Findings *findings = findings_new ();
+  JsonNode *root = request_object (request, findings);
 
-  if (root == NULL || !member_is_text (json_node_get_object (root), "key"))
+  if (root != NULL && !member_is_text (json_node_get_object (root), "key"))
+    findings_add (
+        findings, "body",
+        "expected an object with key, value and optionally if_version and token");
+  if (findings_count (findings) > 0)
     {
-      answer = answer_refusal (
-          400, "expected an object with key, value and optionally if_version and token",
-          0);
+      Answer answer = answer_findings (400, findings);
+
       answer_send (request, &answer);
     }
   else
     {
       start_change (operators, request, json_node_get_object (root));
     }
+  findings_free (findings);
   g_clear_pointer (&root, json_node_unref);
 }
 
@@ -236,14 +245,12 @@
 static void
 serve_announce (Operators *operators, struct evhttp_request *request)
 {
-  JsonNode *root = request_object (request);
   Findings *findings = findings_new ();
+  JsonNode *root = request_object (request, findings);
   Gw__Backend info = GW__BACKEND__INIT;
   Answer answer = { 200 };
 
-  if (root == NULL)
-    findings_add (findings, "body", "expected a JSON object");
-  else
+  if (root != NULL)
     read_announcement (json_node_get_object (root), &info, findings);
   if (findings_count (findings) > 0)
     {
--- a/src/shell.c
+++ b/src/shell.c
@@ -1,5 +1,6 @@
 #include "shell.h"
 #include "client.h"
+#include "json_text.h"
 #include "rows.h"
 #include "trace.h"
 
@@ -231,7 +232,8 @@
   if (command->value != NULL)
     {
       json_builder_set_member_name (builder, "value");
-      json_builder_add_value (builder, json_from_string (command->value, NULL));
+      json_builder_add_value (
+          builder, json_text_parse (command->value, strlen (command->value), NULL));
     }
   if (command->if_version >= 0)
     {
--- a/src/submission.c
+++ b/src/submission.c
@@ -1,5 +1,6 @@
 #include "submission.h"
 #include "json_size.h"
+#include "json_text.h"
 #include "names.h"
 
 #include <json-glib/json-glib.h>
@@ -301,12 +302,10 @@
   JsonNode *root = NULL;
 
   parser.submission->specs = task_specs_new ();
-  if (!g_utf8_validate (body, (gssize)size, NULL))
-    findings_add (findings, "body", "not valid UTF-8");
-  else if (!json_size_fits (body, size))
+  if (!json_size_fits (body, size))
     findings_add (findings, "body", "has too many values");
   else
-    root = json_from_string (body, &error);
+    root = json_text_parse (body, size, &error);
   if (error != NULL)
     findings_add (findings, "body", "%s", error->message);
   else if (root != NULL && JSON_NODE_HOLDS_OBJECT (root))
--- a/src/table.c
+++ b/src/table.c
@@ -1,5 +1,6 @@
 #include "table.h"
 #include "counters.h"
+#include "json_text.h"
 #include "table_calls.h"
 
 #include <json-glib/json-glib.h>
@@ -114,10 +115,8 @@
 static JsonNode *
 answer_object (const HttpAnswer *answer)
 {
-  char *text = g_strndup (answer->body != NULL ? answer->body : "", answer->size);
-  JsonNode *root = json_from_string (text, NULL);
+  JsonNode *root = json_text_parse (answer->body, answer->size, NULL);
 
-  g_free (text);
   if (root != NULL && JSON_NODE_HOLDS_OBJECT (root))
     return root;
   g_clear_pointer (&root, json_node_unref);
--- a/src/trace.c
+++ b/src/trace.c
@@ -1,5 +1,6 @@
 #include "trace.h"
 #include "clock.h"
+#include "json_text.h"
 
 #include <json-glib/json-glib.h>
 #include <string.h>
@@ -57,7 +58,7 @@
 static void
 add_line (Trace *trace, const char *line)
 {
-  JsonNode *root = json_from_string (line, NULL);
+  JsonNode *root = json_text_parse (line, strlen (line), NULL);
   TraceEvent *event;
   JsonObject *object;
 
--- a/tests/test-decoders.c
+++ b/tests/test-decoders.c
@@ -4,6 +4,10 @@
 #include "../platform/operator_config.h"
 #include "../platform/server_rows.h"
 #include "cases.h"
+#include "fleet.h"
+#include "godwitspar.pb-c.h"
+#include "json_text.h"
+#include "submission.h"
 
 #include <string.h>
 
@@ -330,6 +334,192 @@
   json_node_unref (root);
 }
 
+/* A spec as it is sent, and as the backend server gets it. */
+typedef struct
+{
+  const char *name;
+  const char *sent; /* JSON string */
+  const char *got;  /* JSON string; NULL: the job is refused */
+} SpecCase;
+
+/* Guards against a spec that is cut off at U+0000 or changed on its way to the server. */
+static const SpecCase specs[] = {
+  { "plain", "\"basket 17\"", "\"basket 17\"" },
+  { "cut-off-at-nul", "\"stock check\\u0000basket 17\"",
+    "\"stock check\\u0000basket 17\"" },
+  { "only-nul", "\"\\u0000\"", "\"\\u0000\"" },
+  { "escaped-backslash-is-no-nul", "\"a\\\\u0000\"", "\"a\\\\u0000\"" },
+  { "surrogate-pair", "\"\\ud83d\\ude9a\"", "\"\xf0\x9f\x9a\x9a\"" },
+  { "high-surrogate-became-a-question-mark", "\"a\\ud83d b\"", NULL },
+  { "low-surrogate-alone", "\"a\\ude9a b\"", NULL },
+  { "high-surrogate-twice", "\"\\ud83d\\ud83d\"", NULL },
+  { "long-form-of-nul", "\"a\xc0\x80z\"", NULL },
+  { "not-utf-8", "\"a\xffz\"", NULL },
+};
+
+/* Return: the payload as an agent gets it; free with g_free (). */
+static char *
+send_in_order (const char *payload)
+{
+  Gw__RunOrder order = GW__RUN_ORDER__INIT;
+  Gw__RunOrder *received;
+  guchar *bytes;
+  char *got;
+
+  order.payload = (char *)payload;
+  bytes = g_malloc (gw__run_order__get_packed_size (&order));
+  received = gw__run_order__unpack (NULL, gw__run_order__pack (&order, bytes), bytes);
+  got = g_strdup (received->payload);
+  gw__run_order__free_unpacked (received, NULL);
+  g_free (bytes);
+  return got;
+}
+
+static void
+test_spec (gconstpointer data)
+{
+  const SpecCase *c = data;
+  char *text = g_strdup_printf (
+      "{\"best_effort\":true,\"spec\":%s,\"steps\":[{\"count\":1}]}", c->sent);
+  JsonNode *root;
+  JsonObject *body = json_parse_object (text, strlen (text), &root);
+  LeasedSpec spec = { 0 };
+  GString *call = g_string_new (NULL);
+  char *payload;
+
+  g_assert_cmpint (body != NULL, ==, c->got != NULL);
+  if (body == NULL)
+    goto out;
+  g_assert_null (job_body_read (body, json_array (body, "steps"), &spec));
+  payload = send_in_order (spec.payload);
+  json_append_text (call, payload);
+  g_assert_cmpstr (call->str, ==, c->got);
+  g_free (payload);
+
+out:
+  g_clear_pointer (&root, json_node_unref);
+  g_string_free (call, TRUE);
+  g_free (text);
+}
+
+/* Guards against a limit that counts only what is left after U+0000. */
+static void
+test_spec_size (void)
+{
+  for (guint n = 4000; n <= 4001; n++)
+    {
+      GString *text = g_string_new ("{\"spec\":\"");
+      JsonNode *root;
+      JsonObject *body;
+      LeasedSpec spec = { 0 };
+
+      for (guint i = 0; i < n; i++)
+        g_string_append (text, "\\u0000");
+      g_string_append (text, "\",\"steps\":[{\"count\":1}]}");
+      body = json_parse_object (text->str, text->len, &root);
+      g_assert_cmpint (job_body_read (body, json_array (body, "steps"), &spec) == NULL,
+                       ==, n == 4000);
+      json_node_unref (root);
+      g_string_free (text, TRUE);
+    }
+}
+
+/* Guards against a member whose name or text, cut off at U+0000, is that of another. */
+static void
+test_names_with_nul (void)
+{
+  static const char text[]
+      = "{\"spec\":\"x\",\"spec\\u0000x\":\"y\",\"best_effort\\u0000\":true,"
+        "\"steps\":[{\"count\":1,\"requires\":\"a\\u0000zz\"}]}";
+  JsonNode *root;
+  JsonObject *body = json_parse_object (text, strlen (text), &root);
+  LeasedSpec spec = { 0 };
+
+  g_assert_null (job_body_read (body, json_array (body, "steps"), &spec));
+  g_assert_cmpstr (spec.payload, ==, "x");
+  g_assert_cmpstr (spec.label, !=, "a");
+  g_assert_false (json_bool (body, "best_effort"));
+  json_node_unref (root);
+}
+
+/* What is said of a body whose texts cannot be kept. */
+typedef struct
+{
+  const char *name;
+  const char *text;
+  JsonTextParser parser;
+  const char *fault; /* NULL: none */
+} TextCase;
+
+static const TextCase texts[] = {
+  { "none", "{\"a\":\"\\\\ud83d\"}", JSON_TEXT_C_STRINGS, NULL },
+  { "nul", "{\"a\":{\"team\" : \"x\\u0000\"}}", JSON_TEXT_C_STRINGS,
+    "team: contains U+0000" },
+  { "nul-is-kept", "{\"team\":\"x\\u0000\"}", JSON_TEXT_KEEPS_NUL, NULL },
+  { "in-a-list", "{\"a\":1,\"labels\":[\"b\",\"\\udc00\"]}", JSON_TEXT_KEEPS_NUL,
+    "labels: contains an unpaired surrogate" },
+  { "in-a-name", "{\"a\":1,\"b\\u0000\":2}", JSON_TEXT_C_STRINGS,
+    "a member's name contains U+0000" },
+  { "in-no-member", "[\"\\ud800\"]", JSON_TEXT_KEEPS_NUL,
+    "a string contains an unpaired surrogate" },
+  { "half-an-escape", "{\"a\":\"\\u00", JSON_TEXT_C_STRINGS, NULL },
+  { "ends-with-a-backslash", "{\"a\":\"\\", JSON_TEXT_C_STRINGS, NULL },
+  { "not-utf-8", "{\"a\":\"\xff\"}", JSON_TEXT_KEEPS_NUL, "not valid UTF-8" },
+};
+
+static void
+test_text (gconstpointer data)
+{
+  const TextCase *c = data;
+  gsize size = strlen (c->text);
+  char *exact = g_memdup2 (c->text, size); /* a read past the end is found */
+  char *fault = json_text_fault (exact, size, c->parser);
+
+  g_assert_cmpstr (fault, ==, c->fault);
+  g_free (fault);
+  g_free (exact);
+}
+
+/* Guards against payloads, keys and settings of the own interface that are cut off at
+ * U+0000. */
+static void
+test_own_interface (void)
+{
+  static const char *const bodies[] = {
+    "{\"service\":\"s\",\"tasks\":[{\"payload\":\"a\\u0000b\"}]}",
+    "{\"service\":\"s\",\"key\":\"k\\u0000l\",\"tasks\":[{}]}",
+    "{\"service\":\"s\",\"tasks\":[{\"payload\":\"a\\ud800b\"}]}",
+    "{\"service\":\"s\",\"tasks\":[{}],\"idempotent\\u0000x\":true}",
+  };
+  Findings *findings = findings_new ();
+  Fleet *fleet = fleet_parse ("{}", findings);
+
+  for (gsize i = 0; i < G_N_ELEMENTS (bodies); i++)
+    g_assert_null (submission_parse (bodies[i], strlen (bodies[i]), fleet, findings));
+  g_assert_cmpuint (findings_count (findings), ==, G_N_ELEMENTS (bodies));
+  g_assert_null (fleet_parse ("{\"team.a\\u0000.weight\":2}", findings));
+  fleet_free (fleet);
+  findings_free (findings);
+}
+
+/* Guards against a route that is in force for a host or service that no one configured.
+ */
+static void
+test_config_with_nul (void)
+{
+  Catalog *catalog = operator_config_read (
+      "{\"version\":3,\"routes\":[{\"name\":\"q\",\"name\\u0000\":\"r\","
+      "\"host\":\"h\\u0000i\",\"prefix\":\"/q/\",\"service\":\"s\"}]}",
+      NULL);
+
+  g_assert_cmpstr (catalog_match (catalog, "h", "/q/1") != NULL ? "found" : "none", ==,
+                   "none");
+  g_assert_cmpstr (((JobQueue *)g_ptr_array_index (catalog->queues, 0))->name, ==, "q");
+  catalog_unref (catalog);
+  g_assert_null (operator_config_read (
+      "{\"version\":3,\"routes\":[{\"name\":\"q\\ud800\",\"prefix\":\"/q/\"}]}", NULL));
+}
+
 static const BodyCase configs[] = {
   { "good",
     "{\"version\":3,\"routes\":[{\"name\":\"q\",\"prefix\":\"/q/\",\"service\":\"s\"}]}",
@@ -521,6 +711,12 @@
   ADD_CASES ("/decoders/report", reports, test_report);
   ADD_CASES ("/decoders/rows", rows, test_rows);
   ADD_CASES ("/decoders/job", jobs, test_job);
+  ADD_CASES ("/decoders/spec", specs, test_spec);
+  g_test_add_func ("/decoders/spec-size", test_spec_size);
+  g_test_add_func ("/decoders/names-with-nul", test_names_with_nul);
+  ADD_CASES ("/decoders/text", texts, test_text);
+  g_test_add_func ("/decoders/own-interface-with-nul", test_own_interface);
+  g_test_add_func ("/decoders/config-with-nul", test_config_with_nul);
   ADD_CASES ("/decoders/config", configs, test_config);
   g_test_add_func ("/decoders/config-as-its-tree", test_config_as_tree);
   g_test_add_func ("/decoders/config-without-a-tree", test_config_without_a_tree);
--- a/tests/test-dispatcher.c
+++ b/tests/test-dispatcher.c
@@ -1606,7 +1606,32 @@
   g_assert_cmpint (scene->last.end, ==, LEASED_COMPLETED);
 }
 
+/* Guards against a payload with U+0000 that an agent of an earlier version passes on
+ * malformed. */
+static void
+earlier_agent_gets_no_nul (Scene *scene)
+{
+  ServerStatus status = { .capacity = { 2000, 100000, 0 },
+                          .ready = TRUE,
+                          .trust = TRUST_FULL,
+                          .slowness_percent = 100,
+                          .order_version = ORDER_VERSION_NUL };
+  LeasedSpec spec;
+
+  scene_open (scene, 2000);
+  spec = spec_of (scene, "a", 1, 100);
+  spec.order_version = ORDER_VERSION_NUL;
+  dispatcher_submit (scene->dispatcher, &spec, on_done, scene, scene->now);
+  dispatcher_pump (scene->dispatcher, scene->now);
+  g_assert_cmpuint (scene->n_orders, ==, 0);
+  set_status (scene, 1, &status);
+  dispatcher_pump (scene->dispatcher, scene->now);
+  g_assert_cmpuint (scene->n_orders, ==, 1);
+  g_assert_cmpuint (scene->orders[0].server, ==, 1);
+}
+
 static const Case cases[] = {
+  { "earlier-agent-gets-no-nul", earlier_agent_gets_no_nul },
   { "exiting-entry-repeats-an-answer", exiting_entry_repeats_an_answer },
   { "exiting-entry-begins-nothing-too-long", exiting_entry_begins_nothing_too_long },
   { "exiting-entry-answers-all", exiting_entry_answers_all },
