Command line: set words with letters beyond ASCII

"set service.x.path = "/hé"" was sent with octal escapes (g_strescape ()), which are not JSON, so no such value could be set. The word is now written by json-glib. /command/parse/set-text-beyond-ascii failed before.

--- a/src/command.c
+++ b/src/command.c
@@ -1,5 +1,6 @@
 #include "command.h"
 
+#include <json-glib/json-glib.h>
 #include <string.h>
 
 typedef struct
@@ -243,17 +244,17 @@
 value_to_json (const char *word)
 {
   char *end;
+  JsonNode *node;
   char *quoted;
-  char *escaped;
 
   g_ascii_strtod (word, &end);
   if (*word != '\0' && *end == '\0')
     return g_strdup (word);
   if (strcmp (word, "true") == 0 || strcmp (word, "false") == 0)
     return g_strdup (word);
-  escaped = g_strescape (word, NULL);
-  quoted = g_strdup_printf ("\"%s\"", escaped);
-  g_free (escaped);
+  node = json_node_init_string (json_node_alloc (), word);
+  quoted = json_to_string (node, FALSE);
+  json_node_unref (node);
   return quoted;
 }
 
--- a/tests/test-command.c
+++ b/tests/test-command.c
@@ -27,6 +27,9 @@
     "2.5", 17 },
   { "set-text", "set service.x.path = /go", NULL, COMMAND_SET, "service.x.path",
     "\"/go\"", -1 },
+  /* Guards against a word that is sent as no JSON. */
+  { "set-text-beyond-ascii", "set service.x.path = \"/h\xc3\xa9\"", NULL, COMMAND_SET,
+    "service.x.path", "\"/h\xc3\xa9\"", -1 },
   { "set-flag", "set drain.entry.e1 = true", NULL, COMMAND_SET, "drain.entry.e1", "true",
     -1 },
   { "unset", "unset team.a.weight", NULL, COMMAND_SET, "team.a.weight", NULL, -1 },
