--- a/src/operators.c
+++ b/src/operators.c
@@ -110,17 +110,32 @@
   g_free (pending);
 }
 
+static gboolean
+is_given (JsonObject *object, const char *name)
+{
+  return json_object_has_member (object, name)
+         && !json_object_get_null_member (object, name);
+}
+
+static gboolean
+member_is (JsonObject *object, const char *name, GType type)
+{
+  JsonNode *node = json_object_get_member (object, name);
+
+  return node != NULL && JSON_NODE_HOLDS_VALUE (node)
+         && json_node_get_value_type (node) == type;
+}
+
 static void
 start_change (Operators *operators, struct evhttp_request *request, JsonObject *object)
 {
   PendingChange *pending = g_new0 (PendingChange, 1);
-  const char *key = json_object_get_string_member_with_default (object, "key", "");
+  const char *key = json_object_get_string_member (object, "key");
   gint64 if_version = json_object_get_int_member_with_default (object, "if_version", -1);
   const char *token = json_object_get_string_member_with_default (object, "token", NULL);
   char *value = NULL;
 
-  if (json_object_has_member (object, "value")
-      && !json_object_get_null_member (object, "value"))
+  if (is_given (object, "value"))
     value = json_to_string (json_object_get_member (object, "value"), FALSE);
   pending->request = request;
   http_client_on_closed (evhttp_request_get_connection (request),
@@ -152,13 +167,17 @@
   return NULL;
 }
 
-static gboolean
-member_is_text (JsonObject *object, const char *name)
+/* A condition that is left out because of its type would let the change overwrite another
+ * one. */
+static void
+check_change (JsonObject *object, Findings *findings)
 {
-  JsonNode *node = json_object_get_member (object, name);
-
-  return node != NULL && JSON_NODE_HOLDS_VALUE (node)
-         && json_node_get_value_type (node) == G_TYPE_STRING;
+  if (!member_is (object, "key", G_TYPE_STRING))
+    findings_add (findings, "key", "expected a text");
+  if (is_given (object, "if_version") && !member_is (object, "if_version", G_TYPE_INT64))
+    findings_add (findings, "if_version", "expected a whole number");
+  if (is_given (object, "token") && !member_is (object, "token", G_TYPE_STRING))
+    findings_add (findings, "token", "expected a text");
 }
 
 static void
@@ -167,10 +186,8 @@
   Findings *findings = findings_new ();
   JsonNode *root = request_object (request, findings);
 
-  if (root != NULL && !member_is_text (json_node_get_object (root), "key"))
-    findings_add (
-        findings, "body",
-        "expected an object with key, value and optionally if_version and token");
+  if (root != NULL)
+    check_change (json_node_get_object (root), findings);
   if (findings_count (findings) > 0)
     {
       Answer answer = answer_findings (400, findings);
@@ -190,7 +207,7 @@
 {
   if (!json_object_has_member (object, name) && !needed)
     return "";
-  if (member_is_text (object, name))
+  if (member_is (object, name, G_TYPE_STRING))
     return json_object_get_string_member (object, name);
   findings_add (findings, name, "expected a text");
   return "";
@@ -228,9 +245,10 @@
   info->slots = read_number (object, "slots", 8, findings);
   info->connections = read_number (object, "connections", 64, findings);
   info->memory_mb = read_number (object, "memory_mb", 0, findings);
-  info->leaving
-      = json_object_has_member (object, "leaving")
-        && json_object_get_boolean_member_with_default (object, "leaving", FALSE);
+  if (member_is (object, "leaving", G_TYPE_BOOLEAN))
+    info->leaving = json_object_get_boolean_member (object, "leaving");
+  else if (json_object_has_member (object, "leaving"))
+    findings_add (findings, "leaving", "expected true or false");
   if (!name_is_valid (info->name))
     findings_add (findings, "name", "expected letters, digits, '-' and '_'");
   if (!name_is_valid (info->service))
--- a/tests/test-config.c
+++ b/tests/test-config.c
@@ -453,6 +453,30 @@
   harness_free (harness);
 }
 
+/* Guards against a conditional change that overwrites another one: a condition of another
+ * type counted as absent. */
+static void
+test_mistyped_condition (void)
+{
+  static const char *const conditions[]
+      = { ",\"if_version\":\"0\"", ",\"if_version\":[0]", ",\"token\":7" };
+  HarnessInit init = { .entries = 1 };
+  Harness *harness = harness_new (&init);
+
+  accepted (harness, change (harness, 0, "team.a.weight", "2", NULL));
+  for (gsize i = 0; i < G_N_ELEMENTS (conditions); i++)
+    {
+      Exchange *exchange = change (harness, 0, "team.a.weight", "3", conditions[i]);
+
+      harness_wait_exchange (harness, exchange);
+      g_assert_cmpint (exchange->status, ==, 400);
+      g_assert_nonnull (strstr (exchange->body, "expected a"));
+      exchange_free (exchange);
+    }
+  g_assert_cmpint (version_at (harness, 0), ==, 1);
+  harness_free (harness);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -470,5 +494,6 @@
   g_test_add_func ("/config/store-down-and-peer-killed", test_store_down_and_peer_killed);
   g_test_add_func ("/config/rolled-restart", test_rolled_restart);
   ADD_CASES ("/config/invalid", invalid_cases, test_invalid);
+  g_test_add_func ("/config/mistyped-condition", test_mistyped_condition);
   return g_test_run ();
 }
--- a/tests/test-decoders.c
+++ b/tests/test-decoders.c
@@ -302,6 +302,27 @@
   g_free (text);
 }
 
+/* Guards against a task that runs twice: a list of runs of another type counted as empty,
+ * and so as proof that a start without an answer never runs. */
+static const BodyCase lists[] = {
+  { "both", "{\"running\":[],\"ended\":[]}", TRUE },
+  { "none", "{\"clock_ms\":5}", TRUE },
+  { "running-is-an-object", "{\"running\":{},\"ended\":[]}", FALSE },
+  { "running-is-null", "{\"running\":null}", FALSE },
+  { "ended-is-a-text", "{\"running\":[],\"ended\":\"\"}", FALSE },
+};
+
+static void
+test_lists (gconstpointer data)
+{
+  const BodyCase *c = data;
+  JsonNode *root;
+  JsonObject *body = json_parse_object (c->body, strlen (c->body), &root);
+
+  g_assert_cmpint (server_lists_are_valid (body), ==, c->good);
+  json_node_unref (root);
+}
+
 static const BodyCase jobs[] = {
   { "good", "{\"spec\":\"x\",\"best_effort\":true,\"steps\":[{\"count\":2,\"cpu\":500}]}",
     TRUE },
@@ -316,6 +337,22 @@
   { "infinite-demand", "{\"steps\":[{\"count\":1,\"cpu\":1e999}]}", FALSE },
   { "half-a-core", "{\"steps\":[{\"count\":1,\"cpu\":0.5}]}", FALSE },
   { "estimate-is-a-list", "{\"steps\":[{\"count\":1,\"estimate_ms\":[1]}]}", FALSE },
+  /* Guards against a job that runs with another spec, or on other servers, than were
+   * sent: members of another type counted as empty or false. */
+  { "spec-is-a-number", "{\"spec\":5,\"steps\":[{\"count\":1}]}", FALSE },
+  { "spec-is-null", "{\"spec\":null,\"steps\":[{\"count\":1}]}", FALSE },
+  { "label-is-a-list", "{\"steps\":[{\"count\":1,\"requires\":[\"a\"]}]}", FALSE },
+  { "rack-is-a-number", "{\"steps\":[{\"count\":1,\"affinity\":1}]}", FALSE },
+  { "gang-is-a-text", "{\"steps\":[{\"count\":1,\"gang\":\"true\"}]}", FALSE },
+  { "checkpoints-is-a-number", "{\"steps\":[{\"count\":1,\"checkpoints\":1}]}", FALSE },
+  { "lasting-is-a-text", "{\"persistent\":\"yes\",\"steps\":[{\"count\":1}]}", FALSE },
+  { "repetitions-is-a-text", "{\"repetitions\":\"3\",\"steps\":[{\"count\":1}]}", FALSE },
+  { "after-a-later-step", "{\"steps\":[{\"count\":1,\"after\":[0]}]}", FALSE },
+  { "after-is-a-number", "{\"steps\":[{\"count\":1,\"after\":0}]}", FALSE },
+  { "empty-members",
+    "{\"spec\":\"\",\"persistent\":false,\"repetitions\":0,\"steps\":[{\"count\":1,"
+    "\"requires\":\"\",\"gang\":false,\"after\":[]}]}",
+    TRUE },
 };
 
 static void
@@ -533,6 +570,20 @@
     "\"limits\":{\"max_body_bytes\":99999999999,\"idle_timeout_ms\":[]}}",
     TRUE },
   { "not-json", "{\"version\":3,\"routes\":[", FALSE },
+  /* Guards against a route in force for every host, or to no service, because a member of
+   * another type counted as empty. */
+  { "host-is-a-list", "{\"version\":3,\"routes\":[{\"name\":\"q\",\"host\":[]}]}",
+    FALSE },
+  { "service-is-a-number", "{\"version\":3,\"routes\":[{\"name\":\"q\",\"service\":7}]}",
+    FALSE },
+  { "prefix-is-null", "{\"version\":3,\"routes\":[{\"name\":\"q\",\"prefix\":null}]}",
+    FALSE },
+  { "name-is-false", "{\"version\":3,\"routes\":[{\"name\":false}]}", FALSE },
+  { "name-is-an-object", "{\"version\":3,\"routes\":[{\"name\":{}}]}", FALSE },
+  { "advice-is-true", "{\"version\":3,\"routes\":[{\"advice\":true}]}", FALSE },
+  { "no-advice", "{\"version\":3,\"routes\":[{\"advice\":null}]}", TRUE },
+  { "earlier-list-is-replaced", "{\"version\":3,\"routes\":[{\"name\":7}],\"routes\":[]}",
+    TRUE },
 };
 
 static void
@@ -591,6 +642,33 @@
   g_assert_cmpint (queue->needs_advice, ==, json_object_at (route, "advice") != NULL);
 }
 
+static gboolean
+is_typed (JsonObject *route)
+{
+  static const char *const names[] = { "name", "host", "prefix", "service" };
+  JsonNode *advice = json_object_get_member (route, "advice");
+  const char *text;
+
+  for (gsize i = 0; i < G_N_ELEMENTS (names); i++)
+    if (!json_read_optional_text (route, names[i], &text))
+      return FALSE;
+  return advice == NULL || JSON_NODE_HOLDS_NULL (advice)
+         || JSON_NODE_HOLDS_OBJECT (advice);
+}
+
+static gboolean
+are_typed (JsonArray *routes)
+{
+  for (guint i = 0; routes != NULL && i < json_array_get_length (routes); i++)
+    {
+      JsonObject *route = json_array_object (routes, i);
+
+      if (route != NULL && !is_typed (route))
+        return FALSE;
+    }
+  return TRUE;
+}
+
 /* Parsing in one pass must agree with parsing into a tree. */
 static void
 assert_matches_tree (const char *text)
@@ -601,7 +679,9 @@
   Catalog *catalog = operator_config_read (text, NULL);
   guint n = 0;
 
-  g_assert_cmpint (catalog != NULL, ==, routes != NULL && json_int (body, "version") > 0);
+  g_assert_cmpint (catalog != NULL, ==,
+                   routes != NULL && json_int (body, "version") > 0
+                       && are_typed (routes));
   if (catalog == NULL)
     goto out;
   g_assert_cmpuint (catalog->version, ==, json_int (body, "version"));
@@ -710,6 +790,7 @@
   ADD_CASES ("/decoders/answer-of-a-start", answers, test_answer);
   ADD_CASES ("/decoders/report", reports, test_report);
   ADD_CASES ("/decoders/rows", rows, test_rows);
+  ADD_CASES ("/decoders/lists", lists, test_lists);
   ADD_CASES ("/decoders/job", jobs, test_job);
   ADD_CASES ("/decoders/spec", specs, test_spec);
   g_test_add_func ("/decoders/spec-size", test_spec_size);
