Refuse orders that were decided for an earlier backend server

Cause: an order is an entry's decision on what it believed of one start of the server, and said nothing of that. The agent carried it out on the start that was there when it arrived. Besides, what an agent compares with the state last sent to an entry held neither the instance nor the labels: a server that was replaced and cleared between two frames was not reported at all while its figures were as before.

Fix: the state that an agent sends has a generation, which rises when instance, service, zone or labels change; an order names the one it was decided by, and the agent refuses it if another is present. Room, draining, the announced end, the closed zone and the lease were checked on arrival already. The refusal is no attempt of the task and puts no wait on the server; the present state goes before it in the same frame, so the task is placed elsewhere at once. A generation covers in a few bytes what the labels, the service and the instance would say. Between an entry or agent of an earlier version and one of this, no generation is said, and what held before holds.

--- a/proto/godwitspar.pb-c.c
+++ b/proto/godwitspar.pb-c.c
@@ -3872,7 +3872,7 @@
   (ProtobufCMessageInit) gw__task_run__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__run_order__field_descriptors[7] =
+static const ProtobufCFieldDescriptor gw__run_order__field_descriptors[8] =
 {
   {
     "job",
@@ -3958,10 +3958,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "generation",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__RunOrder, generation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__run_order__field_indices_by_name[] = {
   3,   /* field[3] = demand */
   5,   /* field[5] = expected_ms */
+  7,   /* field[7] = generation */
   0,   /* field[0] = job */
   2,   /* field[2] = payload */
   1,   /* field[1] = runs */
@@ -3972,7 +3985,7 @@
 {
   { 1, 0 },
   { 8, 6 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor gw__run_order__descriptor =
 {
@@ -3982,7 +3995,7 @@
   "Gw__RunOrder",
   "gw",
   sizeof(Gw__RunOrder),
-  7,
+  8,
   gw__run_order__field_descriptors,
   gw__run_order__field_indices_by_name,
   2,  gw__run_order__number_ranges,
@@ -4329,7 +4342,7 @@
   gw__server_state__trust__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor gw__server_state__field_descriptors[18] =
+static const ProtobufCFieldDescriptor gw__server_state__field_descriptors[19] =
 {
   {
     "instance",
@@ -4547,12 +4560,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "generation",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__ServerState, generation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__server_state__field_indices_by_name[] = {
   4,   /* field[4] = capacity */
   12,   /* field[12] = closed */
   7,   /* field[7] = draining */
   9,   /* field[9] = failing_percent */
+  18,   /* field[18] = generation */
   0,   /* field[0] = instance */
   3,   /* field[3] = labels */
   15,   /* field[15] = leaving_ms */
@@ -4572,7 +4598,7 @@
 {
   { 1, 0 },
   { 13, 11 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor gw__server_state__descriptor =
 {
@@ -4582,7 +4608,7 @@
   "Gw__ServerState",
   "gw",
   sizeof(Gw__ServerState),
-  18,
+  19,
   gw__server_state__field_descriptors,
   gw__server_state__field_indices_by_name,
   2,  gw__server_state__number_ranges,
--- a/proto/godwitspar.pb-c.h
+++ b/proto/godwitspar.pb-c.h
@@ -657,10 +657,14 @@
    * what else waits at the sender
    */
   Gw__Wish *wish;
+  /*
+   * of the ServerState that the sender decided by; refused if
+   */
+  uint32_t generation;
 };
 #define GW__RUN_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__run_order__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, (char *)protobuf_c_empty_string, NULL, 0, 0, NULL }
+    , (char *)protobuf_c_empty_string, 0,NULL, (char *)protobuf_c_empty_string, NULL, 0, 0, NULL, 0 }
 
 
 /*
@@ -800,10 +804,14 @@
    * that the agent understands; 1: U+0000 in a payload
    */
   uint32_t order_version;
+  /*
+   * rises when instance, service, zone or labels change
+   */
+  uint32_t generation;
 };
 #define GW__SERVER_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__server_state__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, NULL, NULL, 0, 0, 0, 0, 0, GW__SERVER_STATE__TRUST__FULL, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, NULL, NULL, 0, 0, 0, 0, 0, GW__SERVER_STATE__TRUST__FULL, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/counters.h
+++ b/src/counters.h
@@ -103,6 +103,8 @@
   X (ZONES_CLOSED, "zones_closed", "availability zones seen to be closed")               \
   X (ZONES_OPENED, "zones_opened", "availability zones seen to be opened again")         \
   X (ZONES_CLOSED_NOW, "zones_closed_now", "availability zones that are closed now")     \
+  X (STARTS_REPLACED, "starts_replaced",                                                 \
+     "starts refused that were ordered for an earlier backend server")                   \
   X (STARTS_ZONE_CLOSED, "starts_zone_closed",                                           \
      "starts refused because the availability zone is closed")                           \
   X (SPEEDS_ADOPTED, "speeds_adopted",                                                   \
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -4,7 +4,7 @@
  * time are passed in. */
 #include "closed_zones.h"
 #include "load_view.h"
-#include "order_version.h"
+#include "orders.h"
 #include "peer_clock.h"
 #include "resource_request.h"
 #include "server_calls.h"
@@ -76,6 +76,7 @@
   guint failing_percent;  /* of the last runs */
   guint restart_lease_ms; /* see runner_restart_lease_ms () */
   guint order_version;    /* that its agent understands */
+  guint generation;       /* see runner_generation () */
 } ServerStatus;
 
 typedef struct
--- a/src/dispatcher_servers.c
+++ b/src/dispatcher_servers.c
@@ -284,9 +284,11 @@
 {
   LeasedServer *server = task->server;
 
-  /* No backoff in two cases: a superseded run number says nothing about the server, and
-   * with "no room" the agent has just reported its present state. */
-  if (strcmp (reason, "superseded") != 0 && strcmp (reason, "no room") != 0)
+  /* No backoff in three cases: a superseded run number and an order for an earlier server
+   * say nothing about this one, and with "no room" the agent has just reported its
+   * present state. */
+  if (strcmp (reason, "superseded") != 0 && strcmp (reason, "no room") != 0
+      && strcmp (reason, ORDER_REPLACED) != 0)
     server->backoff_until_ms = server->dispatcher->now_ms + REFUSED_BACKOFF_MS;
   if (strcmp (reason, "no room") == 0)
     server_note_no_room (server);
--- a/src/leased_agent.c
+++ b/src/leased_agent.c
@@ -185,7 +185,8 @@
                          .demand = demand_from_wire (order->demand),
                          .expected_ms = order->expected_ms,
                          .resources = resource_request_from_wire (order->wish),
-                         .valid_until_ms = order->valid_until_ms };
+                         .valid_until_ms = order->valid_until_ms,
+                         .generation = order->generation };
   guint before = runner_count (agent->runner);
 
   if (order->n_runs == 0)
--- a/src/leased_agent_state.c
+++ b/src/leased_agent_state.c
@@ -1,6 +1,6 @@
 #include "clock.h"
 #include "leased_agent_parts.h"
-#include "order_version.h"
+#include "orders.h"
 #include "throttle.h"
 
 #include <string.h>
@@ -26,6 +26,7 @@
   guint speed_runs;
   guint leaving_ms;
   guint restart_lease_ms;
+  guint generation;
   Demand capacity;
   Demand used_by_others;
 } State;
@@ -71,6 +72,7 @@
   state.draining = runner_draining (agent->runner);
   state.leaving_ms = runner_leaving_ms (agent->runner, clock_now_ms ());
   state.restart_lease_ms = runner_restart_lease_ms (agent->runner);
+  state.generation = runner_generation (agent->runner);
   state.closed = runner_zone_is_closed (agent->runner);
   state.trust = health->trust;
   state.slowness_percent = percent_in_steps (health->slowness, 20);
@@ -133,6 +135,7 @@
   if (sent != NULL && only_speed_differs (state, &sent->state))
     return FALSE;
   if (sent == NULL || state->offered || sent->state.ready != state->ready
+      || sent->state.generation != state->generation
       || sent->state.draining != state->draining || sent->state.closed != state->closed
       || sent->state.trust != state->trust || leaving_begins_or_ends (state, sent)
       || leaving_is_due (state, sent))
@@ -244,6 +247,7 @@
   agent->state.leaving_ms = state->leaving_ms;
   agent->state.restart_lease_ms = state->restart_lease_ms;
   agent->state.order_version = ORDER_VERSION;
+  agent->state.generation = state->generation;
   demand_to_wire (&state->capacity, &agent->capacity);
   demand_to_wire (&state->used_by_others, &agent->used_by_others);
   agent->state.capacity = &agent->capacity;
--- a/src/leased_entry.c
+++ b/src/leased_entry.c
@@ -51,6 +51,7 @@
   order->job = g_strdup (spec->id);
   order->payload = g_strdup (spec->payload);
   order->valid_until_ms = valid_until_ms;
+  order->generation = leased_server_status (server)->generation;
   order->expected_ms = expected_ms;
   order->wish = resource_request_to_wire (resources);
   order->demand = g_new (Gw__Demand, 1);
@@ -72,6 +73,7 @@
   Gw__RunOrder *order = g_new (Gw__RunOrder, 1);
 
   gw__run_order__init (order);
+  order->generation = leased_server_status (server)->generation;
   order->wish = resource_request_to_wire (resources);
   counter_add (COUNTER_RESOURCE_REQUESTS_SENT, 1);
   link_append (peer->link, LINK_RUN_ORDERS, &order->base);
@@ -131,6 +133,7 @@
                           .leaving_ms = state->leaving_ms,
                           .restart_lease_ms = state->restart_lease_ms,
                           .order_version = state->order_version,
+                          .generation = state->generation,
                           .failing_percent = state->failing_percent };
 
   status.labels = g_new0 (char *, state->n_labels + 1);
--- a/src/runner.c
+++ b/src/runner.c
@@ -1,6 +1,7 @@
 #define LOG_MODULE "runner"
 #include "counters.h"
 #include "events.h"
+#include "orders.h"
 #include "runner_parts.h"
 
 #include <string.h>
@@ -81,6 +82,7 @@
   runner_drop_candidate (runner);
   g_free (runner->instance);
   g_free (runner->name);
+  g_free (runner->kind);
   g_free (runner);
 }
 
@@ -213,12 +215,28 @@
                           runner->now_ms);
 }
 
+/* The entry chose the server that was there before. */
+static gboolean
+is_for_earlier_server (const Runner *runner, const RunRequest *request)
+{
+  if (request->generation == 0 || request->generation == runner->generation)
+    return FALSE;
+  counter_add (COUNTER_STARTS_REPLACED, 1);
+  event_emit ("start-outdated", request->key.job,
+              "task=%u run=%u generation=%u present=%u server=%s", request->key.index,
+              request->key.run, request->generation, runner->generation,
+              runner->instance != NULL ? runner->instance : "-");
+  return TRUE;
+}
+
 /* Return: NULL, or why the start must be refused, capacity aside. */
 static const char *
 refusal (const Runner *runner, const RunRequest *request)
 {
   const char *reason;
 
+  if (is_for_earlier_server (runner, request))
+    return ORDER_REPLACED;
   if (runner->state != INSTANCE_READY)
     return "backend server not ready";
   if (runner_server_is_unresponsive (runner))
--- a/src/runner.h
+++ b/src/runner.h
@@ -43,6 +43,7 @@
   guint expected_ms;         /* its run time */
   ResourceRequest resources; /* what else waits at that entry */
   gint64 valid_until_ms;     /* own clock; later it is refused */
+  guint generation;          /* that the entry decided by; 0: not said */
 } RunRequest;
 
 /* The backend server's own heartbeat report. */
@@ -142,6 +143,10 @@
 /** runner_leaving_ms - Return: a draining server accepts runs that end within this many
  * ms; 0: it stays, or accepts none. */
 guint runner_leaving_ms (const Runner *runner, gint64 now_ms);
+
+/** runner_generation - rises when the backend server's instance, service, zone or labels
+ * change. Return: 0 before the first report. */
+guint runner_generation (const Runner *runner);
 guint runner_count (const Runner *runner);
 const char *runner_instance (const Runner *runner);
 const Demand *runner_capacity (const Runner *runner);
--- a/src/runner_instance.c
+++ b/src/runner_instance.c
@@ -325,6 +325,36 @@
   runner_set_state (runner, INSTANCE_CLEARING);
 }
 
+/* Entries choose a server by these; the rest of a report is checked at each start. */
+static char *
+describe_kind (const ServerFacts *facts)
+{
+  static const char *const none[] = { NULL };
+  const char *const *labels = facts->labels != NULL ? facts->labels : none;
+  char *joined = g_strjoinv ("\n", (char **)labels);
+  char *kind = g_strdup_printf ("%s\n%s\n%s\n%s", facts->instance,
+                                facts->service != NULL ? facts->service : "",
+                                facts->zone != NULL ? facts->zone : "", joined);
+
+  g_free (joined);
+  return kind;
+}
+
+static void
+take_kind (Runner *runner, const ServerFacts *facts)
+{
+  char *kind = describe_kind (facts);
+
+  if (g_strcmp0 (runner->kind, kind) != 0)
+    {
+      runner->generation++;
+      event_note ("server-kind", "-", "server=%s service=%s generation=%u",
+                  facts->instance, facts->service, runner->generation);
+    }
+  g_free (runner->kind);
+  runner->kind = kind;
+}
+
 void
 runner_take_facts (Runner *runner, const ServerFacts *facts)
 {
@@ -333,6 +363,7 @@
 
   if (is_new)
     begin_instance (runner, facts);
+  take_kind (runner, facts);
   runner->sequence = facts->sequence;
   peer_clock_observe (&runner->clock, facts->server_ms, runner->now_ms);
   changed = is_new || runner->server_draining != facts->draining
--- a/src/runner_parts.h
+++ b/src/runner_parts.h
@@ -94,7 +94,9 @@
   Demand used;
   GHashTable *entry_leases; /* incarnation -> gint64, ms: its runs may go on until then */
   char *instance;
-  char *name; /* that calls to it use, also of the last instance */
+  char *name;       /* that calls to it use, also of the last instance */
+  char *kind;       /* of the last instance: what an entry chooses a server by */
+  guint generation; /* rises with each other kind */
   char **past_instances;
   Candidate candidate;
   guint instance_epoch; /* raised at begin and end of an instance, to spot outdated
--- a/src/runner_state.c
+++ b/src/runner_state.c
@@ -24,6 +24,12 @@
   return runner->draining ? 0 : leaving_accepts_ms (&runner->leaving, now_ms);
 }
 
+guint
+runner_generation (const Runner *runner)
+{
+  return runner->generation;
+}
+
 guint
 runner_count (const Runner *runner)
 {
--- a/tests/lease_server.c
+++ b/tests/lease_server.c
@@ -50,6 +50,7 @@
   LeaseNever never; /* answer the start; may be NULL */
   gpointer ctx;
   guint instance_count;
+  gboolean changes_kinds;
   char instance[16];
   gint64 clock_start;
   guint64 sequence;
@@ -123,6 +124,20 @@
   server->agent_offset = agent_offset;
 }
 
+void
+lease_server_change_kinds (LeaseServer *server)
+{
+  server->changes_kinds = TRUE;
+}
+
+const char *
+lease_server_label (const LeaseServer *server)
+{
+  if (!server->changes_kinds)
+    return NULL;
+  return server->instance_count % 2 == 1 ? "a" : "b";
+}
+
 void
 lease_server_facts (LeaseServer *server, ServerFacts *facts)
 {
--- a/tests/lease_server.h
+++ b/tests/lease_server.h
@@ -30,6 +30,12 @@
 /** lease_server_facts - fill in instance, clock and report sequence. */
 void lease_server_facts (LeaseServer *server, ServerFacts *facts);
 
+/** lease_server_change_kinds - its instances have the label "a" or "b" in turn. */
+void lease_server_change_kinds (LeaseServer *server);
+
+/** lease_server_label - of the present instance; NULL: none. */
+const char *lease_server_label (const LeaseServer *server);
+
 /** lease_server_keep_name - restarts under the name that it had: calls to earlier
  * instances are carried out, and only its lists of runs tell the instances apart. */
 void lease_server_keep_name (LeaseServer *server);
--- a/tests/lease_sim.c
+++ b/tests/lease_sim.c
@@ -43,6 +43,7 @@
   Dispatcher *dispatcher;
   Runner *runner;
   LeaseServer *server;
+  char **labels; /* of the server, by the last report that was taken */
   LeaseSim *sim;
 } Node;
 
@@ -97,6 +98,7 @@
 struct SimJob
 {
   char id[24];
+  const char *label;               /* that its tasks require */
   gboolean crashes;                /* its first task crashes each server that runs it */
   guint crashed[MAX_TASKS_OF_JOB]; /* servers, under each task */
   guint crashed_certainly;         /* by the first, with the start answered */
@@ -244,7 +246,8 @@
                              .demand = spec->demand,
                              .expected_ms = expected_ms,
                              .resources = *resources,
-                             .valid_until_ms = valid_until_ms };
+                             .valid_until_ms = valid_until_ms,
+                             .generation = leased_server_status (server)->generation };
 
       g_array_append_val (entry_out (link)->starts, request);
     }
@@ -364,7 +367,17 @@
 {
 }
 
-static const RunnerOps runner_ops = { on_report, on_straggler, on_no_room, on_changed };
+static void
+on_facts (const ServerFacts *facts, gpointer ctx)
+{
+  Node *agent = ctx;
+
+  g_strfreev (agent->labels);
+  agent->labels = g_strdupv ((char **)facts->labels);
+}
+
+static const RunnerOps runner_ops
+    = { on_report, on_straggler, on_no_room, on_changed, on_facts };
 
 /* Nodes. */
 
@@ -380,8 +393,10 @@
 static void
 send_facts (Node *agent)
 {
-  ServerFacts facts
-      = { .service = "s", .zone = "z", .capacity = { CAPACITY, 100000, 0 } };
+  const char *const labels[] = { lease_server_label (agent->server), NULL };
+  ServerFacts facts = {
+    .service = "s", .zone = "z", .labels = labels, .capacity = { CAPACITY, 100000, 0 }
+  };
 
   lease_server_facts (agent->server, &facts);
   runner_facts (agent->runner, &facts, node_clock (agent));
@@ -491,7 +506,8 @@
   message->state.instance = g_strdup (runner_instance (runner));
   message->state.service = g_strdup ("s");
   message->state.zone = g_strdup ("z");
-  message->state.labels = g_new0 (char *, 1);
+  message->state.labels = g_strdupv (link->agent->labels);
+  message->state.generation = runner_generation (runner);
   message->state.capacity = *runner_capacity (runner);
   message->state.used_by_others
       = runner_used_by_others (runner, link->entry->incarnation);
@@ -714,7 +730,7 @@
                       .queue = "q",
                       .service = "s",
                       .payload = "p",
-                      .label = "",
+                      .label = job->label,
                       .rack = "",
                       .max_attempts = 2,
                       .count = job->tasks,
@@ -974,6 +990,17 @@
                  key->job, key->index, key->run, how->age_ms);
 }
 
+static void
+check_kind (LeaseSim *sim, guint server, const RunKey *key)
+{
+  const char *required = find_job (sim, key->job)->label;
+  const char *label = lease_server_label (sim->agents[server].server);
+
+  if (required[0] != '\0' && g_strcmp0 (label, required) != 0)
+    report_violation (sim, "%s.%u requires %s and runs on server %u, which has %s",
+                      key->job, key->index, required, server, label);
+}
+
 static void
 check_invariants (LeaseSim *sim)
 {
@@ -992,6 +1019,7 @@
 
           if (!g_hash_table_add (running, name))
             report_violation (sim, "two runs of %s.%u at once", key->job, key->index);
+          check_kind (sim, i, key);
         }
     }
   g_hash_table_unref (running);
@@ -1019,6 +1047,7 @@
 LeaseSim *
 lease_sim_new (const LeaseSimInit *init)
 {
+  static const char *const kinds[] = { "a", "b", "" };
   LeaseSim *sim = g_new0 (LeaseSim, 1);
 
   sim->init = *init;
@@ -1040,6 +1069,8 @@
       agent->server = lease_server_new (sim->rand, &sim->now, on_started, sim);
       if (init->early_crashes)
         lease_server_never_answer (agent->server, is_crashing_task);
+      if (init->kinds)
+        lease_server_change_kinds (agent->server);
       if (init->keep_names && i % 2 == 1)
         lease_server_keep_name (agent->server);
       agent_start (agent);
@@ -1064,6 +1095,7 @@
 
       g_snprintf (job->id, sizeof job->id, "job-%u", i);
       job->sim = sim;
+      job->label = init->kinds ? kinds[i % G_N_ELEMENTS (kinds)] : "";
       job->only_refusals = TRUE;
       job->tasks = (guint)g_rand_int_range (sim->rand, 1, 5);
       job->send_at = g_rand_int_range (sim->rand, 2000, FAULTS_END_MS);
@@ -1089,6 +1121,7 @@
       lease_server_drop_calls (sim->agents[i].server);
       runner_free (sim->agents[i].runner);
       lease_server_free (sim->agents[i].server);
+      g_strfreev (sim->agents[i].labels);
     }
   g_free (sim->entries);
   g_free (sim->agents);
--- a/tests/lease_sim.h
+++ b/tests/lease_sim.h
@@ -19,7 +19,8 @@
   gboolean silent_crashes; /* with outages: some silent servers crash */
   gboolean early_crashes;  /* with outages: tasks that crash their servers do so before
                               the start is answered */
-  gboolean quiet;          /* print nothing but the fault */
+  gboolean kinds; /* the servers restart as another kind, which some tasks require */
+  gboolean quiet; /* print nothing but the fault */
 } LeaseSimInit;
 
 LeaseSim *lease_sim_new (const LeaseSimInit *init);
--- a/tests/test-explorer.c
+++ b/tests/test-explorer.c
@@ -12,10 +12,12 @@
 /* Their jobs go on until their callers end, and nearly all seeds fail. */
 #define EARLY_SEEDS_IN_CI 20
 #define OUTAGE_SEEDS_IN_CI 150
+#define KIND_SEEDS_IN_CI 100
 #define FIRST_SEED 20261203
 
 static int option_seed;
 static gboolean option_keep_names;
+static gboolean option_kinds;
 static gboolean option_outages;
 static int option_seeds;
 
@@ -48,6 +50,16 @@
   return ok;
 }
 
+static gboolean
+run_kinds (guint32 seed, gboolean with_trace)
+{
+  LeaseSimInit init = {
+    .seed = seed, .entries = 3, .agents = 4, .jobs = 120, .faults = TRUE, .kinds = TRUE
+  };
+
+  return run_world (&init, with_trace);
+}
+
 static gboolean
 run_seed (guint32 seed, gboolean faults, gboolean keep_names, gboolean with_trace)
 {
@@ -159,6 +171,20 @@
   run_seeds (TRUE);
 }
 
+/* Guards against a task that is started on a server without the label that it requires:
+ * an order for the start before is carried out on the next one, which is of another kind.
+ */
+static void
+test_kinds (void)
+{
+  guint failed = 0;
+
+  for (int i = 0; i < seeds_or (KIND_SEEDS_IN_CI); i++)
+    if (!run_kinds (FIRST_SEED + (guint32)i, FALSE))
+      failed++;
+  g_assert_cmpuint (failed, ==, 0);
+}
+
 /* Seeds that fail. A call to the earlier instance extends the lease of the restarted
  * server, by the earlier clock; if the agent then dies or freezes, runs there outlive the
  * leases that the entries count on. */
@@ -183,6 +209,8 @@
           { "worlds", 0, 0, G_OPTION_ARG_INT, &option_seeds, "Number of seeds", "N" },
           { "keep-names", 0, 0, G_OPTION_ARG_NONE, &option_keep_names,
             "With --world: servers restart under their names", NULL },
+          { "kinds", 0, 0, G_OPTION_ARG_NONE, &option_kinds,
+            "With --world: servers restart as another kind", NULL },
           { "outages", 0, 0, G_OPTION_ARG_NONE, &option_outages,
             "With --world: servers that are silent or crash", NULL },
           { "silent-crashes", 0, 0, G_OPTION_ARG_NONE, &option_outage.silent_crashes,
@@ -203,12 +231,15 @@
       = option_outages || option_outage.silent_crashes || option_outage.early_crashes;
   if (option_seed != 0 && is_outage)
     return run_outages ((guint32)option_seed, &option_outage, TRUE) ? 0 : 1;
+  if (option_seed != 0 && option_kinds)
+    return run_kinds ((guint32)option_seed, TRUE) ? 0 : 1;
   if (option_seed != 0)
     return run_seed ((guint32)option_seed, TRUE, option_keep_names, TRUE) ? 0 : 1;
   g_test_add_func ("/explorer/calm", test_no_faults);
   g_test_add_func ("/explorer/kept", test_regressions);
   g_test_add_func ("/explorer/faults", test_faults);
   g_test_add_func ("/explorer/kept-names", test_kept_names);
+  g_test_add_func ("/explorer/kinds", test_kinds);
   ADD_CASES ("/explorer", outage_cases, test_outages);
   g_test_add_func ("/explorer/dead-agent-of-a-restarted-server", test_dead_agent);
   return g_test_run ();
--- a/tests/test-leased-agent.c
+++ b/tests/test-leased-agent.c
@@ -89,10 +89,26 @@
   MeshPeer peer;
 } Scene;
 
+/* The server reports, and answers the calls that follow. */
+static void
+report_server (Scene *scene, const char *instance, const char *label, guint sequence)
+{
+  const char *labels[] = { label, NULL };
+  ServerFacts facts = { .instance = instance,
+                        .service = "exchange",
+                        .zone = "a",
+                        .labels = labels,
+                        .capacity = { CPU_MILLI, 1000, 0 },
+                        .server_ms = 1000,
+                        .sequence = sequence };
+
+  leased_agent_facts (scene->agent, &facts);
+  answer_all (&scene->server);
+}
+
 static void
 scene_open (Scene *scene, guint speed_runs)
 {
-  static const char *const labels[] = { "a", NULL };
   Settings settings = { .name = (char *)"agent-1",
                         .zone = (char *)"a",
                         .peers = (char *[]){ NULL },
@@ -101,21 +117,13 @@
                         .entry_lease_ms = 450,
                         .server_lease_ms = 700,
                         .speed_runs = speed_runs };
-  ServerFacts facts = { .instance = "i-1",
-                        .service = "exchange",
-                        .zone = "a",
-                        .labels = labels,
-                        .capacity = { CPU_MILLI, 1000, 0 },
-                        .server_ms = 1000,
-                        .sequence = 1 };
 
   memset (scene, 0, sizeof *scene);
   scene->base = event_base_new ();
   scene->agent
       = leased_agent_new (scene->base, &settings, &calls, &scene->server, &ops, NULL);
   scene->peer.incarnation = ENTRY;
-  leased_agent_facts (scene->agent, &facts);
-  answer_all (&scene->server);
+  report_server (scene, "i-1", "a", 1);
 }
 
 static void
@@ -243,37 +251,75 @@
   event_base_free (base);
 }
 
+/* A frame of the entry that orders one run and grants a lease. */
+typedef struct
+{
+  Gw__TaskRun run;
+  Gw__TaskRun *runs[1];
+  Gw__Demand demand;
+  Gw__Wish wish;
+  Gw__RunOrder order;
+  Gw__RunOrder *orders[1];
+  Gw__LeaseTime time;
+  Gw__Frame frame;
+} OrderFrame;
+
+static void
+order_frame_init (OrderFrame *f, guint generation)
+{
+  gint64 until_ms = clock_now_ms () + 10000;
+
+  gw__task_run__init (&f->run);
+  gw__demand__init (&f->demand);
+  gw__wish__init (&f->wish);
+  gw__run_order__init (&f->order);
+  gw__lease_time__init (&f->time);
+  gw__frame__init (&f->frame);
+  f->run.run = 1;
+  f->runs[0] = &f->run;
+  f->demand.cpu_milli = 1000;
+  f->order.job = (char *)"j";
+  f->order.payload = (char *)"p";
+  f->order.runs = f->runs;
+  f->order.n_runs = 1;
+  f->order.demand = &f->demand;
+  f->order.wish = &f->wish;
+  f->order.valid_until_ms = until_ms;
+  f->order.generation = generation;
+  f->orders[0] = &f->order;
+  f->time.granted_until_ms = until_ms;
+  f->frame.time = &f->time;
+  f->frame.run_orders = f->orders;
+  f->frame.n_run_orders = 1;
+}
+
+static void
+send_order (Scene *scene, guint generation)
+{
+  OrderFrame f;
+
+  order_frame_init (&f, generation);
+  leased_agent_take_frame (&scene->peer, &f.frame, scene->agent);
+}
+
 /* Guards against a task that runs twice at once: an entry ordered a run and cancelled it
  * in one frame, the stop was handled first and had no effect. */
 static void
 test_stop_with_its_order (void)
 {
   Scene scene;
-  Gw__TaskRun run = GW__TASK_RUN__INIT;
-  Gw__TaskRun *runs[] = { &run };
-  Gw__Demand demand = GW__DEMAND__INIT;
-  Gw__RunOrder order = GW__RUN_ORDER__INIT;
-  Gw__RunOrder *orders[] = { &order };
+  OrderFrame f;
   Gw__RunStop stop = GW__RUN_STOP__INIT;
   Gw__RunStop *stops[] = { &stop };
-  Gw__LeaseTime time = GW__LEASE_TIME__INIT;
-  Gw__Frame frame;
 
   scene_open (&scene, 0);
-  run.run = 1;
-  demand.cpu_milli = 1000;
-  order.job = stop.job = (char *)"j";
-  order.payload = (char *)"p";
-  order.runs = stop.runs = runs;
-  order.n_runs = stop.n_runs = 1;
-  order.demand = &demand;
-  order.valid_until_ms = time.granted_until_ms = clock_now_ms () + 10000;
-  gw__frame__init (&frame);
-  frame.time = &time;
-  frame.run_orders = orders;
-  frame.run_stops = stops;
-  frame.n_run_orders = frame.n_run_stops = 1;
-  leased_agent_take_frame (&scene.peer, &frame, scene.agent);
+  order_frame_init (&f, 0);
+  stop.job = f.order.job;
+  stop.runs = f.runs;
+  stop.n_runs = 1;
+  f.frame.run_stops = stops;
+  f.frame.n_run_stops = 1;
+  leased_agent_take_frame (&scene.peer, &f.frame, scene.agent);
   g_assert_cmpuint (scene.server.n_starts, ==, 1);
   answer_all (&scene.server);
   runner_tick (scene.agent->runner, clock_now_ms ());
@@ -281,12 +327,75 @@
   scene_close (&scene);
 }
 
+/* What is reported between the state that an entry decides by and the arrival of its
+ * order. */
+typedef struct
+{
+  const char *name;
+  const char *instance;
+  const char *label;
+  gboolean says_generation; /* entries of earlier versions do not */
+  gboolean starts;
+} ReplacedCase;
+
+static const ReplacedCase replaced_cases[] = {
+  { "unchanged", "i-1", "a", TRUE, TRUE },
+  { "restarted-as-another-kind", "i-2", "b", TRUE, FALSE },
+  { "restarted", "i-2", "a", TRUE, FALSE },
+  { "label-changed", "i-1", "b", TRUE, FALSE },
+  { "earlier-entry", "i-2", "a", FALSE, TRUE },
+};
+
+/* Guards against a task that is started on a server without the label that it requires:
+ * the order was decided by the state of an earlier start of the server. */
+static void
+test_replaced (gconstpointer data)
+{
+  const ReplacedCase *c = data;
+  Scene scene;
+  guint generation;
+  guint64 refused = counter_values[COUNTER_STARTS_REPLACED];
+
+  scene_open (&scene, 0);
+  generation = c->says_generation ? next_state (&scene)->generation : 0;
+  report_server (&scene, c->instance, c->label, 2);
+  answer_all (&scene.server);
+  send_order (&scene, generation);
+  g_assert_cmpuint (scene.server.n_starts, ==, c->starts);
+  g_assert_cmpuint (counter_values[COUNTER_STARTS_REPLACED] - refused, ==, !c->starts);
+  scene_close (&scene);
+}
+
+/* Guards against entries that never hear of a new start of the server, since all that was
+ * compared with the last state sent is as before. */
+static void
+test_other_kind_is_sent (void)
+{
+  Scene scene;
+  const Gw__ServerState *state;
+  guint generation;
+
+  scene_open (&scene, 0);
+  generation = next_state (&scene)->generation;
+  report_server (&scene, "i-2", "b", 1);
+  answer_all (&scene.server);
+  state = next_state (&scene);
+  g_assert_nonnull (state);
+  g_assert_true (state->ready);
+  g_assert_cmpstr (state->instance, ==, "i-2");
+  g_assert_cmpstr (state->labels[0], ==, "b");
+  g_assert_cmpuint (state->generation, >, generation);
+  scene_close (&scene);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/leased-agent/fresh-server-is-free", test_fresh_server_is_free);
   g_test_add_func ("/leased-agent/stop-with-its-order", test_stop_with_its_order);
+  ADD_CASES ("/leased-agent/order-for-an-earlier-server", replaced_cases, test_replaced);
+  g_test_add_func ("/leased-agent/other-kind-is-sent", test_other_kind_is_sent);
   ADD_CASES ("/leased-agent/speed", speed_cases, test_speed_seen);
   return g_test_run ();
 }
