Tell entries that the backend server is gone before the next one reports

What callers paid: after a server's restart was found out by an answer of its next start (421), its agent sent no state until that start's heartbeat, and the entries went on ordering. The orders were refused on arrival and sent elsewhere: a round trip lost for each task.

Cause: put_state () takes a state without an instance for one that is not known yet.

Fix: the last instance is sent as not ready until the next one has reported.

Test: /leased-agent/replaced-server-is-not-ready, fails before (no state).

--- a/src/leased_agent.c
+++ b/src/leased_agent.c
@@ -148,6 +148,8 @@
 {
   LeasedAgent *agent = ctx;
 
+  g_free (agent->instance);
+  agent->instance = g_strdup (facts->instance);
   g_free (agent->service);
   agent->service = g_strdup (facts->service);
   g_free (agent->zone);
@@ -374,6 +376,7 @@
   closed_zones_free (agent->closed_zones);
   g_free (agent->hello.name);
   g_free (agent->hello.zone);
+  g_free (agent->instance);
   g_free (agent->service);
   g_free (agent->zone);
   g_strfreev (agent->labels);
--- a/src/leased_agent_parts.h
+++ b/src/leased_agent_parts.h
@@ -28,6 +28,8 @@
   gint64 ticked_ms;
   gint64 draining_ms; /* start of draining; 0: not draining */
   gboolean ended;     /* the loop exits once the final frames are out */
+  /* By the last report that was taken. */
+  char *instance;
   char *service;
   char *zone;
   char **labels;
--- a/src/leased_agent_state.c
+++ b/src/leased_agent_state.c
@@ -215,12 +215,12 @@
 static void
 put_state (LeasedAgent *agent, MeshPeer *peer, Gw__Frame *frame)
 {
-  const char *instance = runner_instance (agent->runner);
   SentState *sent = peer->data;
   State now = state_for (agent, peer);
   const State *state = &now;
 
-  if (instance == NULL || !state_differs (state, peer->data))
+  /* While the next instance has not reported, the last one is sent as not ready. */
+  if (agent->instance == NULL || !state_differs (state, peer->data))
     return;
   if (sent == NULL)
     {
@@ -230,7 +230,7 @@
   sent->state = now;
   sent->sent_ms = clock_now_ms ();
   gw__server_state__init (&agent->state);
-  agent->state.instance = (char *)instance;
+  agent->state.instance = agent->instance;
   agent->state.service = agent->service;
   agent->state.zone = agent->zone;
   agent->state.labels = agent->labels;
--- a/tests/test-leased-agent.c
+++ b/tests/test-leased-agent.c
@@ -3,6 +3,7 @@
 #include "clock.h"
 #include "counters.h"
 #include "leased_agent_parts.h"
+#include "runner_parts.h"
 
 #include <string.h>
 
@@ -66,20 +67,25 @@
 static const LeasedAgentOps ops = { look_up_entries, look_up_zones };
 
 static void
-answer_all (Server *server)
+answer_all_as (Server *server, CallEnd end)
 {
   guint n = server->n_calls; /* each answer leads to another call */
 
   while (server->n_answered < n)
     {
       const ServerCall *call = &server->calls[server->n_answered++];
-      CallReply reply
-          = { .end = CALL_DONE, .server_ms = 1000, .now_ms = clock_now_ms () };
+      CallReply reply = { .end = end, .server_ms = 1000, .now_ms = clock_now_ms () };
 
       call->replied (&reply, call->ctx, call->cookie);
     }
 }
 
+static void
+answer_all (Server *server)
+{
+  answer_all_as (server, CALL_DONE);
+}
+
 /* An agent with a ready server, and one entry. */
 typedef struct
 {
@@ -366,6 +372,30 @@
   scene_close (&scene);
 }
 
+/* Guards against orders for a server that is gone: its agent said nothing to the entries
+ * until the next one had reported. */
+static void
+test_replaced_is_not_ready (void)
+{
+  Scene scene;
+  const Gw__ServerState *state;
+
+  scene_open (&scene, 0);
+  g_assert_true (next_state (&scene)->ready);
+  runner_send_poll (scene.agent->runner);
+  answer_all_as (&scene.server, CALL_OTHER_INSTANCE);
+  state = next_state (&scene);
+  g_assert_nonnull (state);
+  g_assert_false (state->ready);
+  g_assert_null (next_state (&scene));
+  report_server (&scene, "i-2", "a", 1);
+  answer_all (&scene.server);
+  state = next_state (&scene);
+  g_assert_true (state->ready);
+  g_assert_cmpstr (state->instance, ==, "i-2");
+  scene_close (&scene);
+}
+
 /* Guards against entries that never hear of a new start of the server, since all that was
  * compared with the last state sent is as before. */
 static void
@@ -395,6 +425,8 @@
   g_test_add_func ("/leased-agent/fresh-server-is-free", test_fresh_server_is_free);
   g_test_add_func ("/leased-agent/stop-with-its-order", test_stop_with_its_order);
   ADD_CASES ("/leased-agent/order-for-an-earlier-server", replaced_cases, test_replaced);
+  g_test_add_func ("/leased-agent/replaced-server-is-not-ready",
+                   test_replaced_is_not_ready);
   g_test_add_func ("/leased-agent/other-kind-is-sent", test_other_kind_is_sent);
   ADD_CASES ("/leased-agent/speed", speed_cases, test_speed_seen);
   return g_test_run ();
