Forget the offers of an earlier backend server

Requests and offers are dropped when the generation of the server's state changes, and a request that names an earlier one is ignored. Test: /leased-agent/offer-ends-with-its-server, fails before for each of the two.

--- a/src/leased_agent.c
+++ b/src/leased_agent.c
@@ -143,6 +143,24 @@
   runner_set_zone_closed (agent->runner, closed);
 }
 
+/* What waits for an earlier server may need what this one does not have. */
+static void
+drop_outdated_offers (LeasedAgent *agent)
+{
+  guint generation = runner_generation (agent->runner);
+
+  if (agent->generation == generation)
+    return;
+  agent->generation = generation;
+  offers_clear (agent->offers);
+}
+
+static gboolean
+is_outdated (const LeasedAgent *agent, const Gw__RunOrder *order)
+{
+  return order->generation != 0 && order->generation != runner_generation (agent->runner);
+}
+
 static void
 on_facts (const ServerFacts *facts, gpointer ctx)
 {
@@ -156,6 +174,7 @@
   agent->zone = g_strdup (facts->zone);
   g_strfreev (agent->labels);
   agent->labels = g_strdupv ((char **)facts->labels);
+  drop_outdated_offers (agent);
   apply_zones (agent);
 }
 
@@ -191,7 +210,7 @@
                          .generation = order->generation };
   guint before = runner_count (agent->runner);
 
-  if (order->n_runs == 0)
+  if (order->n_runs == 0 && !is_outdated (agent, order))
     on_no_room (entry, &request.resources, agent);
   g_strlcpy (request.key.job, order->job, sizeof request.key.job);
   for (gsize i = 0; i < order->n_runs; i++)
--- a/src/leased_agent_parts.h
+++ b/src/leased_agent_parts.h
@@ -33,6 +33,7 @@
   char *service;
   char *zone;
   char **labels;
+  guint generation; /* that the offers were made for */
   /* Parts of the frame that is being prepared. */
   Gw__ServerState state;
   Gw__Demand capacity;
--- a/src/offers.c
+++ b/src/offers.c
@@ -39,6 +39,13 @@
   g_free (offers);
 }
 
+void
+offers_clear (Offers *offers)
+{
+  g_array_set_size (offers->waiters, 0);
+  g_array_set_size (offers->open, 0);
+}
+
 static void
 remove_waiter (Offers *offers, guint64 entry)
 {
--- a/src/offers.h
+++ b/src/offers.h
@@ -13,6 +13,9 @@
 Offers *offers_new (void);
 void offers_free (Offers *offers);
 
+/** offers_clear - forget all requests and offers. */
+void offers_clear (Offers *offers);
+
 /** offers_request - @entry found no free capacity for @request. Replaces its earlier
  * request and withdraws its offer; an empty @request does only this.
  */
--- a/tests/test-leased-agent.c
+++ b/tests/test-leased-agent.c
@@ -396,6 +396,41 @@
   scene_close (&scene);
 }
 
+static void
+request_room (Scene *scene, guint generation)
+{
+  OrderFrame f;
+
+  order_frame_init (&f, generation);
+  f.order.n_runs = 0;
+  f.wish.tasks = f.wish.first_tasks = 1;
+  f.wish.need = &f.demand;
+  f.wish.stands_ms = 1000;
+  leased_agent_take_frame (&scene->peer, &f.frame, scene->agent);
+}
+
+/* Guards against room of a new server that is kept free for a job that it cannot run: the
+ * entry had asked for room on the server before. */
+static void
+test_offer_ends_with_its_server (void)
+{
+  Scene scene;
+  guint generation;
+
+  scene_open (&scene, 0);
+  generation = next_state (&scene)->generation;
+  request_room (&scene, generation);
+  g_assert_true (next_state (&scene)->offered);
+  report_server (&scene, "i-2", "b", 1);
+  answer_all (&scene.server);
+  g_assert_false (next_state (&scene)->offered);
+  request_room (&scene, generation);
+  g_assert_null (next_state (&scene));
+  request_room (&scene, generation + 1);
+  g_assert_true (next_state (&scene)->offered);
+  scene_close (&scene);
+}
+
 /* Guards against entries that never hear of a new start of the server, since all that was
  * compared with the last state sent is as before. */
 static void
@@ -427,6 +462,8 @@
   ADD_CASES ("/leased-agent/order-for-an-earlier-server", replaced_cases, test_replaced);
   g_test_add_func ("/leased-agent/replaced-server-is-not-ready",
                    test_replaced_is_not_ready);
+  g_test_add_func ("/leased-agent/offer-ends-with-its-server",
+                   test_offer_ends_with_its_server);
   g_test_add_func ("/leased-agent/other-kind-is-sent", test_other_kind_is_sent);
   ADD_CASES ("/leased-agent/speed", speed_cases, test_speed_seen);
   return g_test_run ();
