--- a/src/dispatcher_requests.c
+++ b/src/dispatcher_requests.c
@@ -85,8 +85,7 @@
     {
       const LeasedJob *job = g_ptr_array_index (jobs, i);
 
-      if (job->waiting > 0 && job->rank < RANK_INFEASIBLE
-          && server_may_run (server, job))
+      if (job->waiting > 0 && job->rank < RANK_INFEASIBLE && server_may_run (server, job))
         return job;
     }
   return NULL;
