Count calls that cannot be sent as silence of the backend server

What callers saw: a server crashed before it had answered a start; the task was given to no other server, and the caller got 504 at the end of the time.

Cause: a refused connection ended the call as CALL_UNHEALTHY, and take_reply () took every end but CALL_UNANSWERED as an answer. So the reconciling call was repeated at once without end, the server never counted as unresponsive, and leases that were never sent were renewed.

Fix: CALL_NOT_SENT counts as silence, and still proves that a start was not carried out. Reconciling calls that are not carried out are repeated at once four times in a row at most, whatever the reason; one that raises the fencing token goes on as before.

Tests: /runner/crashed-server-is-not-stormed, /runner/unhealthy-server-is-not-stormed and /runner/crashed-server-loses-its-runs fail before (over 1,024 calls; never given up). The existing storm test now begins with a start without an answer in so many words.

--- a/src/runner_calls.c
+++ b/src/runner_calls.c
@@ -22,9 +22,9 @@
 /* Most times that one start is sent; it is resent when refused as fenced or late. */
 #define STARTS_MAX 4
 
-/* A reconciling call without an answer is retried at once, since single ones get lost;
- * after so many unanswered calls in a row the server is taken to be down, and the next is
- * sent with each tick. */
+/* A reconciling call that is not carried out is retried at once, since single ones get
+ * lost; after so many in a row the server is taken to be down, and the next is sent with
+ * each tick. */
 #define RECONCILE_RETRIES 4
 
 /* Steps of the fencing token: the largest passes any clock that counts milliseconds since
@@ -103,6 +103,13 @@
   return G_GUINT64_CONSTANT (1) << doublings;
 }
 
+/* The server has not said anything. */
+static gboolean
+is_silence (const CallReply *reply)
+{
+  return reply->end == CALL_UNANSWERED || reply->end == CALL_NOT_SENT;
+}
+
 /* Return: FALSE if the answer is outdated. */
 static gboolean
 take_reply (Runner *runner, const CallReply *reply, const Cookie *cookie)
@@ -110,10 +117,10 @@
   if (cookie->instance_epoch != runner->instance_epoch)
     return FALSE;
   runner->now_ms = reply->now_ms;
-  runner->unanswered = reply->end == CALL_UNANSWERED ? runner->unanswered + 1 : 0;
-  if (reply->end == CALL_UNANSWERED)
+  runner->unanswered = is_silence (reply) ? runner->unanswered + 1 : 0;
+  if (is_silence (reply))
     long_polls_lost (&runner->long_polls, runner->now_ms);
-  if (reply->end != CALL_UNANSWERED && cookie->long_poll == 0)
+  if (!is_silence (reply) && cookie->long_poll == 0)
     runner->call_ms
         += CALL_TIME_RATE * (reply->now_ms - cookie->sent_ms - runner->call_ms);
   if (reply->end == CALL_RESTARTED)
@@ -208,6 +215,9 @@
     case CALL_UNHEALTHY:
       run_start_lost (runner, run, "unhealthy");
       break;
+    case CALL_NOT_SENT:
+      run_start_lost (runner, run, "not sent");
+      break;
     case CALL_REJECTED:
       run_end (runner, run, REPORT_NOT_STARTED, "rejected");
       break;
@@ -374,6 +384,16 @@
   return FALSE;
 }
 
+/* A call that was refused as fenced made progress: it raised the token. */
+static void
+retry_reconcile (Runner *runner, const CallReply *reply)
+{
+  if (reply->end != CALL_FENCED)
+    runner->reconcile_failures++;
+  if (runner_must_reconcile (runner) && runner->reconcile_failures < RECONCILE_RETRIES)
+    runner_send_reconcile (runner);
+}
+
 static void
 on_hold_reply (const CallReply *reply, gpointer ctx, gpointer data)
 {
@@ -388,11 +408,12 @@
     goto out;
   if (reply->end != CALL_DONE)
     {
-      if (cookie->reconcile && runner_must_reconcile (runner)
-          && runner->unanswered < RECONCILE_RETRIES)
-        runner_send_reconcile (runner);
+      if (cookie->reconcile)
+        retry_reconcile (runner, reply);
       goto out;
     }
+  if (cookie->reconcile)
+    runner->reconcile_failures = 0;
   runner->listed_ms = runner->now_ms;
   if (take_ends (runner, reply))
     long_polls_expect_end (&runner->long_polls, runner->now_ms);
--- a/src/runner_candidate.c
+++ b/src/runner_candidate.c
@@ -79,6 +79,7 @@
       break;
     case CALL_UNANSWERED:
     case CALL_UNHEALTHY:
+    case CALL_NOT_SENT:
       break; /* asked again at the next tick */
     default:
       confirm (runner, reply);
--- a/src/runner_instance.c
+++ b/src/runner_instance.c
@@ -314,6 +314,7 @@
   runner->instance_epoch++;
   runner->sequence = 0;
   runner->fenced = 0;
+  runner->reconcile_failures = 0;
   runner->held_until_ms = runner->n_runs > 0 ? held_limit_ms (runner) : 0;
   runner->ends_seen = 0;
   runner->unanswered = 0;
--- a/src/runner_parts.h
+++ b/src/runner_parts.h
@@ -131,7 +131,8 @@
   gboolean draining;      /* the agent */
   gboolean zone_closed;
   LongPolls long_polls;
-  gboolean reconciling; /* a reconciling call is under way */
+  gboolean reconciling;     /* a reconciling call is under way */
+  guint reconcile_failures; /* such calls in a row that were not carried out */
 };
 
 /* runner.c */
--- a/src/server_calls.h
+++ b/src/server_calls.h
@@ -31,7 +31,8 @@
   CALL_SUPERSEDED, /* refused: a run with this or a higher number was stopped or ended */
   CALL_LATE,       /* refused: its lease would have expired already */
   CALL_NO_ROOM,    /* refused: the server's own capacity check failed */
-  CALL_UNHEALTHY,  /* refused or not sent; nothing was done */
+  CALL_UNHEALTHY,  /* refused; nothing was done */
+  CALL_NOT_SENT,   /* there was no connection to send it on; nothing was done */
   CALL_OTHER_INSTANCE, /* refused: the backend server has restarted */
   CALL_RESTARTED,      /* answered by a later instance, which calls cannot tell apart: it
                           may have carried out this and earlier calls */
--- a/tests/test-runner.c
+++ b/tests/test-runner.c
@@ -540,21 +540,27 @@
 
 /* No open call is answered. */
 static void
-advance_in_silence (Scene *scene)
+advance_without (Scene *scene, CallEnd end)
 {
   scene->now += 50;
   for (guint i = 0; i < scene->n_calls; i++)
     if (!scene->calls[i].answered)
       {
         scene->calls[i].answered = TRUE;
-        scene->calls[i].call.replied (
-            &(CallReply){ .end = CALL_UNANSWERED, .now_ms = scene->now },
-            scene->calls[i].call.ctx, scene->calls[i].call.cookie);
+        scene->calls[i].call.replied (&(CallReply){ .end = end, .now_ms = scene->now },
+                                      scene->calls[i].call.ctx,
+                                      scene->calls[i].call.cookie);
       }
   scene->n_calls = 0;
   runner_tick (scene->runner, scene->now);
 }
 
+static void
+advance_in_silence (Scene *scene)
+{
+  advance_without (scene, CALL_UNANSWERED);
+}
+
 /* Guards against reporting the runs of an unresponsive server as lost while they still go
  * on, or never: the time limit must be the lease that the server holds. */
 static void
@@ -974,13 +980,13 @@
                     quick_ms + quick_ms);
 }
 
-/* Guards against calling a server that refuses connections thousands of times, each over
- * a new connection: every call fails at once, here for 6 s. */
+/* Every call ends at once as @end, for 6 s, while a start is unresolved. */
 static void
-refusing_server_is_not_stormed (Scene *scene)
+storm_with (Scene *scene, CallEnd end)
 {
   scene_ready (scene);
   order_start (scene, ENTRY, "j", 1000);
+  answer (scene, open_call (scene, CALLED_START), CALL_UNANSWERED);
   for (guint ms = 0; ms < REFUSING_MS; ms += RUNNER_TICK_MS)
     {
       guint before = scene->n_calls;
@@ -988,16 +994,53 @@
       for (guint i = 0;
            i < scene->n_calls && scene->n_calls < before + CALLS_PER_TICK_MAX; i++)
         if (!scene->calls[i].answered)
-          answer (scene, &scene->calls[i], CALL_UNANSWERED);
+          answer (scene, &scene->calls[i], end);
       advance (scene, RUNNER_TICK_MS);
     }
   g_assert_cmpuint (scene->n_calls, <=, (guint64)REFUSING_MS / 1000 * CALLS_PER_S_MAX);
+}
+
+/* Guards against calling a server that refuses connections thousands of times, each over
+ * a new connection. */
+static void
+refusing_server_is_not_stormed (Scene *scene)
+{
+  storm_with (scene, CALL_UNANSWERED);
   /* The next call that is answered ends the unresponsive state. */
   advance (scene, RUNNER_TICK_MS);
   answer (scene, open_poll (scene), CALL_DONE);
   g_assert_true (runner_ready (scene->runner));
 }
 
+/* Guards against an agent that calls a server which has crashed without a pause: a call
+ * that cannot be sent counted as an answer, and was repeated at once for ever. */
+static void
+crashed_server_is_not_stormed (Scene *scene)
+{
+  storm_with (scene, CALL_NOT_SENT);
+}
+
+/* Guards against the same where the server refuses every call. */
+static void
+unhealthy_server_is_not_stormed (Scene *scene)
+{
+  storm_with (scene, CALL_UNHEALTHY);
+}
+
+/* Guards against runs that are never given up: calls that cannot be sent counted as
+ * answers, and renewed the lease of a server that had crashed. */
+static void
+crashed_server_loses_its_runs (Scene *scene)
+{
+  scene_ready (scene);
+  start_running (scene, "j", 1000);
+  advance (scene, LEASE_MS - 50);
+  for (guint i = 0; i < 60 && last_report (scene)->kind == REPORT_STARTED; i++)
+    advance_without (scene, CALL_NOT_SENT);
+  g_assert_cmpint (last_report (scene)->kind, ==, REPORT_SERVER_SILENT);
+  g_assert_false (runner_ready (scene->runner));
+}
+
 static void
 send_cold (Scene *scene, guint64 sequence, guint cold_ms)
 {
@@ -1821,6 +1864,9 @@
   { "closed-zone-takes-nothing", closed_zone_takes_nothing },
   { "cold-server-is-no-slow-one", cold_server_is_no_slow_one },
   { "refusing-server-is-not-stormed", refusing_server_is_not_stormed },
+  { "crashed-server-is-not-stormed", crashed_server_is_not_stormed },
+  { "unhealthy-server-is-not-stormed", unhealthy_server_is_not_stormed },
+  { "crashed-server-loses-its-runs", crashed_server_loses_its_runs },
   { "runs-and-reports", runs_and_reports },
   { "room-is-kept-until-the-end", room_is_kept_until_the_end },
   { "unanswered-start-is-fenced", unanswered_start_is_fenced },
