Wait for the runs of a server that leaves to be over

Cause: runner_server_left () took the call as proof that all runs were over. It announces an end.

Fix: from the call on nothing is started there, no lease is renewed, and the runs are stopped. A run is over when the server lists its end, when its lease has lapsed or when another instance answers. The same for servers that restart under their name, whose listed runs ended in the same way.

Tests: /runner/left-server-may-go-on fails before; /runner/left-server-lists-its-ends is new. /runner/start-under-way-at-the-end-is-held took it for right that a listed run is reported lost with the call, which is this fault; it now demands the stop and the listed end first.

--- a/src/runner.c
+++ b/src/runner.c
@@ -237,7 +237,7 @@
 
   if (is_for_earlier_server (runner, request))
     return ORDER_REPLACED;
-  if (runner->state != INSTANCE_READY)
+  if (!runner_ready (runner))
     return "backend server not ready";
   if (runner_server_is_unresponsive (runner))
     return "backend server is silent";
@@ -365,6 +365,15 @@
   runner_send_stop (runner, &run->key);
 }
 
+void
+runner_stop_all (Runner *runner, const char *reason)
+{
+  Run *run;
+
+  TAILQ_FOREACH (run, &runner->runs, link)
+    stop_run (runner, run, reason);
+}
+
 void
 runner_stop (Runner *runner, guint64 entry, const RunKey *key, gint64 now_ms)
 {
@@ -436,6 +445,15 @@
          || runner->now_ms > runner->extended_ms + CALL_ARRIVAL_MS + lease_ms;
 }
 
+gboolean
+runner_server_lease_is_over (const Runner *runner)
+{
+  gint64 server_ms
+      = peer_clock_least (&runner->clock, runner->now_ms, SERVER_CLOCK_SLOW_PERCENT);
+
+  return server_ms > runner->server_lease_until && restart_lease_is_over (runner);
+}
+
 /* A held start outlasts the lease. */
 static gboolean
 any_run_needs_lease (const Runner *runner)
@@ -455,11 +473,7 @@
 static void
 check_server_lease (Runner *runner)
 {
-  gint64 server_ms
-      = peer_clock_least (&runner->clock, runner->now_ms, SERVER_CLOCK_SLOW_PERCENT);
-
-  if (server_ms <= runner->server_lease_until || !restart_lease_is_over (runner)
-      || !any_run_needs_lease (runner))
+  if (!runner_server_lease_is_over (runner) || !any_run_needs_lease (runner))
     return;
   event_emit ("server-lease-lapsed", "-",
               "server=%s runs=%u answer_age_ms=%" G_GINT64_FORMAT, runner->instance,
@@ -507,7 +521,12 @@
   runner_check_cold (runner);
   runner_check_leaving (runner);
   tick_server_health (runner);
-  check_server_lease (runner);
+  if (runner->left_ms > 0)
+    runner_check_left (runner);
+  else
+    check_server_lease (runner);
+  if (runner->state == INSTANCE_UNKNOWN)
+    return;
   stop_unleased (runner);
   if (runner->state == INSTANCE_CLEARING || runner_must_reconcile (runner))
     runner_send_reconcile (runner);
--- a/src/runner_calls.c
+++ b/src/runner_calls.c
@@ -85,7 +85,7 @@
 add_lease (Runner *runner, ServerCall *call)
 {
   runner->lease_sent_ms = runner->now_ms;
-  if (runner_server_is_unresponsive (runner))
+  if (runner_server_is_unresponsive (runner) || runner->left_ms > 0)
     return;
   runner->extended_ms = runner->now_ms;
   call->lease_until
--- a/src/runner_instance.c
+++ b/src/runner_instance.c
@@ -49,6 +49,7 @@
   runner->instance_epoch++;
   long_polls_reset (&runner->long_polls);
   runner->reconciling = FALSE;
+  runner->left_ms = 0;
   runner_set_state (runner, INSTANCE_UNKNOWN);
 }
 
@@ -417,21 +418,42 @@
   return TRUE;
 }
 
-void
-runner_server_left (Runner *runner, const char *instance, gint64 now_ms)
+static void
+forget_left (Runner *runner)
 {
-  runner->now_ms = now_ms;
-  if (g_strcmp0 (runner->instance, instance) != 0)
-    return;
-  runner_resolve_silent (runner, REPORT_LOST, LEFT);
   /* It may restart under its name, and a start under way may reach that instance. */
-  if (strcmp (runner->name, instance) != 0)
+  if (strcmp (runner->name, runner->instance) != 0)
     {
       hold_unlisted_runs (runner, REPORT_LOST, LEFT);
-      runner->held_until_ms = now_ms + HELD_AFTER_LEAVE_MS;
-      forget_instance (runner);
-      return;
+      runner->held_until_ms = runner->left_ms + HELD_AFTER_LEAVE_MS;
+    }
+  else
+    {
+      runner_lose_all (runner, REPORT_LOST, LEFT);
     }
-  runner_lose_all (runner, REPORT_LOST, LEFT);
   forget_instance (runner);
+  runner_check_held (runner);
+}
+
+void
+runner_check_left (Runner *runner)
+{
+  if (runner->n_runs == 0 || runner_server_lease_is_over (runner))
+    forget_left (runner);
+}
+
+/* If the answer to its call is lost, it goes on for some seconds, and so do its runs. */
+void
+runner_server_left (Runner *runner, const char *instance, gint64 now_ms)
+{
+  runner->now_ms = now_ms;
+  if (g_strcmp0 (runner->instance, instance) != 0 || runner->left_ms > 0)
+    return;
+  runner_resolve_silent (runner, REPORT_LOST, LEFT);
+  runner->left_ms = now_ms;
+  runner->server_draining = TRUE;
+  event_note ("server-left", "-", "server=%s runs=%u", instance, runner->n_runs);
+  runner_stop_all (runner, LEFT);
+  runner_check_left (runner);
+  runner->ops->changed (runner->ctx);
 }
--- a/src/runner_parts.h
+++ b/src/runner_parts.h
@@ -122,6 +122,7 @@
   ServerHealth server_health;
   ServerSpeed server_speed;
   gboolean server_draining;
+  gint64 left_ms; /* when it said that it ends; 0: it did not */
   Leaving leaving;        /* of this instance */
   gboolean was_accepting; /* while leaving, at the last tick */
   gint64 cold_until_ms;   /* just started: by its report it runs slower until then */
@@ -142,6 +143,13 @@
 const char *runner_leaving_refusal (const Runner *runner, guint expected_ms);
 Run *runner_find (const Runner *runner, const RunKey *key);
 
+/** runner_stop_all - stop all runs, for @reason. */
+void runner_stop_all (Runner *runner, const char *reason);
+
+/** runner_server_lease_is_over - the server has surely ended what it was last told to
+ * run. */
+gboolean runner_server_lease_is_over (const Runner *runner);
+
 /** run_end - end and report the run. If its server has crashed and never answered the
  * start, that may have come too late: the report is REPORT_SERVER_SILENT then. */
 void run_end (Runner *runner, Run *run, ReportKind kind, const char *reason);
@@ -189,6 +197,9 @@
  * that were lost to it are reported again, as @kind. */
 void runner_resolve_silent (Runner *runner, ReportKind kind, const char *reason);
 
+/** runner_check_left - forget an instance that has left once its runs are over. */
+void runner_check_left (Runner *runner);
+
 /** runner_restarted - another instance answers to the name of this one. What it may have
  * been ordered in place of this one is held until it is cleared. */
 void runner_restarted (Runner *runner);
--- a/src/runner_state.c
+++ b/src/runner_state.c
@@ -9,7 +9,7 @@
 gboolean
 runner_ready (const Runner *runner)
 {
-  return runner->state == INSTANCE_READY;
+  return runner->state == INSTANCE_READY && runner->left_ms == 0;
 }
 
 gboolean
--- a/tests/test-runner.c
+++ b/tests/test-runner.c
@@ -1350,6 +1350,46 @@
   g_assert_true (runner_ready (scene->runner));
 }
 
+/* Guards against a task that runs twice at once: the server did not get the answer to its
+ * Leave call and went on, while its runs counted as over. */
+static void
+left_server_may_go_on (Scene *scene)
+{
+  gint64 left_ms;
+
+  scene_ready (scene);
+  start_running (scene, "j", 1000);
+  left_ms = scene->now;
+  runner_server_left (scene->runner, "one", scene->now);
+  g_assert_false (runner_ready (scene->runner));
+  g_assert_cmpstr (open_call (scene, CALLED_STOP)->key.job, ==, "j");
+  order_start (scene, ENTRY, "k", 1000);
+  g_assert_cmpint (last_report (scene)->kind, ==, REPORT_NOT_STARTED);
+  for (guint i = 0; i < 60 && last_report (scene)->kind != REPORT_LOST; i++)
+    {
+      for (guint j = 0; j < scene->n_calls; j++)
+        g_assert_true (scene->calls[j].answered || scene->calls[j].call.lease_until == 0
+                       || scene->now == left_ms);
+      advance_in_silence (scene);
+    }
+  g_assert_cmpstr (last_report (scene)->key.job, ==, "j");
+  g_assert_cmpint (scene->now - left_ms, >=, LEASE_MS);
+  g_assert_null (runner_instance (scene->runner));
+}
+
+/* The same, where it answers: the end that it lists is proof. */
+static void
+left_server_lists_its_ends (Scene *scene)
+{
+  scene_ready (scene);
+  start_running (scene, "j", 1000);
+  runner_server_left (scene->runner, "one", scene->now);
+  answer_ended (scene, open_long_poll (scene), "j", RUN_END_STOPPED);
+  g_assert_cmpint (last_report (scene)->kind, ==, REPORT_LOST);
+  advance (scene, RUNNER_TICK_MS);
+  g_assert_null (runner_instance (scene->runner));
+}
+
 /* Guards against a task that runs twice at once: a start under way when the server left
  * was ordered elsewhere, and the next start under the same id carried it out. */
 static void
@@ -1361,6 +1401,9 @@
   order_start (scene, ENTRY, "k", 1000);
   scene->n_reports = 0;
   runner_server_left (scene->runner, "one#1", scene->now);
+  g_assert_cmpuint (scene->n_reports, ==, 0);
+  g_assert_cmpstr (open_call (scene, CALLED_STOP)->key.job, ==, "j");
+  answer_ended (scene, open_long_poll (scene), "j", RUN_END_STOPPED);
   g_assert_cmpuint (scene->n_reports, ==, 1);
   g_assert_cmpstr (last_report (scene)->key.job, ==, "j");
   restart_named (scene);
@@ -1843,6 +1886,8 @@
   { "run-that-is-cut-off-is-reported", run_that_is_cut_off_is_reported },
   { "unlisted-runs-are-held", unlisted_runs_are_held },
   { "start-under-way-is-held", start_under_way_is_held },
+  { "left-server-may-go-on", left_server_may_go_on },
+  { "left-server-lists-its-ends", left_server_lists_its_ends },
   { "start-under-way-at-the-end-is-held", start_under_way_at_the_end_is_held },
   { "left-server-holds-no-start-for-long", left_server_holds_no_start_for_long },
   { "restarted-silent-server-holds-no-start-for-good",
