Do not use the room of a stored report

Cause: the agent takes its server's last report from the table at its start, of unknown age, with the room in it.

Fix: the instance is taken, so that what the predecessor started is cleared and reported at once, and the room counts as none until the server reports, 1.5 s later at most. Weighed: to store each report with its age (a write every 1.5 s for each agent), or to use part of the room (it may have shrunk to any part).

Test: /runner/stored-room-is-not-used fails before (the start is sent).

--- a/src/runner.h
+++ b/src/runner.h
@@ -62,9 +62,10 @@
   gint64 server_ms;   /* its clock */
   gint64 started_ms;  /* Unix time at which its clock began; 0: not said */
   guint64 sequence;   /* counts the reports of one instance */
-  gboolean is_old;    /* kept from an earlier process; its age is unknown */
-  gboolean replaces;  /* surely later than the instance of the last report, even if it was
-                         known before that one */
+  gboolean is_old;   /* kept from an earlier process; its age is unknown, and its capacity
+                        is not used */
+  gboolean replaces; /* surely later than the instance of the last report, even if it was
+                        known before that one */
 } ServerFacts;
 
 typedef struct
--- a/src/runner_instance.c
+++ b/src/runner_instance.c
@@ -357,10 +357,19 @@
   runner->kind = kind;
 }
 
+/* The room may have shrunk since a report that was kept from an earlier process: nothing
+ * fits until the server reports again. */
+static Demand
+present_capacity (const ServerFacts *facts)
+{
+  return facts->is_old ? (Demand){ 0 } : facts->capacity;
+}
+
 void
 runner_take_facts (Runner *runner, const ServerFacts *facts)
 {
   gboolean is_new = g_strcmp0 (runner->instance, facts->instance) != 0;
+  Demand capacity = present_capacity (facts);
   gboolean changed;
 
   if (is_new)
@@ -369,8 +378,8 @@
   runner->sequence = facts->sequence;
   peer_clock_observe (&runner->clock, facts->server_ms, runner->now_ms);
   changed = is_new || runner->server_draining != facts->draining
-            || memcmp (&runner->capacity, &facts->capacity, sizeof facts->capacity) != 0;
-  runner->capacity = facts->capacity;
+            || memcmp (&runner->capacity, &capacity, sizeof capacity) != 0;
+  runner->capacity = capacity;
   runner->server_draining = facts->draining;
   take_leaving (runner, facts);
   runner->cold_until_ms = runner->now_ms + facts->cold_ms;
--- a/tests/test-runner.c
+++ b/tests/test-runner.c
@@ -603,6 +603,36 @@
   return runner_facts (scene->runner, &facts, scene->now);
 }
 
+/* Guards against a server that is filled beyond its room: that had shrunk since the
+ * report which the agent before this one had stored. */
+static void
+stored_room_is_not_used (Scene *scene)
+{
+  ServerFacts facts = { .instance = "one",
+                        .service = "exchange",
+                        .zone = "fukuoka-a",
+                        .capacity = { 4000, 1000, 0 },
+                        .server_ms = 1,
+                        .sequence = 1,
+                        .is_old = TRUE };
+
+  scene_open (scene);
+  runner_facts (scene->runner, &facts, scene->now);
+  answer (scene, open_poll (scene), CALL_DONE);
+  g_assert_true (runner_ready (scene->runner));
+  runner_extend_lease (scene->runner, ENTRY, scene->now + 60000);
+  order_start (scene, ENTRY, "j", 1000);
+  g_assert_cmpint (last_report (scene)->kind, ==, REPORT_NOT_STARTED);
+  g_assert_cmpstr (last_report (scene)->reason, ==, "no room");
+  facts.is_old = FALSE;
+  facts.capacity.cpu_milli = 2000;
+  facts.sequence = 2;
+  g_assert_true (runner_facts (scene->runner, &facts, scene->now));
+  order_start (scene, ENTRY, "k", 1000);
+  g_assert_nonnull (open_call (scene, CALLED_START));
+  g_assert_cmpuint (runner_capacity (scene->runner)->cpu_milli, ==, 2000);
+}
+
 /* Guards against tasks that run twice: a report of an earlier instance that this agent
  * had never seen, delayed by a cut, ended all runs of the present one in its view. */
 static void
@@ -1886,6 +1916,7 @@
   { "run-that-is-cut-off-is-reported", run_that_is_cut_off_is_reported },
   { "unlisted-runs-are-held", unlisted_runs_are_held },
   { "start-under-way-is-held", start_under_way_is_held },
+  { "stored-room-is-not-used", stored_room_is_not_used },
   { "left-server-may-go-on", left_server_may_go_on },
   { "left-server-lists-its-ends", left_server_lists_its_ends },
   { "start-under-way-at-the-end-is-held", start_under_way_at_the_end_is_held },
