--- a/src/json_text.c
+++ b/src/json_text.c
@@ -6,6 +6,8 @@
 #define HEX_DIGITS 4
 #define UNIT_LENGTH 6 /* \uXXXX */
 #define NOT_A_UNIT (-1)
+/* Longer names of members are left out of messages, which go to logs. */
+#define NAME_BYTES_MAX 64
 
 /* The UTF-16 code unit of the escape \uXXXX at @text. */
 static int
@@ -111,8 +113,9 @@
         }
       p = after;
     }
-  return name != NULL ? g_strdup_printf ("%.*s: %s", (int)length, name, what)
-                      : g_strdup_printf ("a string %s", what);
+  return name != NULL && length <= NAME_BYTES_MAX
+             ? g_strdup_printf ("%.*s: %s", (int)length, name, what)
+             : g_strdup_printf ("a string %s", what);
 }
 
 char *
@@ -121,6 +124,8 @@
   const char *end = text + size;
   const char *bad;
 
+  if (size == 0)
+    return NULL;
   if (!g_utf8_validate (text, (gssize)size, NULL))
     return g_strdup ("not valid UTF-8");
   bad = find_bad_escape (text, end, parser);
--- a/src/runner_parts.h
+++ b/src/runner_parts.h
@@ -122,7 +122,7 @@
   ServerHealth server_health;
   ServerSpeed server_speed;
   gboolean server_draining;
-  gint64 left_ms; /* when it said that it ends; 0: it did not */
+  gint64 left_ms;         /* when it said that it ends; 0: it did not */
   Leaving leaving;        /* of this instance */
   gboolean was_accepting; /* while leaving, at the last tick */
   gint64 cold_until_ms;   /* just started: by its report it runs slower until then */
