--- a/src/runner_calls.c
+++ b/src/runner_calls.c
@@ -22,9 +22,8 @@
 /* Most times that one start is sent; it is resent when refused as fenced or late. */
 #define STARTS_MAX 4
 
-/* A reconciling call that is not carried out is retried at once, since single ones get
- * lost; after so many in a row the server is taken to be down, and the next is sent with
- * each tick. */
+/* Reconciling calls in a row that are not carried out and are repeated at once; further
+ * ones wait for the tick. */
 #define RECONCILE_RETRIES 4
 
 /* Steps of the fencing token: the largest passes any clock that counts milliseconds since
--- a/src/runner_parts.h
+++ b/src/runner_parts.h
@@ -146,8 +146,8 @@
 /** runner_stop_all - stop all runs, for @reason. */
 void runner_stop_all (Runner *runner, const char *reason);
 
-/** runner_server_lease_is_over - the server has surely ended what it was last told to
- * run. */
+/** runner_server_lease_is_over - the last lease sent to the server has expired, with
+ * all runs under it. */
 gboolean runner_server_lease_is_over (const Runner *runner);
 
 /** run_end - end and report the run. If its server has crashed and never answered the
