Do not apply the reply to a fence to a later start of the task

What callers saw: nothing so far; a task can run twice. The sequence is a matter of milliseconds: the agent is linked anew, its fence is out, and a start that was sent before is refused (busy, draining) before the reply comes.

Cause: the number of the fence query stayed in the task when it was taken off the agent. Placed on the same agent again, the task looked like one that the query covers; the reply, "not started", was about the refused start, and the home placed the task once more while the second start ran.

Evidence: /home/placed-again-before-reply plays the messages between a home and an agent; before this change the home starts task 0 three times and ignores the answer of the second start (outcomes 0 instead of 2).

Why the fix works: a task is covered by a query only while it stays where it was when the query was sent. home_unplace () is the one place where it leaves.

--- a/src/home_outcomes.c
+++ b/src/home_outcomes.c
@@ -114,6 +114,7 @@
   LIST_REMOVE (task, placed_entry);
   task->backend->placed--;
   task->job->placed--;
+  task->fence_query = 0;
 }
 
 void
--- a/src/home_parts.h
+++ b/src/home_parts.h
@@ -27,7 +27,7 @@
   HomeTaskState state;
   guint unreachable; /* starts that did not reach the backend server */
   Backend *backend;
-  guint64 fence_query; /* number of the last fence query sent for it */
+  guint64 fence_query; /* number of the fence query that is unanswered; 0: none */
   GBytes *payload;
   Gw__Outcome *outcome; /* until the holder acknowledges it */
   gboolean reported;
--- a/tests/test-home.c
+++ b/tests/test-home.c
@@ -22,6 +22,18 @@
   return scene->started->len == 2;
 }
 
+static gboolean
+three_started (Scene *scene)
+{
+  return scene->started->len >= 3;
+}
+
+static gboolean
+four_started (Scene *scene)
+{
+  return scene->started->len >= 4;
+}
+
 static gboolean
 one_reported (Scene *scene)
 {
@@ -93,6 +105,34 @@
   scene_free (scene);
 }
 
+/* A task must not run twice when its start is refused while a fence is out: it is placed
+ * again on the same agent, after the fence, and the reply says nothing of that start. */
+static void
+test_placed_again_before_reply (void)
+{
+  Scene *scene = scene_new ();
+  Backend *backend = scene_backend (scene);
+
+  scene_grant (scene, 2);
+  scene_wait (scene, two_started);
+  scene_disconnect_agent (scene);
+  scene_connect_agent (scene);
+  scene_wait (scene, is_fenced);
+  scene_owner_reports (scene, 0, ATTEMPT_MAKE (1, 1), GW__OUTCOME__KIND__NOT_RUN,
+                       GW__OUTCOME__REASON__BUSY);
+  backend->backoff_until_ms = 0;
+  home_slots_freed (scene->home, backend->group);
+  scene_wait (scene, three_started);
+  scene_reply_started (scene, 0, 0); /* neither the first start nor the second */
+  scene_wait (scene, four_started);
+  for (guint32 i = 0; i < 2; i++)
+    scene_owner_reports (scene, i, ATTEMPT_MAKE (1, 3 + i), GW__OUTCOME__KIND__ANSWERED,
+                         GW__OUTCOME__REASON__NONE);
+  g_assert_cmpuint (scene->outcomes->len, ==, 2);
+  scene_assert_idle (scene);
+  scene_free (scene);
+}
+
 /* The holder stops responding and its job leaves the queue; the slot owner then refuses a
  * start. The refused task must be queued only once, with its job when the holder responds
  * again. Queued at once as well, it made the home abort on a wrong count or waited
@@ -258,6 +298,7 @@
   g_test_add_func ("/home/granted-and-finished", test_granted_and_finished);
   g_test_add_func ("/home/started-by-another", test_started_by_another);
   g_test_add_func ("/home/started-by-us", test_started_by_us);
+  g_test_add_func ("/home/placed-again-before-reply", test_placed_again_before_reply);
   g_test_add_func ("/home/refused-while-held", test_refused_while_held);
   g_test_add_func ("/home/attempts-used-up", test_attempts_used_up);
   g_test_add_func ("/home/late-question", test_late_question);
