Leave starts that a home's own fence refused to the fence's reply

What callers saw: a job failed with "may have run", reason "the task was fenced", though every agent and server was up.

Cause: home and agent dial each other after a silent link, and both connections can come up. The second replaces the first while starts are on their way over the first; the fence over the second overtakes them and they are refused. A refusal as fenced that was read before the fence's reply ended the task as if another home had fenced it.

Evidence: the failed jobs' reasons and the agents' timelines: two "job-fenced" for the same job, "none started" in the second, then "task-not-run ... fenced" for the tasks that the home had placed between them; fenced_starts 8, tasks_started = tasks_answered, no agent declared lost.

Why the fix works: the reply to the query lists what has started under any attempt, so it alone decides; a lost link leads to a new query.

--- a/src/home_outcomes.c
+++ b/src/home_outcomes.c
@@ -356,6 +356,10 @@
 
   if (task == NULL)
     return FALSE;
+  /* The reply to the fence tells whether the task was started under another attempt. */
+  if (task->fence_query != 0 && outcome->kind == GW__OUTCOME__KIND__NOT_RUN
+      && outcome->reason == GW__OUTCOME__REASON__FENCED)
+    return TRUE;
   group = task->job->group;
   home_unplace (task);
   if (outcome->kind == GW__OUTCOME__KIND__NOT_RUN
--- a/src/home_owners.c
+++ b/src/home_owners.c
@@ -85,6 +85,7 @@
 static void
 apply_fence_reply (HomeTask *task, guint32 started)
 {
+  task->fence_query = 0;
   if (started == 0)
     not_started (task);
   else if (started != task->attempt)
--- a/tests/test-home.c
+++ b/tests/test-home.c
@@ -105,6 +105,32 @@
   scene_free (scene);
 }
 
+/* A job must not fail because a start was overtaken. The agent is linked twice at the
+ * same moment: the fence over the new link arrives before a start over the old one, which
+ * is refused, and the refusal is read before the fence's reply. */
+static void
+test_refusal_before_reply (void)
+{
+  Scene *scene = scene_new ();
+
+  scene_grant (scene, 1);
+  scene_wait (scene, one_started);
+  scene_disconnect_agent (scene);
+  scene_connect_agent (scene);
+  scene_wait (scene, is_fenced);
+  scene_owner_reports (scene, 0, g_array_index (scene->started, guint32, 0),
+                       GW__OUTCOME__KIND__NOT_RUN, GW__OUTCOME__REASON__FENCED);
+  g_assert_cmpuint (scene->outcomes->len, ==, 0);
+  scene_reply_started (scene, 0, 0);
+  scene_wait (scene, two_started);
+  scene_owner_reports (scene, 0, g_array_index (scene->started, guint32, 1),
+                       GW__OUTCOME__KIND__ANSWERED, GW__OUTCOME__REASON__NONE);
+  scene_wait (scene, one_reported);
+  g_assert_cmpint (scene_reported (scene, 0)->kind, ==, GW__OUTCOME__KIND__ANSWERED);
+  scene_assert_idle (scene);
+  scene_free (scene);
+}
+
 /* A task must not run twice when its start is refused while a fence is out: it is placed
  * again on the same agent, after the fence, and the reply says nothing of that start. */
 static void
@@ -298,6 +324,7 @@
   g_test_add_func ("/home/granted-and-finished", test_granted_and_finished);
   g_test_add_func ("/home/started-by-another", test_started_by_another);
   g_test_add_func ("/home/started-by-us", test_started_by_us);
+  g_test_add_func ("/home/refusal-before-reply", test_refusal_before_reply);
   g_test_add_func ("/home/placed-again-before-reply", test_placed_again_before_reply);
   g_test_add_func ("/home/refused-while-held", test_refused_while_held);
   g_test_add_func ("/home/attempts-used-up", test_attempts_used_up);
