Replace a linked entry's incarnation only on a Hello

What callers saw: tasks that ran twice. An entry that was stopped, declared dead and back again was not told so and started its grants a second time: 11 or 12 starts of a 10-task job.

Cause: a row of the table or another entry's list that named another incarnation counted as proof that the linked one had exited. Incarnations are random and such sources can be out of date. With the replaced incarnation went declared_dead_seq, so the entry got given_up 0 when it linked again.

Why the fix works: a process that sends a Hello under the name is there now, so its incarnation is the later one. What is only heard leads to a dial of the address that was named; a refusal there proves nothing about the known incarnation, whose own address is dialled as before.

--- a/src/members.c
+++ b/src/members.c
@@ -57,6 +57,7 @@
   TAILQ_REMOVE (&member->members->list, member, link_entry);
   link_drop (&member->link);
   link_drop (&member->dialing);
+  link_drop (&member->probing);
   g_free (member->name);
   g_free (member->zone);
   g_free (member->frame_address);
@@ -90,7 +91,7 @@
   members->ops->changed (members->ctx);
 }
 
-/* A new incarnation of a known name proves that the old one has exited. */
+/* Another incarnation in a Hello proves that the known one has exited. */
 static void
 member_set_incarnation (Member *member, guint64 incarnation)
 {
@@ -117,6 +118,13 @@
   member->dialing = link_dial (member->members->links, member->frame_address);
 }
 
+static void
+member_probe (Member *member, const char *frame_address)
+{
+  if (member->probing == NULL && frame_address[0] != '\0')
+    member->probing = link_dial (member->members->links, frame_address);
+}
+
 gboolean
 members_is_self (const Members *members, const char *name)
 {
@@ -141,6 +149,13 @@
     return;
   if (member != NULL && member->incarnation == incarnation)
     return;
+  /* Rows and other entries may be out of date: which of two incarnations is the later one
+   * only a Hello tells. */
+  if (member != NULL && member->linked_ms > 0)
+    {
+      member_probe (member, frame_address);
+      return;
+    }
   member = member_ensure (members, name);
   replace_text (&member->zone, zone);
   replace_text (&member->frame_address, frame_address);
@@ -271,7 +286,7 @@
   Member *member;
 
   TAILQ_FOREACH (member, &members->list, link_entry)
-    if (member->link == link || member->dialing == link)
+    if (member->link == link || member->dialing == link || member->probing == link)
       return member;
   return NULL;
 }
@@ -282,6 +297,11 @@
 {
   Member *seed = members_find_link (members, link);
 
+  if (seed != NULL && seed->probing == link)
+    {
+      g_clear_pointer (&seed->probing, link_unref);
+      return;
+    }
   if (seed == NULL || strcmp (seed->name, real_name) == 0)
     return;
   g_clear_pointer (&seed->dialing, link_unref);
@@ -308,12 +328,14 @@
 {
   const Gw__Hello *hello = link_peer (link);
   Member *known = members_find_link (members, link);
-  gboolean dialed = known != NULL && known->dialing == link;
+  gboolean dialed = known != NULL && known->link != link;
   Member *member;
 
   if (members_is_self (members, hello->name))
     {
-      if (known != NULL)
+      if (known != NULL && known->probing == link)
+        link_drop (&known->probing);
+      else if (known != NULL)
         member_free (known);
       else
         link_close (link);
@@ -371,6 +393,11 @@
       member_link_lost (member, end);
       return TRUE;
     }
+  if (member->probing == link)
+    {
+      g_clear_pointer (&member->probing, link_unref);
+      return TRUE;
+    }
   g_clear_pointer (&member->dialing, link_unref);
   if (end == LINK_REFUSED && member->state != MEMBER_UP)
     {
--- a/src/members.h
+++ b/src/members.h
@@ -32,7 +32,8 @@
   gboolean draining;    /* it reports that it is leaving */
   Link *link;
   Link *dialing;
-  gint64 linked_ms;   /* when the link came up */
+  Link *probing;      /* to the address under which others name another incarnation */
+  gint64 linked_ms;   /* when the link came up; 0: never linked */
   gint64 received_ms; /* last frame received on any link */
   gint64 lost_ms;     /* when it became suspect or down */
   gint64 dialed_ms;
