Answer 503 for a job whose entry does not respond

What callers saw: a job that had completed was answered 404 "failed" by another entry while its holder was stopped for some seconds, and 409 "gone" to a submission with its key.

Cause: an entry that is declared dead for its silence counted as gone. Only a refused connection or another incarnation proves that its answers are lost.

Why the fix works: a member that is known and not proved dead is answered 503, "may have run", with a time to come back; proof leads to 404 and 409 as before.

--- a/src/answers.c
+++ b/src/answers.c
@@ -156,6 +156,12 @@
   return answer_failed (status, "may have run", reason, 0);
 }
 
+Answer
+answer_no_response (const char *reason)
+{
+  return answer_failed (503, "may have run", reason, 1);
+}
+
 Answer
 answer_findings (int status, const Findings *findings)
 {
--- a/src/answers.h
+++ b/src/answers.h
@@ -22,6 +22,10 @@
 /** answer_unknown - a job whose fate cannot be learned: "may have run". */
 Answer answer_unknown (int status, const char *reason);
 
+/** answer_no_response - what is known of the job cannot be read now: 503, "may have run".
+ */
+Answer answer_no_response (const char *reason);
+
 /** answer_findings - a refused input, with the place of every fault. */
 Answer answer_findings (int status, const Findings *findings);
 
--- a/src/callers.c
+++ b/src/callers.c
@@ -444,7 +444,9 @@
                        evhttp_request_get_command (request));
       return;
     }
-  answer = answer_unknown (404, "no entry holds this job");
+  answer = callers_holder_is_silent (callers, caller->key.holder)
+               ? answer_no_response ("the entry that holds the job does not respond")
+               : answer_unknown (404, "no entry holds this job");
   callers_finish (caller, &answer);
 }
 
--- a/src/callers_keys.c
+++ b/src/callers_keys.c
@@ -114,6 +114,14 @@
   return member;
 }
 
+gboolean
+callers_holder_is_silent (Callers *callers, guint64 incarnation)
+{
+  const Member *member = members_by_incarnation (callers->init.members, incarnation);
+
+  return member != NULL && !member->proved_dead;
+}
+
 static void
 join_own_job (Caller *caller)
 {
@@ -164,7 +172,10 @@
                        caller->wait ? "?wait=1" : "", EVHTTP_REQ_GET);
       return;
     }
-  answer = answer_unknown (409, "the entry that held the job with this key is gone");
+  answer
+      = callers_holder_is_silent (callers, caller->job_with_key.holder)
+            ? answer_no_response ("the entry that holds the job does not respond")
+            : answer_unknown (409, "the entry that held the job with this key is gone");
   callers_finish (caller, &answer);
 }
 
--- a/src/callers_parts.h
+++ b/src/callers_parts.h
@@ -50,6 +50,9 @@
                       enum evhttp_cmd_type method);
 const Member *callers_find_member (Callers *callers, guint64 incarnation);
 
+/** callers_holder_is_silent - whether an entry without a link is not proved dead. */
+gboolean callers_holder_is_silent (Callers *callers, guint64 incarnation);
+
 /* Callbacks used by both files. */
 void callers_on_job_done (const HeldJob *job, gpointer ctx);
 void callers_on_key_claimed (ClaimResult result, const JobKey *other, gpointer ctx);
--- a/tests/test-keys.c
+++ b/tests/test-keys.c
@@ -15,6 +15,8 @@
 #define ANSWERED_MAX_MS 2000
 /* A keyed request whose claim cannot be written is refused after 3 s. */
 #define REFUSED_MAX_MS 3500
+/* An entry that was stopped this long ago has been declared dead. */
+#define SILENCE_MS 4500
 
 typedef struct
 {
@@ -95,6 +97,35 @@
   scene_free (&scene, 1);
 }
 
+/* A key's job must not be called gone while its entry only does not respond: the answer
+ * is there when the entry is back. */
+static void
+test_first_entry_silent (void)
+{
+  Scene scene = scene_new (2);
+  Process *holder = harness_entry (scene.harness, 0);
+  Exchange *first = submit (&scene, 0);
+  Exchange *meanwhile;
+  Exchange *afterwards;
+
+  harness_wait_exchange (scene.harness, first);
+  process_signal (holder, SIGSTOP);
+  harness_run_ms (scene.harness, SILENCE_MS);
+  meanwhile = submit (&scene, 1);
+  harness_wait_exchange (scene.harness, meanwhile);
+  process_signal (holder, SIGCONT);
+  afterwards = submit (&scene, 0);
+  harness_wait_exchange (scene.harness, afterwards);
+  g_assert_cmpint (meanwhile->status, ==, 503);
+  g_assert_nonnull (strstr (meanwhile->body, "may have run"));
+  g_assert_cmpint (afterwards->status, ==, 200);
+  g_assert_cmpstr (afterwards->body, ==, first->body);
+  exchange_free (first);
+  exchange_free (meanwhile);
+  exchange_free (afterwards);
+  scene_free (&scene, 1);
+}
+
 /* If the claim's write was applied but its answer lost, the request must not be refused,
  * nor run twice when resubmitted: the result is unknown, not a failure, and the row shows
  * which job has the key. */
@@ -322,6 +353,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/keys/resubmitted-elsewhere", test_resubmitted_elsewhere);
   g_test_add_func ("/keys/first-entry-killed", test_first_entry_killed);
+  g_test_add_func ("/keys/first-entry-silent", test_first_entry_silent);
   g_test_add_func ("/keys/answer-lost", test_answer_lost);
   g_test_add_func ("/keys/store-down", test_table_down);
   g_test_add_func ("/keys/late-claim-taken-over", test_late_claim_taken_over);
