Deny a queue only by a confirmed configuration

What callers saw: 404, "no such queue", from an entry that had not reached the store for 3 s, for a queue that the operator had added meanwhile. A caller gives up at a 404; a 503 sends it to another entry.

Cause: the age of the configuration was known but not asked for.

Evidence: /silence/unknown-queue-is-not-denied, listed in KNOWN-RED.txt, failed each time with 404.

Why the fix works: the table's last reading is passed on among the entries together with the closed zones, which are read in the same requests as the configuration. 404 now needs a reading at most 2.5 s old and no newer version reported by an entry; otherwise 503 with a time to come back.

That a reported newer version alone leads to 503 has no test.

--- a/src/leased_entry.h
+++ b/src/leased_entry.h
@@ -65,6 +65,12 @@
  * entry was asked for one. */
 gboolean leased_entry_config_pending (const LeasedEntry *entry);
 
+/**
+ * leased_entry_config_confirmed - whether the table has been read lately, by this entry
+ * or one that it hears from: what the configuration lacks then does not exist.
+ */
+gboolean leased_entry_config_confirmed (const LeasedEntry *entry);
+
 /** leased_entry_catalog - the configuration in force, or NULL. */
 Catalog *leased_entry_catalog (const LeasedEntry *entry);
 
--- a/src/leased_entry_config.c
+++ b/src/leased_entry_config.c
@@ -9,6 +9,10 @@
 
 #include <string.h>
 
+/* Longer than an entry takes to read the table itself where no other passes on its age.
+ */
+#define CONFIRMED_MS 2500
+
 static guint64
 own_version (const LeasedEntry *entry)
 {
@@ -130,6 +134,14 @@
   return table_follow_due (&view);
 }
 
+gboolean
+leased_entry_config_confirmed (const LeasedEntry *entry)
+{
+  /* The zones are read with the configuration. */
+  return entry->config_pull.behind_ms == 0
+         && closed_zones_age_ms (entry->closed_zones, clock_now_ms ()) <= CONFIRMED_MS;
+}
+
 static void
 pull_if_due (LeasedEntry *entry, gint64 now_ms)
 {
