Cancel a job on DELETE at the entry that runs it

What callers saw: DELETE of a running best-effort job was answered 410, "no such job", and its tasks ran on, up to 3.4 s.

Cause: every request for a job but its POST was answered 410 without a look at the jobs that the entry runs.

Why the fix works: the dispatcher finds the job by its id, stops its tasks as it does when a caller hangs up, and answers the POST. At other entries DELETE is still 410: they do not know the job.

--- a/src/dispatcher.c
+++ b/src/dispatcher.c
@@ -411,19 +411,42 @@
   return job;
 }
 
+static void
+note_cancelled (const LeasedJob *job, const char *reason)
+{
+  event_note ("job-cancelled", job->spec.id,
+              "reason=\"%s\" age_ms=%" G_GINT64_FORMAT " placed=%u done=%u", reason,
+              job->dispatcher->now_ms - job->spec.arrived_ms, job->placed, job->ended);
+}
+
 void
 dispatcher_cancel (LeasedJob *job, gint64 now_ms)
 {
   job->dispatcher->now_ms = now_ms;
   if (job->closed)
     return;
-  event_note ("job-cancelled", job->spec.id,
-              "reason=\"caller has gone\" age_ms=%" G_GINT64_FORMAT " placed=%u done=%u",
-              now_ms - job->spec.arrived_ms, job->placed, job->ended);
+  note_cancelled (job, "caller has gone");
   job_close (job);
   job_free_if_done (job);
 }
 
+gboolean
+dispatcher_cancel_id (Dispatcher *dispatcher,
+                      const char *queue,
+                      const char *id,
+                      gint64 now_ms)
+{
+  LeasedJob *job = g_hash_table_lookup (dispatcher->by_id, id);
+
+  if (job == NULL || strcmp (job->spec.queue, queue) != 0)
+    return FALSE;
+  dispatcher->now_ms = now_ms;
+  note_cancelled (job, "by request");
+  job_answer (job, LEASED_FAILED, "cancelled", 0);
+  job_free_if_done (job);
+  return TRUE;
+}
+
 static const char *
 expiry_reason (const LeasedJob *job)
 {
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -203,6 +203,15 @@
 /** dispatcher_cancel - the caller disconnected: stop the job, do not call LeasedDone. */
 void dispatcher_cancel (LeasedJob *job, gint64 now_ms);
 
+/**
+ * dispatcher_cancel_id - stop a job by request; LeasedDone is called with LEASED_FAILED.
+ * Return: whether such a job of @queue was under way.
+ */
+gboolean dispatcher_cancel_id (Dispatcher *dispatcher,
+                               const char *queue,
+                               const char *id,
+                               gint64 now_ms);
+
 /**
  * dispatcher_set_end - this process exits: every job, open or submitted later, is
  * answered by @end_ms. One that cannot end before is refused at once.
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -361,6 +361,33 @@
   expect_completed (scene, 0, "50", 8);
 }
 
+static Exchange *
+delete_last_job (PlatformScene *scene, guint entry)
+{
+  const char *headers[] = { "Host", PLATFORM_HOST, NULL };
+  char *path = g_strdup_printf (PLATFORM_PREFIX "%016x", scene->jobs);
+  Exchange *exchange = harness_call_with (scene->harness, scene->entries[entry]->http,
+                                          EVHTTP_REQ_DELETE, path, headers, "");
+
+  g_free (path);
+  return exchange;
+}
+
+/* A cancelled job must not run on: DELETE was answered 410 by the entry that ran it. */
+static void
+deleted_job_is_stopped (PlatformScene *scene)
+{
+  Exchange *job = platform_start_job (scene, 0, "3000", 1);
+
+  harness_wait (scene->harness, last_job_started, scene, "a start");
+  expect (scene, delete_last_job (scene, 1), 410, "no such job");
+  expect (scene, delete_last_job (scene, 0), 200, "cancelled");
+  expect (scene, job, 200, "failed");
+  harness_run_ms (scene->harness, 300);
+  g_assert_true (run_is_logged (scene, server_of_last_job (scene), "stopped"));
+  expect (scene, delete_last_job (scene, 0), 410, "no such job");
+}
+
 /* The job of a caller that closes its connection is stopped. */
 static void
 abandoned_job_is_stopped (PlatformScene *scene)
@@ -575,6 +602,7 @@
   { "terminated-agent-finishes-first", terminated_agent_finishes_first },
   { "hangup-ends-nothing", hangup_ends_nothing },
   { "abandoned-job-is-stopped", abandoned_job_is_stopped },
+  { "deleted-job-is-stopped", deleted_job_is_stopped },
   { "refusal-is-explained", refusal_is_explained },
   { "hung-server-is-explained", hung_server_is_explained },
   { "lost-agent-is-explained", lost_agent_is_explained },
